--- /dev/null
+++ b/bench/load.cpp
@@ -0,0 +1,289 @@
+// Sends an open loop of requests to entries and prints what came of them.
+//
+// The plan (a JSON file) names the entries and the streams: each stream has
+// a credential, a class, a rate, and a distribution of service times. Open
+// loop: requests leave at their own times, however late answers are.
+
+#include <springstair/transport.hpp>
+
+#include <absl/synchronization/mutex.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+namespace
+{
+
+using namespace springstair; // NOLINT: a program of its own
+
+constexpr std::size_t clients = 2;
+constexpr double percent = 100.0;
+
+struct target
+{
+    std::string address;
+    std::string data_centre;
+};
+
+struct stream
+{
+    std::string label;
+    std::string credential;
+    std::string work_class;
+    std::string workspace;
+    double rate = 0;
+    double service_ms = 1;
+    bool fixed = false;
+    std::int64_t deadline_ms = 10'000;
+    std::string repeatable;
+};
+
+struct tally
+{
+    std::int64_t sent = 0;
+    std::int64_t answered = 0;
+    std::int64_t failed = 0;
+    std::int64_t mixed = 0; ///< answers that belong to another request
+    std::map<std::string, std::int64_t> not_run;
+    std::map<std::string, std::int64_t> unknown;
+    std::vector<double> latencies_ms;
+    std::vector<std::string> ids_not_run;
+    std::vector<std::string> ids_answered;
+    std::vector<std::string> ids_unknown;
+};
+
+std::string required(const json& from, const char* key)
+{
+    return from.at(key).get<std::string>();
+}
+
+stream parse_stream(const json& from)
+{
+    return {.label = required(from, "label"),
+            .credential = from.value("credential", std::string()),
+            .work_class = required(from, "class"),
+            .workspace = from.value("workspace", std::string()),
+            .rate = from.at("rate"),
+            .service_ms = from.value("service_ms", 1.0),
+            .fixed = from.value("fixed", false),
+            .deadline_ms = from.value("deadline_ms", 10'000),
+            .repeatable = from.value("repeatable", std::string())};
+}
+
+double percentile(std::vector<double>& sorted, double which)
+{
+    if (sorted.empty())
+    {
+        return 0;
+    }
+    const auto last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(last * which / percent)];
+}
+
+class generator
+{
+public:
+    explicit generator(const json& plan)
+        : random_(plan.value("seed", std::uint64_t{1})),
+          length_(std::chrono::milliseconds(
+              plan.at("duration_ms").get<std::int64_t>())),
+          client_delay_(std::chrono::microseconds(
+              plan.value("client_delay_us", std::int64_t{0}))),
+          prefix_(plan.value("prefix", std::string("r")))
+    {
+        for (const json& one : plan.at("targets"))
+        {
+            targets_.push_back({required(one, "address"),
+                                one.value("data_centre", std::string())});
+        }
+        for (const json& one : plan.at("streams"))
+        {
+            streams_.push_back(parse_stream(one));
+        }
+        tallies_.resize(streams_.size());
+    }
+
+    void run()
+    {
+        begin_ = boot_clock::now();
+        std::vector<time_point> next;
+        for (const stream& one : streams_)
+        {
+            next.push_back(begin_ + gap(one));
+        }
+        while (true)
+        {
+            const auto first = std::min_element(next.begin(), next.end());
+            if (*first >= begin_ + length_)
+            {
+                break;
+            }
+            std::this_thread::sleep_for(*first - boot_clock::now());
+            const auto index = static_cast<std::size_t>(first - next.begin());
+            send(index, *first);
+            *first += gap(streams_[index]);
+        }
+        const absl::MutexLock lock(&mutex_);
+        mutex_.Await(absl::Condition(this, &generator::all_back));
+    }
+
+    json results(bool with_ids)
+    {
+        json all = json::object();
+        for (std::size_t index = 0; index < streams_.size(); ++index)
+        {
+            all[streams_[index].label] = result(tallies_[index], with_ids);
+        }
+        return all;
+    }
+
+private:
+    bool all_back() const
+    {
+        return open_ == 0;
+    }
+
+    duration gap(const stream& of)
+    {
+        return from_seconds(
+            std::exponential_distribution<double>(of.rate)(random_));
+    }
+
+    double service_of(const stream& of)
+    {
+        if (of.fixed)
+        {
+            return of.service_ms;
+        }
+        // Log-normal with the wanted mean: a long tail, as renders have.
+        constexpr double sigma = 0.5;
+        std::lognormal_distribution<double> shape(-sigma * sigma / 2, sigma);
+        return of.service_ms * shape(random_);
+    }
+
+    void send(std::size_t index, time_point due)
+    {
+        const stream& of = streams_[index];
+        const std::string id =
+            prefix_ + "-" + of.label + "-" + std::to_string(next_id_++);
+        const target& to = targets_[next_id_ % targets_.size()];
+        header_map headers{
+            {"springstair-credential", of.credential},
+            {"springstair-class", of.work_class},
+            {"springstair-attempt", id},
+            {"springstair-workspace", of.workspace},
+            {"springstair-deadline-ms", std::to_string(of.deadline_ms)},
+            {"x-client-dc", to.data_centre}};
+        if (!of.repeatable.empty())
+        {
+            headers["springstair-repeatable"] = of.repeatable;
+        }
+        {
+            const absl::MutexLock lock(&mutex_);
+            ++open_;
+            ++tallies_[index].sent;
+        }
+        const json body{{"id", id}, {"service_ms", service_of(of)}};
+        clients_[next_id_ % clients].send(
+            {.method = "POST",
+             .url = "http://" + to.address + "/v1/request",
+             .headers = std::move(headers),
+             .body = make_body(body.dump()),
+             .timeout = std::chrono::milliseconds(of.deadline_ms + 2000)},
+            [this, index, id, due](const http_result& result)
+            { take(index, id, due, result); });
+    }
+
+    void take(std::size_t index, const std::string& id, time_point due,
+              const http_result& result)
+    {
+        const duration waited = boot_clock::now() - due + 2 * client_delay_;
+        const absl::MutexLock lock(&mutex_);
+        tally& to = tallies_[index];
+        --open_;
+        if (result.how != delivery::answered)
+        {
+            ++to.unknown["no answer: " + result.error];
+            to.ids_unknown.push_back(id);
+            return;
+        }
+        if (const auto problem = problem_of(result.response))
+        {
+            const std::string reason(to_string(problem->reason));
+            if (problem->result == outcome::not_run)
+            {
+                ++to.not_run[reason];
+                to.ids_not_run.push_back(id);
+                return;
+            }
+            ++to.unknown[reason];
+            to.ids_unknown.push_back(id);
+            return;
+        }
+        const json body = json::parse(*result.response.body, nullptr, false);
+        const bool own = body.is_object() && body.value("id", "") == id;
+        to.mixed += own ? 0 : 1;
+        if (result.response.status != 200)
+        {
+            ++to.failed;
+            return;
+        }
+        ++to.answered;
+        to.ids_answered.push_back(id);
+        const double millis = 1000 * to_seconds(waited);
+        to.latencies_ms.push_back(millis);
+    }
+
+    static json result(tally& from, bool with_ids)
+    {
+        std::sort(from.latencies_ms.begin(), from.latencies_ms.end());
+        json all{{"sent", from.sent},
+                 {"answered", from.answered},
+                 {"failed", from.failed},
+                 {"mixed", from.mixed},
+                 {"not_run", from.not_run},
+                 {"unknown", from.unknown},
+                 {"p50_ms", percentile(from.latencies_ms, 50)},
+                 {"p99_ms", percentile(from.latencies_ms, 99)},
+                 {"p999_ms", percentile(from.latencies_ms, 99.9)}};
+        if (with_ids)
+        {
+            all["ids"] = {{"not_run", from.ids_not_run},
+                          {"answered", from.ids_answered},
+                          {"unknown", from.ids_unknown}};
+        }
+        return all;
+    }
+
+    std::mt19937_64 random_;
+    duration length_;
+    duration client_delay_;
+    std::string prefix_;
+    std::vector<target> targets_;
+    std::vector<stream> streams_;
+    std::vector<tally> tallies_;
+    std::uint64_t next_id_ = 0;
+    std::int64_t open_ = 0;
+    time_point begin_;
+    absl::Mutex mutex_;
+    http_client clients_[clients];
+};
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    if (count < 2)
+    {
+        std::cerr << "usage: springstair_load PLAN.json [ids]\n";
+        return 2;
+    }
+    std::ifstream file(arguments[1]); // NOLINT
+    generator all(json::parse(file));
+    all.run();
+    std::cout << all.results(count > 2).dump() << std::endl;
+}
--- /dev/null
+++ b/packages/core/include/springstair/core.hpp
@@ -0,0 +1,13 @@
+#pragma once
+/// @file
+/// Values, time, errors, events and metrics that every package shares.
+
+#include <springstair/detail/core/errors.hpp>
+#include <springstair/detail/core/events.hpp>
+#include <springstair/detail/core/mailbox.hpp>
+#include <springstair/detail/core/metrics.hpp>
+#include <springstair/detail/core/names.hpp>
+#include <springstair/detail/core/object_reader.hpp>
+#include <springstair/detail/core/problem_report.hpp>
+#include <springstair/detail/core/secrets.hpp>
+#include <springstair/detail/core/time.hpp>
--- /dev/null
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace springstair
+{
+
+/// @brief Numbered events of the log; docs/EVENTS.md is their catalogue.
+enum class event_id : std::uint16_t
+{
+    process_started = 1001,
+    process_draining = 1002,
+    process_stopped = 1003,
+    settings_refused = 1004,
+    part_restarted = 1005,
+    part_given_up = 1006,
+    table_in_force = 1101,
+    table_refused = 1102,
+    store_lost = 1201,
+    store_back = 1202,
+    guard_joined = 1301,
+    guard_leaving = 1302,
+    guard_lost = 1303,
+    guard_ejected = 1304,
+    guard_restored = 1305,
+    stranger_refused = 1401,
+    shard_taken = 1501,
+    shard_lost = 1502,
+    task_ended = 1503
+};
+
+/// @brief How much an event matters.
+enum class severity : std::uint8_t
+{
+    info,
+    warning,
+    error
+};
+
+/// @brief One row of the catalogue.
+struct event_description
+{
+    event_id id;
+    severity level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// @brief The whole catalogue, in the order of the numbers.
+std::span<const event_description> event_catalogue() noexcept;
+
+/// @brief A named value of an event.
+struct event_field
+{
+    std::string_view name;
+    std::string value;
+};
+
+/// @brief Writes one event as a line of JSON to the log.
+/// @param id which event @param fields its values
+/// Safe from any thread.
+void log_event(event_id id, std::initializer_list<event_field> fields = {});
+
+/// @brief Sends the log to standard error, one line an event.
+/// @param process name put into each line
+void start_log(const std::string& process);
+
+/// @brief The version of this build.
+std::string_view version() noexcept;
+
+} // namespace springstair
--- /dev/null
+++ b/packages/core/src/events.cpp
@@ -0,0 +1,128 @@
+#include <springstair/core.hpp>
+
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace springstair
+{
+
+namespace
+{
+
+namespace trivial = boost::log::trivial;
+
+constexpr std::array<event_description, 19> catalogue{{
+    {event_id::process_started, severity::info, "process_started",
+     "The process serves; its name, role and address follow."},
+    {event_id::process_draining, severity::info, "process_draining",
+     "A planned stop began; nothing new is admitted."},
+    {event_id::process_stopped, severity::info, "process_stopped",
+     "Everything in flight was answered and the process ends."},
+    {event_id::settings_refused, severity::error, "settings_refused",
+     "The settings have findings; nothing was started."},
+    {event_id::part_restarted, severity::warning, "part_restarted",
+     "A part ended by an exception and was started again."},
+    {event_id::part_given_up, severity::error, "part_given_up",
+     "A part failed too often; the process ends."},
+    {event_id::table_in_force, severity::info, "table_in_force",
+     "A newer revision of the table is in force here."},
+    {event_id::table_refused, severity::error, "table_refused",
+     "A table with findings was refused; the last good one stays."},
+    {event_id::store_lost, severity::warning, "store_lost",
+     "The platform's store does not answer; requests go on."},
+    {event_id::store_back, severity::info, "store_back",
+     "The platform's store answers again."},
+    {event_id::guard_joined, severity::info, "guard_joined",
+     "A guard's first heartbeat, or one of a new incarnation."},
+    {event_id::guard_leaving, severity::info, "guard_leaving",
+     "A guard is leaving; it gets no new work."},
+    {event_id::guard_lost, severity::warning, "guard_lost",
+     "A guard's heartbeats stopped; it gets no new work."},
+    {event_id::guard_ejected, severity::warning, "guard_ejected",
+     "An executor fails what it is given; it is left alone for a while."},
+    {event_id::guard_restored, severity::info, "guard_restored",
+     "A probe of an ejected executor succeeded."},
+    {event_id::stranger_refused, severity::warning, "stranger_refused",
+     "A call without the fleet's key reached a port between processes."},
+    {event_id::shard_taken, severity::info, "shard_taken",
+     "This entry holds a shard of tasks and has read its journal."},
+    {event_id::shard_lost, severity::warning, "shard_lost",
+     "Another entry holds a shard that this one held."},
+    {event_id::task_ended, severity::info, "task_ended",
+     "A task reached its last state."},
+}};
+
+const event_description& describe(event_id id)
+{
+    const auto* const found =
+        std::find_if(catalogue.begin(), catalogue.end(),
+                     [id](const auto& row) { return row.id == id; });
+    return *found;
+}
+
+trivial::severity_level to_boost(severity level)
+{
+    switch (level)
+    {
+    case severity::info:
+        return trivial::info;
+    case severity::warning:
+        return trivial::warning;
+    case severity::error:
+        break;
+    }
+    return trivial::error;
+}
+
+std::string& process_name()
+{
+    static std::string name;
+    return name;
+}
+
+} // namespace
+
+std::span<const event_description> event_catalogue() noexcept
+{
+    return catalogue;
+}
+
+void log_event(event_id id, std::initializer_list<event_field> fields)
+{
+    const event_description& row = describe(id);
+    nlohmann::ordered_json line;
+    line["event"] = static_cast<int>(id);
+    line["name"] = row.name;
+    line["process"] = process_name();
+    for (const event_field& field : fields)
+    {
+        line[std::string(field.name)] = field.value;
+    }
+    boost::log::sources::severity_logger_mt<trivial::severity_level> logger;
+    BOOST_LOG_SEV(logger, to_boost(row.level)) << line.dump(
+        -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void start_log(const std::string& process)
+{
+    process_name() = process;
+    boost::log::add_common_attributes();
+    boost::log::add_console_log(std::clog,
+                                boost::log::keywords::format =
+                                    "%TimeStamp% %Severity% %Message%",
+                                boost::log::keywords::auto_flush = true);
+}
+
+std::string_view version() noexcept
+{
+    return SPRINGSTAIR_VERSION;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/entry_control.hpp
@@ -0,0 +1,151 @@
+#pragma once
+// The control part of an entry: binds its state machines to the network.
+
+#include "entry_process.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace springstair
+{
+
+class entry_control
+{
+public:
+    explicit entry_control(entry_process& process);
+
+    /// Serves events until the parts are to return.
+    void run();
+
+private:
+    struct open_request
+    {
+        http_request request;
+        std::shared_ptr<http_responder> responder;
+        class_name of;
+        time_point arrived;
+    };
+
+    struct peer
+    {
+        bool asked = false; ///< an exchange is on its way
+        std::string name;
+        bool in_settings = false;
+        time_point answered{};
+    };
+
+    /// An edit that is committed, and who has yet to hear of it.
+    struct committed_edit
+    {
+        std::shared_ptr<http_responder> responder;
+        std::int64_t revision = 0;
+        std::set<std::string> waiting_for;
+        time_point deadline;
+    };
+
+    struct task_list
+    {
+        std::shared_ptr<http_responder> responder;
+        json tasks = json::array();
+        std::size_t missing = 0;
+        bool complete = true;
+    };
+
+    // Where a request goes.
+    void on(http_arrival& arrival);
+    void on_caller(http_arrival& arrival);
+    void on_operator(http_arrival& arrival);
+    [[nodiscard]] bool is_operator(const http_request& request) const;
+    [[nodiscard]] std::optional<std::string>
+    workspace_of(const http_request& request) const;
+
+    // Requests.
+    void on_request(http_arrival& arrival, const std::string& workspace);
+    void on(attempt_ended& ended);
+    void carry_out(const request_actions& actions);
+    void act(const send_attempt& send);
+    void act(const forward_answer& forward);
+    void act(const answer_problem& problem);
+    void act(const note_guard& note);
+
+    // The table.
+    void on_edit(http_arrival& arrival);
+    void carry_out(table_actions actions);
+    void act(const store_call& call, store_user user);
+    void act(const edit_ended& ended);
+    void act(const table_found& found);
+    void act(const table_unfit& unfit);
+    void act(const store_seen& seen);
+    bool take_table(const table& rows);
+    void take_peer_table(const json& document);
+    void finish_edits(time_point now);
+    void on(store_answered& answered);
+
+    // Other processes.
+    json on_heartbeat(const json& message);
+    json on_exchange(const json& message);
+    entry_summary summary(time_point now, const std::string& to, bool offer);
+    void exchange_with(const std::string& address);
+    void exchange_with_all();
+    void on(exchange_ended& ended);
+    void on(vms_listed& listed);
+    void learn_addresses(const std::vector<std::string>& addresses);
+    [[nodiscard]] std::vector<std::string> known_entries() const;
+    [[nodiscard]] std::string own_address() const;
+
+    // Tasks.
+    void on_task_call(http_arrival& arrival, const std::string& workspace);
+    void on_submit(http_arrival& arrival, const std::string& workspace);
+    void on_list(http_arrival& arrival, const std::string& workspace);
+    void on_one_task(http_arrival& arrival, const std::string& workspace,
+                     const std::string& task, bool cancel);
+    bool forward_task_call(http_arrival& arrival, const std::string& workspace,
+                           const std::string& task);
+    void carry_out(const task_actions& actions);
+    void act(const task_answer& answer);
+    void act(const send_start& start);
+    void act(const send_stop& stop);
+    void act(const note_shard& note);
+    void act(const note_ended& note);
+    void on(start_ended& ended);
+    void on(stop_ended& ended);
+    void on(forward_ended& ended);
+    void on(list_part_ended& ended);
+    void finish_list(std::uint64_t number);
+
+    // Operators.
+    [[nodiscard]] json status(time_point now) const;
+    void on_drain_guard(http_arrival& arrival);
+
+    // Time.
+    void tick();
+    void poll_platform(time_point now);
+    void drain_if_told(time_point now);
+    [[nodiscard]] bool serving() const;
+
+    entry_process& process_;
+    daemon_clock clock_;
+    std::string incarnation_;
+    request_core requests_;
+    table_keeper table_;
+    task_core tasks_;
+    rpc_dispatcher rpc_;
+    std::map<request_number, open_request> open_;
+    request_number next_number_ = 1;
+    const http_result* answer_ = nullptr;
+    std::map<std::string, peer> peers_; ///< by address
+    std::map<edit_number, std::shared_ptr<http_responder>> edits_;
+    std::vector<committed_edit> committed_;
+    std::map<store_token, std::shared_ptr<http_responder>> histories_;
+    std::map<task_call, std::shared_ptr<http_responder>> task_calls_;
+    std::map<std::uint64_t, task_list> lists_;
+    std::set<std::string> listed_vms_;   ///< names ever seen on the list
+    std::map<std::string, int> missing_; ///< lists in a row without the VM
+    time_point next_exchange_{};
+    time_point next_vms_{};
+    bool vms_asked_ = false;
+    std::optional<time_point> drain_since_;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/entry_table.cpp
@@ -0,0 +1,229 @@
+// The table: operators' edits, what the store says, who has yet to hear.
+
+#include "entry_control.hpp"
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr int good = 200;
+constexpr int bad_request = 400;
+constexpr int conflict = 409;
+constexpr int unfit = 422;
+constexpr int unavailable = 503;
+constexpr int in_doubt = 504;
+constexpr duration longest_hand_on = std::chrono::seconds(2);
+
+json to_document(const findings& wrong)
+{
+    json list = json::array();
+    for (const finding& one : wrong)
+    {
+        list.push_back({{"place", one.place}, {"message", one.message}});
+    }
+    return list;
+}
+
+json to_document(const std::vector<edit_conflict>& conflicts)
+{
+    json list = json::array();
+    for (const edit_conflict& one : conflicts)
+    {
+        list.push_back({{"row", one.row},
+                        {"column", one.column},
+                        {"expected", one.expected},
+                        {"present", one.present}});
+    }
+    return list;
+}
+
+} // namespace
+
+void entry_control::on_edit(http_arrival& arrival)
+{
+    try
+    {
+        std::vector<cell_edit> edits =
+            parse_edits(parse_body(arrival.request.body));
+        const edit_number number = next_number_++;
+        edits_[number] = arrival.responder;
+        carry_out(table_.on_edit(clock_.now(), number, std::move(edits)));
+    }
+    catch (const document_error& error)
+    {
+        arrival.responder->respond(json_response(
+            bad_request, {{"outcome", "not_run"},
+                          {"detail", error.what()},
+                          {"findings", to_document(error.all())}}));
+    }
+}
+
+void entry_control::carry_out(table_actions actions)
+{
+    for (table_action& action : actions)
+    {
+        if (const auto* call = std::get_if<store_call>(&action))
+        {
+            act(*call, store_user::table);
+            continue;
+        }
+        std::visit(
+            [this](const auto& one)
+            {
+                if constexpr (!std::is_same_v<std::decay_t<decltype(one)>,
+                                              store_call>)
+                {
+                    act(one);
+                }
+            },
+            action);
+    }
+}
+
+void entry_control::act(const store_call& call, store_user user)
+{
+    process_.store.send(
+        call.operation,
+        [&process = process_, user, token = call.token](kv_answer answer) {
+            process.events.post(store_answered{user, token, std::move(answer)});
+        });
+}
+
+void entry_control::on(store_answered& answered)
+{
+    const time_point now = clock_.now();
+    switch (answered.user)
+    {
+    case store_user::table:
+        carry_out(table_.on_store(now, answered.token, answered.answer));
+        break;
+    case store_user::tasks:
+    {
+        task_actions actions;
+        tasks_.on_store(now, answered.token, answered.answer, actions);
+        carry_out(actions);
+        break;
+    }
+    case store_user::history:
+        if (const auto found = histories_.find(answered.token);
+            found != histories_.end())
+        {
+            json list = json::array();
+            for (const kv_item& item : answered.answer.items)
+            {
+                list.push_back(json::parse(item.value, nullptr, false));
+            }
+            const bool done = answered.answer.how == kv_answer::state::done;
+            found->second->respond(
+                json_response(done ? good : unavailable, {{"history", list}}));
+            histories_.erase(found);
+        }
+        break;
+    }
+}
+
+void entry_control::act(const table_found& found)
+{
+    take_table(found.rows);
+}
+
+void entry_control::act(const table_unfit& refused)
+{
+    log_event(event_id::table_refused,
+              {{"findings", to_document(refused.wrong).dump()}});
+}
+
+void entry_control::act(const store_seen& seen)
+{
+    log_event(seen.available ? event_id::store_back : event_id::store_lost);
+}
+
+bool entry_control::take_table(const table& rows)
+{
+    if (!requests_.on_table(rows))
+    {
+        return false;
+    }
+    tasks_.on_table(rows);
+    process_.numbers.set("table_revision",
+                         static_cast<double>(rows.revision()));
+    log_event(event_id::table_in_force,
+              {{"revision", std::to_string(rows.revision())}});
+    return true;
+}
+
+// A committed edit is told only after the other entries have it: the store
+// may go away, or this process, right after the operator's success line.
+void entry_control::act(const edit_ended& ended)
+{
+    const auto found = edits_.find(ended.number);
+    if (found == edits_.end())
+    {
+        return;
+    }
+    const std::shared_ptr<http_responder> responder = found->second;
+    edits_.erase(found);
+    switch (ended.how)
+    {
+    case edit_ended::ending::committed:
+    {
+        committed_edit edit{.responder = responder,
+                            .revision = ended.revision,
+                            .deadline = clock_.now() + longest_hand_on};
+        for (const auto& [address, peer] : peers_)
+        {
+            const bool heard_lately =
+                clock_.now() - peer.answered < std::chrono::seconds(5);
+            if (heard_lately)
+            {
+                edit.waiting_for.insert(address);
+            }
+        }
+        committed_.push_back(std::move(edit));
+        exchange_with_all();
+        break;
+    }
+    case edit_ended::ending::conflict:
+        responder->respond(json_response(
+            conflict, {{"outcome", "not_run"},
+                       {"conflicts", to_document(ended.conflicts)}}));
+        break;
+    case edit_ended::ending::refused:
+        responder->respond(
+            json_response(unfit, {{"outcome", "not_run"},
+                                  {"findings", to_document(ended.wrong)}}));
+        break;
+    case edit_ended::ending::unavailable:
+        responder->respond(json_response(
+            unavailable,
+            {{"outcome", "not_run"}, {"detail", "the store does not answer"}}));
+        break;
+    case edit_ended::ending::unknown:
+        responder->respond(json_response(
+            in_doubt, {{"outcome", "unknown"},
+                       {"detail", "the store did not say whether it wrote"}}));
+        break;
+    }
+}
+
+void entry_control::finish_edits(time_point now)
+{
+    std::vector<committed_edit> left;
+    for (committed_edit& edit : committed_)
+    {
+        if (!edit.waiting_for.empty() && now < edit.deadline)
+        {
+            left.push_back(std::move(edit));
+            continue;
+        }
+        edit.responder->respond(
+            json_response(good, {{"revision", edit.revision}}));
+    }
+    committed_ = std::move(left);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/entry/include/springstair/detail/entry/task_core.hpp
@@ -0,0 +1,307 @@
+#pragma once
+
+#include <springstair/policy.hpp>
+#include <springstair/store.hpp>
+#include <springstair/tasks.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief What an entry is told by its settings about tasks.
+struct task_core_options
+{
+    entry_name name;
+    std::string incarnation;
+    std::int64_t shards = 8; ///< of the whole fleet; never changed
+    std::int64_t lease_seconds = 10;
+    duration renew_every = std::chrono::seconds(3);
+    duration look_every = std::chrono::seconds(2);
+    duration adopt_after = std::chrono::seconds(3);
+    duration commit_every = std::chrono::milliseconds(200);
+    duration retry = std::chrono::milliseconds(300);
+    duration resend_start = std::chrono::seconds(1);
+    duration gone_after = std::chrono::seconds(10);
+    std::int64_t snapshot_every = 64; ///< segments
+    std::size_t most_book_bytes = 700'000;
+    std::int64_t most_failures = 3;
+    std::size_t places_a_round = 200;
+    std::uint64_t seed = 1;
+};
+
+/// @brief Names a caller's task call within its entry.
+using task_call = std::uint64_t;
+
+/// @brief The final answer to a submission or a cancel.
+struct task_answer
+{
+    task_call call = 0;
+    std::optional<task_record> record;   ///< when it was done
+    std::optional<problem_report> wrong; ///< when it was not
+};
+
+/// @brief Send a start to a guard.
+struct send_start
+{
+    guard_name guard;
+    std::string address;
+    start_task what;
+};
+
+/// @brief Send a stop to a guard.
+struct send_stop
+{
+    guard_name guard;
+    std::string address;
+    stop_task what;
+};
+
+/// @brief A shard came or went; for the log.
+struct note_shard
+{
+    event_id event = event_id::shard_taken;
+    std::int64_t shard = 0;
+};
+
+/// @brief A task reached its last state; for the log and the metrics.
+struct note_ended
+{
+    task_record record;
+};
+
+/// @brief What an entry does next for tasks.
+using task_action = std::variant<store_call, task_answer, send_start, send_stop,
+                                 note_shard, note_ended>;
+
+/// @brief Several of them, in order.
+using task_actions = std::vector<task_action>;
+
+/// @brief A task and the number of one of its attempts.
+struct task_attempt_key
+{
+    std::string task;
+    std::int64_t attempt = 0;
+};
+
+/// @brief The guards as an entry's request path knows them.
+using guard_views = std::map<guard_name, guard_view>;
+
+/// @brief The state machine of the shards of tasks that an entry holds.
+///
+/// Nothing is told or done before the journal has it: a caller hears of
+/// acceptance, a guard is asked to start, and an ended attempt is
+/// acknowledged only after the commit. Commits name the key that makes this
+/// entry the shard's holder by its creation, so nothing of a former holder
+/// can be written once there is a new one.
+class task_core
+{
+public:
+    /// @param options from the settings
+    explicit task_core(task_core_options options);
+
+    /// @brief A workspace submits a task; its id is given here.
+    void on_submit(task_call call, time_point deadline, task_spec spec,
+                   const guard_views& guards, task_actions& actions);
+    /// @brief A workspace cancels a task of a shard that is held here.
+    void on_cancel(task_call call, time_point deadline,
+                   const std::string& workspace, const std::string& task,
+                   task_actions& actions);
+    /// @brief The store's answer to an earlier call.
+    void on_store(time_point now, store_token token, const kv_answer& answer,
+                  task_actions& actions);
+    /// @brief A guard's heartbeat.
+    /// @return ended attempts that are on record, for the answer
+    std::vector<attempt_report> on_report(time_point now,
+                                          const guard_report& report,
+                                          task_actions& actions);
+    /// @brief A guard's reply to a start.
+    void on_start_reply(const start_task& what, const task_reply& reply);
+    /// @brief A guard's reply to a stop.
+    void on_stop_reply(const stop_task& what, const task_reply& reply);
+    /// @brief VMs that the platform's list held once and holds no more.
+    void on_gone(time_point now, const std::set<std::string>& names,
+                 const guard_views& guards);
+    /// @brief Workspaces' limits from now on.
+    void on_table(const table& rows);
+    /// @brief Another entry's word of what it has placed.
+    void on_peer_usage(const std::string& peer,
+                       std::map<std::string, resources> usage);
+    /// @brief A planned stop began: shards are given up.
+    void on_drain(time_point now, task_actions& actions);
+    /// @brief Time passes.
+    /// @param entries names of all live entries, this one among them
+    void on_tick(time_point now, const guard_views& guards,
+                 const std::set<std::string>& entries, task_actions& actions);
+
+    /// @brief A task's record if its shard is held here, else null.
+    [[nodiscard]] const task_record* find(const std::string& task) const;
+    /// @brief The records of a workspace's tasks that are held here.
+    [[nodiscard]] std::vector<task_record>
+    records_of(const std::string& workspace) const;
+    /// @brief The shards held here.
+    [[nodiscard]] std::vector<std::int64_t> held() const;
+    /// @brief What is placed, by workspace.
+    [[nodiscard]] std::map<std::string, resources> usage() const;
+    /// @brief Transactions sent to the store, and transitions in them.
+    struct counters
+    {
+        std::uint64_t commits = 0;
+        std::uint64_t transitions = 0;
+        std::uint64_t bytes = 0;
+    };
+    /// @brief What the journal cost so far.
+    [[nodiscard]] const counters& cost() const noexcept
+    {
+        return cost_;
+    }
+
+private:
+    enum class phase : std::uint8_t
+    {
+        foreign,
+        acquiring,
+        loading,
+        held
+    };
+
+    struct waiting_call
+    {
+        task_call call = 0;
+        std::string task;
+        time_point deadline;
+        bool sent = false;
+    };
+
+    struct shard
+    {
+        phase at = phase::foreign;
+        std::int64_t epoch = 0; ///< creation of the holder's key
+        task_book book;
+        std::int64_t next_segment = 1;
+        std::int64_t since_snapshot = 0;
+        std::vector<task_transition> pending;
+        std::vector<task_transition> committing;
+        std::string nonce; ///< of the segment that is on its way
+        std::optional<store_token> token;
+        kv_operation in_flight;
+        std::optional<kv_operation> again; ///< to send when retry_at comes
+        bool too_large = false; ///< the book nears what the store can hold
+        bool snapshotting = false;
+        bool checking = false; ///< reading back a refused segment
+        time_point retry_at;
+        time_point next_commit{};
+        time_point free_since{};
+        std::set<std::string> busy; ///< tasks with steps not yet on record
+        std::vector<waiting_call> calls;
+    };
+
+    struct sent_start
+    {
+        std::int64_t attempt = 0;
+        time_point at;
+    };
+
+    // The store and the shards.
+    store_call ask(kv_operation operation);
+    void keep_lease(time_point now, task_actions& actions);
+    void look_for_shards(time_point now, task_actions& actions);
+    void take_shards(time_point now, const kv_answer& answer,
+                     const std::set<std::string>& entries,
+                     task_actions& actions);
+    void acquire(std::int64_t number, task_actions& actions);
+    void after_acquire(std::int64_t number, const kv_answer& answer,
+                       task_actions& actions);
+    void load(std::int64_t number, task_actions& actions);
+    void after_load(time_point now, std::int64_t number,
+                    const kv_answer& answer, task_actions& actions);
+    void give_up(std::int64_t number, task_actions& actions);
+    void drop(std::int64_t number, bool may_be_written, task_actions& actions);
+    void drop_all(task_actions& actions);
+
+    // The journal.
+    static void recount_busy(shard& of);
+    static void add(shard& to, task_transition step);
+    void commit(time_point now, std::int64_t number, task_actions& actions);
+    void snapshot(std::int64_t number, task_actions& actions);
+    void send_for(shard& of, kv_operation operation, task_actions& actions);
+    void after_commit(time_point now, std::int64_t number,
+                      const kv_answer& answer, task_actions& actions);
+    void committed(time_point now, std::int64_t number, task_actions& actions);
+    void answer_calls(std::int64_t number, task_actions& actions);
+    static void refuse_calls(shard& of, bool may_be_written,
+                             task_actions& actions);
+    static void queue_step(shard& to, task_call call, time_point deadline,
+                           task_transition step);
+    void expire_calls(time_point now, shard& of, task_actions& actions);
+
+    // Placement.
+    using waiting_tasks =
+        std::map<std::string, std::vector<const task_record*>>;
+
+    void recount();
+    void place_all(time_point now, const guard_views& guards);
+    [[nodiscard]] waiting_tasks waiting() const;
+    bool place_one(time_point now, const task_record& record,
+                   const guard_views& guards);
+    [[nodiscard]] std::optional<guard_name>
+    choose_guard(time_point now, const task_record& record,
+                 const guard_views& guards);
+    [[nodiscard]] bool within_quota(const task_spec& spec) const;
+    [[nodiscard]] resources used_by(const std::string& workspace) const;
+    [[nodiscard]] double share_of(const std::string& workspace,
+                                  const resources& fleet) const;
+    [[nodiscard]] resources free_of(const guard_view& view) const;
+    [[nodiscard]] static bool fits_somewhere(const task_spec& spec,
+                                             const guard_views& guards);
+    void start_placed(time_point now, const task_record& record,
+                      task_actions& actions);
+    void stop_attempt(const std::string& guard, const task_attempt_key& name,
+                      bool keep_checkpoint, task_actions& actions);
+
+    // Reports of guards.
+    void take_ended(const std::string& guard, const task_record& record,
+                    const attempt_report& report);
+    void take_failure(const std::string& guard, const task_record& record,
+                      const attempt_report& report);
+    void check_missing(time_point now, const guard_report& report,
+                       task_actions& actions);
+    void lose(const std::string& task, std::int64_t attempt,
+              const std::string& why);
+
+    shard* held_shard(const std::string& task);
+    [[nodiscard]] const shard* held_shard(const std::string& task) const;
+
+    task_core_options options_;
+    table table_;
+    std::map<std::int64_t, shard> shards_;
+    std::map<store_token, std::int64_t> shard_of_token_;
+    std::map<std::string, std::map<std::string, resources>> peer_usage_;
+    std::map<std::string, resources> usage_;
+    std::map<std::string, sent_start> starts_; ///< by task
+    std::map<guard_name, std::map<std::string, resources>> promised_;
+    std::map<std::string, std::set<std::string>> placed_on_; ///< by guard
+    std::map<std::string, std::string> addresses_;           ///< by guard
+    std::map<std::string, std::set<guard_name>> failed_on_;  ///< by task
+    outlier_detector workers_; ///< those that fail all they start
+    std::int64_t lease_ = 0;
+    std::optional<store_token> lease_token_;
+    time_point next_renewal_{};
+    std::optional<store_token> look_token_;
+    time_point next_look_{};
+    std::optional<kv_answer> seen_shards_;
+    store_token next_token_ = 1;
+    std::uint64_t next_nonce_ = 1;
+    random_source random_;
+    counters cost_;
+    bool store_available_ = true;
+    bool draining_ = false;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/entry/include/springstair/entry.hpp
@@ -0,0 +1,7 @@
+#pragma once
+/// @file
+/// The entry's decisions: requests, the table, and shards of tasks.
+
+#include <springstair/detail/entry/request_core.hpp>
+#include <springstair/detail/entry/table_keeper.hpp>
+#include <springstair/detail/entry/task_core.hpp>
--- /dev/null
+++ b/packages/entry/src/table_keeper.cpp
@@ -0,0 +1,307 @@
+#include <springstair/entry.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+const json empty_document = {{"revision", 0}, {"rows", json::object()}};
+
+// Keys of the history sort by revision.
+std::string history_key(std::int64_t revision)
+{
+    std::array<char, 32> digits{};
+    std::snprintf(digits.data(), digits.size(), "%012lld",
+                  static_cast<long long>(revision));
+    return store_keys::history + std::string(digits.data());
+}
+
+json history_entry(std::int64_t revision, const std::vector<cell_edit>& edits)
+{
+    json list = json::array();
+    for (const cell_edit& edit : edits)
+    {
+        list.push_back(to_document(edit));
+    }
+    return {{"revision", revision}, {"edits", list}};
+}
+
+bool contains(const std::vector<std::string>& all, const std::string& one)
+{
+    return std::find(all.begin(), all.end(), one) != all.end();
+}
+
+} // namespace
+
+table_keeper::table_keeper(table_keeper_options options)
+    : options_(std::move(options))
+{
+}
+
+store_call table_keeper::ask(kv_operation operation)
+{
+    return {.token = next_token_++, .operation = std::move(operation)};
+}
+
+void table_keeper::note_store(const kv_answer& answer, table_actions& actions)
+{
+    const bool answered = answer.how == kv_answer::state::done;
+    if (answered != available_)
+    {
+        available_ = answered;
+        actions.emplace_back(store_seen{.available = answered});
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Reading
+// ---------------------------------------------------------------------------
+
+void table_keeper::take_document(const kv_item& item, table_actions& actions)
+{
+    if (item.mod_revision <= seen_mod_revision_)
+    {
+        return;
+    }
+    seen_mod_revision_ = item.mod_revision;
+    try
+    {
+        const json document = json::parse(item.value);
+        table rows = table::parse(document);
+        if (rows.revision() > seen_revision_)
+        {
+            seen_revision_ = rows.revision();
+            actions.emplace_back(table_found{.rows = std::move(rows)});
+        }
+    }
+    catch (const document_error& error)
+    {
+        actions.emplace_back(table_unfit{.wrong = error.all()});
+    }
+    catch (const json::exception&)
+    {
+        actions.emplace_back(
+            table_unfit{.wrong = {{.place = "", .message = "is not JSON"}}});
+    }
+}
+
+table_actions table_keeper::on_tick(time_point now)
+{
+    table_actions actions;
+    if (!poll_ && now >= next_poll_)
+    {
+        store_call call =
+            ask(kv_range{.key = store_keys::table,
+                         .prefix = false,
+                         .min_mod_revision = seen_mod_revision_ + 1});
+        poll_ = call.token;
+        next_poll_ = now + options_.poll;
+        actions.emplace_back(std::move(call));
+    }
+    while (!edits_.empty() && now >= edits_.front().deadline)
+    {
+        const pending_edit& late = edits_.front();
+        const auto how = late.in_doubt || late.at == stage::writing
+                             ? edit_ended::ending::unknown
+                             : edit_ended::ending::unavailable;
+        end({.number = late.number,
+             .how = how,
+             .revision = 0,
+             .conflicts = {},
+             .wrong = {}},
+            now, actions);
+    }
+    if (!edits_.empty() && edits_.front().at == stage::waiting &&
+        now >= edits_.front().retry_at)
+    {
+        read_again(actions);
+    }
+    return actions;
+}
+
+// ---------------------------------------------------------------------------
+// Edits
+// ---------------------------------------------------------------------------
+
+table_actions table_keeper::on_edit(time_point now, edit_number number,
+                                    std::vector<cell_edit> edits)
+{
+    table_actions actions;
+    pending_edit fresh;
+    fresh.number = number;
+    fresh.edits = std::move(edits);
+    fresh.deadline = now + options_.edit_deadline;
+    fresh.retry_at = now;
+    fresh.nonce = options_.writer + "." + std::to_string(next_nonce_++);
+    edits_.push_back(std::move(fresh));
+    if (edits_.size() == 1)
+    {
+        begin_next(now, actions);
+    }
+    return actions;
+}
+
+void table_keeper::begin_next(time_point now, table_actions& actions)
+{
+    if (!edits_.empty() && now < edits_.front().deadline)
+    {
+        read_again(actions);
+    }
+}
+
+void table_keeper::read_again(table_actions& actions)
+{
+    pending_edit& edit = edits_.front();
+    store_call call = ask(kv_range{.key = store_keys::table});
+    edit.token = call.token;
+    edit.at = stage::reading;
+    actions.emplace_back(std::move(call));
+}
+
+void table_keeper::end(edit_ended how, time_point now, table_actions& actions)
+{
+    edits_.pop_front();
+    actions.emplace_back(std::move(how));
+    begin_next(now, actions);
+}
+
+void table_keeper::write(const edit_result& edited, std::int64_t mod_revision,
+                         table_actions& actions)
+{
+    pending_edit& edit = edits_.front();
+    const auto revision = edited.document.at("revision").get<std::int64_t>();
+    kv_transaction transaction{
+        .compares = {{.key = store_keys::table,
+                      .of = kv_compare::number::mod_revision,
+                      .equals = mod_revision}},
+        .puts = {{.key = store_keys::table, .value = edited.document.dump()},
+                 {.key = history_key(revision),
+                  .value = history_entry(revision, edit.edits).dump()}},
+        .deletes = {}};
+    if (revision > options_.kept_history)
+    {
+        transaction.deletes.push_back(
+            {.key = history_key(revision - options_.kept_history)});
+    }
+    store_call call = ask(std::move(transaction));
+    edit.token = call.token;
+    edit.at = stage::writing;
+    edit.written_revision = revision;
+    actions.emplace_back(std::move(call));
+}
+
+void table_keeper::after_read(time_point now, const kv_answer& answer,
+                              table_actions& actions)
+{
+    pending_edit& edit = edits_.front();
+    if (answer.how != kv_answer::state::done)
+    {
+        edit.at = stage::waiting;
+        edit.retry_at = now + options_.retry;
+        return;
+    }
+    json document = empty_document;
+    std::int64_t mod_revision = 0;
+    if (!answer.items.empty())
+    {
+        take_document(answer.items.front(), actions);
+        document = json::parse(answer.items.front().value, nullptr, false);
+        mod_revision = answer.items.front().mod_revision;
+    }
+    if (document.is_discarded() || !document.is_object())
+    {
+        document = empty_document;
+    }
+    if (contains(writers_of(document), edit.nonce))
+    {
+        end({.number = edit.number,
+             .how = edit_ended::ending::committed,
+             .revision = edit.written_revision,
+             .conflicts = {},
+             .wrong = {}},
+            now, actions);
+        return;
+    }
+    edit_result edited = apply_edits(document, edit.edits);
+    if (!edited.conflicts.empty())
+    {
+        end({.number = edit.number,
+             .how = edit_ended::ending::conflict,
+             .revision = 0,
+             .conflicts = std::move(edited.conflicts),
+             .wrong = {}},
+            now, actions);
+        return;
+    }
+    sign_document(edited.document, edit.nonce);
+    try
+    {
+        table::parse(edited.document);
+    }
+    catch (const document_error& error)
+    {
+        end({.number = edit.number,
+             .how = edit_ended::ending::refused,
+             .revision = 0,
+             .conflicts = {},
+             .wrong = error.all()},
+            now, actions);
+        return;
+    }
+    write(edited, mod_revision, actions);
+}
+
+void table_keeper::after_write(time_point now, const kv_answer& answer,
+                               table_actions& actions)
+{
+    pending_edit& edit = edits_.front();
+    if (answer.how == kv_answer::state::unknown)
+    {
+        edit.in_doubt = true;
+    }
+    if (answer.how != kv_answer::state::done)
+    {
+        edit.at = stage::waiting;
+        edit.retry_at = now + options_.retry;
+        return;
+    }
+    // Committed or overtaken: reading again tells, and finds the table.
+    read_again(actions);
+}
+
+table_actions table_keeper::on_store(time_point now, store_token token,
+                                     const kv_answer& answer)
+{
+    table_actions actions;
+    note_store(answer, actions);
+    if (poll_ == token)
+    {
+        poll_.reset();
+        for (const kv_item& item : answer.items)
+        {
+            take_document(item, actions);
+        }
+        return actions;
+    }
+    if (edits_.empty() || edits_.front().token != token)
+    {
+        return actions; // of an edit that was given up
+    }
+    if (edits_.front().at == stage::reading)
+    {
+        after_read(now, answer, actions);
+    }
+    else if (edits_.front().at == stage::writing)
+    {
+        after_write(now, answer, actions);
+    }
+    return actions;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/entry/src/task_core.cpp
@@ -0,0 +1,468 @@
+#include "task_keys.hpp"
+
+#include <springstair/entry.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr int id_bytes = 8;
+constexpr std::size_t most_pending = 2000;
+constexpr std::size_t most_detail = 4096;
+constexpr std::size_t most_payload = 4096;
+constexpr duration retry_soon = std::chrono::seconds(1);
+
+problem_report not_run(refusal reason, duration retry_after,
+                       std::string detail = {})
+{
+    return {.result = outcome::not_run,
+            .reason = reason,
+            .retry_after = retry_after,
+            .detail = std::move(detail)};
+}
+
+std::string bounded(std::string text)
+{
+    text.resize(std::min(text.size(), most_detail));
+    return text;
+}
+
+} // namespace
+
+task_core::task_core(task_core_options options)
+    : options_(std::move(options)), random_(options_.seed)
+{
+    for (std::int64_t number = 0; number < options_.shards; ++number)
+    {
+        shards_[number];
+    }
+}
+
+task_core::shard* task_core::held_shard(const std::string& task)
+{
+    const auto number = shard_of(task);
+    const auto found = number ? shards_.find(*number) : shards_.end();
+    const bool held = found != shards_.end() && found->second.at == phase::held;
+    return held ? &found->second : nullptr;
+}
+
+const task_core::shard* task_core::held_shard(const std::string& task) const
+{
+    return const_cast<task_core*>(this)->held_shard(task); // NOLINT
+}
+
+const task_record* task_core::find(const std::string& task) const
+{
+    const shard* const of = held_shard(task);
+    return of == nullptr ? nullptr : of->book.find(task);
+}
+
+std::vector<task_record>
+task_core::records_of(const std::string& workspace) const
+{
+    std::vector<task_record> records;
+    for (const auto& [number, of] : shards_)
+    {
+        for (const auto& [id, record] : of.book.all())
+        {
+            if (record.spec.of.workspace == workspace)
+            {
+                records.push_back(record);
+            }
+        }
+    }
+    return records;
+}
+
+std::vector<std::int64_t> task_core::held() const
+{
+    std::vector<std::int64_t> numbers;
+    for (const auto& [number, of] : shards_)
+    {
+        if (of.at == phase::held)
+        {
+            numbers.push_back(number);
+        }
+    }
+    return numbers;
+}
+
+std::map<std::string, resources> task_core::usage() const
+{
+    return usage_;
+}
+
+void task_core::on_table(const table& rows)
+{
+    table_ = rows;
+}
+
+void task_core::on_peer_usage(const std::string& peer,
+                              std::map<std::string, resources> usage)
+{
+    peer_usage_[peer] = std::move(usage);
+}
+
+// ---------------------------------------------------------------------------
+// Callers
+// ---------------------------------------------------------------------------
+
+void task_core::queue_step(shard& to, task_call call, time_point deadline,
+                           task_transition step)
+{
+    to.calls.push_back(
+        {.call = call, .task = step.task, .deadline = deadline, .sent = false});
+    add(to, std::move(step));
+}
+
+void task_core::on_submit(task_call call, time_point deadline, task_spec spec,
+                          const guard_views& guards, task_actions& actions)
+{
+    const auto reject =
+        [&](refusal reason, duration wait, const std::string& detail)
+    {
+        actions.emplace_back(
+            task_answer{.call = call,
+                        .record = {},
+                        .wrong = not_run(reason, wait, detail)});
+    };
+    if (table_.find(spec.of) == nullptr)
+    {
+        reject(refusal::unknown_class, duration{0}, "");
+        return;
+    }
+    if (spec.payload.size() > most_payload)
+    {
+        reject(refusal::bad_request, duration{0}, "the payload is too long");
+        return;
+    }
+    if (!store_available_)
+    {
+        reject(refusal::store_unavailable, retry_soon, "");
+        return;
+    }
+    if (!guards.empty() && !fits_somewhere(spec, guards))
+    {
+        reject(refusal::never_fits, duration{0},
+               "no worker is large enough for what the task needs");
+        return;
+    }
+    shard* emptiest = nullptr;
+    std::int64_t number = 0;
+    for (auto& [candidate, of] : shards_)
+    {
+        if (of.at == phase::held &&
+            (emptiest == nullptr ||
+             of.book.all().size() + of.pending.size() <
+                 emptiest->book.all().size() + emptiest->pending.size()))
+        {
+            emptiest = &of;
+            number = candidate;
+        }
+    }
+    if (emptiest == nullptr || draining_)
+    {
+        reject(refusal::starting, retry_soon, "no shard is held here");
+        return;
+    }
+    if (emptiest->pending.size() >= most_pending || emptiest->too_large)
+    {
+        reject(refusal::queue_full, retry_soon, "too many tasks wait");
+        return;
+    }
+    spec.id = "t" + std::to_string(number) + "-" + random_hex(id_bytes);
+    task_transition step;
+    step.task = spec.id;
+    step.spec = std::move(spec);
+    queue_step(*emptiest, call, deadline, std::move(step));
+}
+
+void task_core::on_cancel(task_call call, time_point deadline,
+                          const std::string& workspace, const std::string& task,
+                          task_actions& actions)
+{
+    shard* const of = held_shard(task);
+    const task_record* const record =
+        of == nullptr ? nullptr : of->book.find(task);
+    if (record == nullptr || record->spec.of.workspace != workspace)
+    {
+        actions.emplace_back(
+            task_answer{.call = call,
+                        .record = {},
+                        .wrong = not_run(refusal::unknown_class, duration{0})});
+        return;
+    }
+    if (is_final(record->state))
+    {
+        actions.emplace_back(
+            task_answer{.call = call, .record = *record, .wrong = {}});
+        return;
+    }
+    if (!store_available_)
+    {
+        actions.emplace_back(task_answer{
+            .call = call,
+            .record = {},
+            .wrong = not_run(refusal::store_unavailable, retry_soon)});
+        return;
+    }
+    task_transition step;
+    step.what = task_transition::step::cancel;
+    step.task = task;
+    queue_step(*of, call, deadline, std::move(step));
+}
+
+// ---------------------------------------------------------------------------
+// Reports of guards
+// ---------------------------------------------------------------------------
+
+void task_core::stop_attempt(const std::string& guard,
+                             const task_attempt_key& name, bool keep_checkpoint,
+                             task_actions& actions)
+{
+    const auto address = addresses_.find(guard);
+    const auto number = shard_of(name.task);
+    if (address == addresses_.end() || !number)
+    {
+        return;
+    }
+    actions.emplace_back(
+        send_stop{.guard = {guard},
+                  .address = address->second,
+                  .what = {.task = name.task,
+                           .attempt = name.attempt,
+                           .shard = *number,
+                           .epoch = shards_.at(*number).epoch,
+                           .keep_checkpoint = keep_checkpoint}});
+}
+
+void task_core::take_failure(const std::string& guard,
+                             const task_record& record,
+                             const attempt_report& report)
+{
+    failed_on_[record.spec.id].insert({guard});
+    const bool for_good = record.failures + 1 >= options_.most_failures;
+    task_transition step;
+    step.what =
+        for_good ? task_transition::step::fail : task_transition::step::retry;
+    step.task = report.task;
+    step.attempt = report.attempt;
+    step.detail = bounded(report.detail);
+    add(*held_shard(report.task), std::move(step));
+}
+
+void task_core::take_ended(const std::string& guard, const task_record& record,
+                           const attempt_report& report)
+{
+    if (report.state == "failed")
+    {
+        take_failure(guard, record, report);
+        return;
+    }
+    if (report.state == "lost")
+    {
+        lose(report.task, report.attempt, bounded(report.detail));
+        return;
+    }
+    task_transition step;
+    step.what = report.state == "evicted" ? task_transition::step::evict
+                                          : task_transition::step::finish;
+    step.task = report.task;
+    step.attempt = report.attempt;
+    step.detail = bounded(report.detail);
+    add(*held_shard(report.task), std::move(step));
+}
+
+void task_core::lose(const std::string& task, std::int64_t attempt,
+                     const std::string& why)
+{
+    shard* const of = held_shard(task);
+    const task_record* const record =
+        of == nullptr ? nullptr : of->book.find(task);
+    if (record == nullptr || record->state != task_state::placed ||
+        record->attempt != attempt || of->busy.contains(task))
+    {
+        return;
+    }
+    task_transition step;
+    step.what = task_transition::step::lose;
+    step.task = task;
+    step.attempt = attempt;
+    step.detail = why;
+    add(*of, std::move(step));
+}
+
+// A placed attempt that its guard does not list: the start is on its way,
+// or was lost, or the guard is a new process. A stop tells which, and closes
+// the attempt there, so that no late start can follow.
+void task_core::check_missing(time_point now, const guard_report& report,
+                              task_actions& actions)
+{
+    const auto placed = placed_on_.find(report.guard.value);
+    if (placed == placed_on_.end() || !report.ready)
+    {
+        return;
+    }
+    std::set<std::string> listed;
+    for (const attempt_report& attempt : report.attempts)
+    {
+        listed.insert(attempt.task);
+    }
+    for (const std::string& task : placed->second)
+    {
+        const task_record* const record = find(task);
+        const bool here = record != nullptr &&
+                          record->state == task_state::placed &&
+                          record->guard == report.guard.value;
+        if (!here || listed.contains(task) ||
+            held_shard(task)->busy.contains(task))
+        {
+            continue;
+        }
+        if (record->incarnation != report.incarnation)
+        {
+            stop_attempt(record->guard,
+                         {.task = task, .attempt = record->attempt}, true,
+                         actions);
+            continue;
+        }
+        const auto sent = starts_.find(task);
+        const bool due = sent == starts_.end() ||
+                         sent->second.attempt != record->attempt ||
+                         now - sent->second.at > options_.resend_start;
+        if (due)
+        {
+            start_placed(now, *record, actions);
+        }
+    }
+}
+
+std::vector<attempt_report> task_core::on_report(time_point now,
+                                                 const guard_report& report,
+                                                 task_actions& actions)
+{
+    std::vector<attempt_report> acked;
+    const std::string& guard = report.guard.value;
+    addresses_[guard] = report.address;
+    for (const attempt_report& attempt : report.attempts)
+    {
+        const shard* const of = held_shard(attempt.task);
+        if (of == nullptr)
+        {
+            continue;
+        }
+        promised_[report.guard].erase(attempt.task);
+        const task_record* const record = of->book.find(attempt.task);
+        const bool runs =
+            attempt.state == "running" || attempt.state == "starting";
+        const bool current = record != nullptr &&
+                             record->state == task_state::placed &&
+                             record->attempt == attempt.attempt;
+        if (current)
+        {
+            if (!runs && !of->busy.contains(attempt.task))
+            {
+                const bool failed = attempt.state == "failed";
+                workers_.record(now, report.guard, record->spec.of, !failed,
+                                addresses_.size());
+                take_ended(guard, *record, attempt);
+            }
+            continue;
+        }
+        if (record != nullptr && record->attempt < attempt.attempt)
+        {
+            continue; // a later holder placed it; this one was overtaken
+        }
+        if (runs)
+        {
+            stop_attempt(guard,
+                         {.task = attempt.task, .attempt = attempt.attempt},
+                         false, actions);
+            continue;
+        }
+        acked.push_back(attempt);
+    }
+    check_missing(now, report, actions);
+    return acked;
+}
+
+void task_core::on_start_reply(const start_task& what, const task_reply& reply)
+{
+    const bool closed_there =
+        !reply.accepted &&
+        (reply.reason == "no_room" || reply.reason == "draining" ||
+         reply.reason == "other_attempt" || reply.reason == "closed");
+    if (closed_there)
+    {
+        lose(what.spec.id, what.attempt, reply.reason);
+    }
+}
+
+void task_core::on_stop_reply(const stop_task& what, const task_reply& reply)
+{
+    if (reply.accepted && reply.reason == "not_here")
+    {
+        lose(what.task, what.attempt, "its guard is a new process");
+    }
+}
+
+void task_core::on_gone(time_point now, const std::set<std::string>& names,
+                        const guard_views& guards)
+{
+    for (const std::string& name : names)
+    {
+        const auto view = guards.find({name});
+        const bool silent = view == guards.end() ||
+                            now - view->second.heard > options_.gone_after;
+        const auto placed = placed_on_.find(name);
+        if (!silent || placed == placed_on_.end())
+        {
+            continue;
+        }
+        for (const std::string& task : placed->second)
+        {
+            const task_record* const record = find(task);
+            if (record != nullptr && record->guard == name)
+            {
+                lose(task, record->attempt, "its worker is gone");
+            }
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Time
+// ---------------------------------------------------------------------------
+
+void task_core::on_tick(time_point now, const guard_views& guards,
+                        const std::set<std::string>& entries,
+                        task_actions& actions)
+{
+    keep_lease(now, actions);
+    look_for_shards(now, actions);
+    if (seen_shards_)
+    {
+        const kv_answer seen = *std::exchange(seen_shards_, std::nullopt);
+        take_shards(now, seen, entries, actions);
+    }
+    recount();
+    place_all(now, guards);
+    for (auto& [number, of] : shards_)
+    {
+        expire_calls(now, of, actions);
+        if (of.again && now >= of.retry_at)
+        {
+            const kv_operation operation =
+                *std::exchange(of.again, std::nullopt);
+            send_for(of, operation, actions);
+        }
+        commit(now, number, actions);
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/entry/src/task_placement.cpp
@@ -0,0 +1,284 @@
+// Where queued tasks go, whose turn it is, and what a worker can hold.
+
+#include <springstair/entry.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr std::size_t sample_size = 3;
+constexpr std::size_t most_tries = 20;
+
+double fraction(std::int64_t part, std::int64_t whole)
+{
+    return whole <= 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+// The largest part that an amount takes of a whole, over all dimensions.
+double dominant_share(const resources& used, const resources& whole)
+{
+    return std::max({fraction(used.cpu_millis, whole.cpu_millis),
+                     fraction(used.memory_mb, whole.memory_mb),
+                     fraction(used.accelerators, whole.accelerators)});
+}
+
+} // namespace
+
+// ---------------------------------------------------------------------------
+// Shares and quotas
+// ---------------------------------------------------------------------------
+
+void task_core::recount()
+{
+    usage_.clear();
+    placed_on_.clear();
+    for (const auto& [number, of] : shards_)
+    {
+        for (const auto& [id, record] : of.book.all())
+        {
+            if (record.state == task_state::placed)
+            {
+                usage_[record.spec.of.workspace] += record.spec.needs;
+                placed_on_[record.guard].insert(id);
+            }
+        }
+        for (const task_transition& step : of.pending)
+        {
+            const task_record* const record = of.book.find(step.task);
+            if (step.what == task_transition::step::place && record != nullptr)
+            {
+                usage_[record->spec.of.workspace] += record->spec.needs;
+            }
+        }
+        for (const task_transition& step : of.committing)
+        {
+            const task_record* const record = of.book.find(step.task);
+            if (step.what == task_transition::step::place && record != nullptr)
+            {
+                usage_[record->spec.of.workspace] += record->spec.needs;
+            }
+        }
+    }
+}
+
+resources task_core::used_by(const std::string& workspace) const
+{
+    resources used;
+    if (const auto own = usage_.find(workspace); own != usage_.end())
+    {
+        used += own->second;
+    }
+    for (const auto& [peer, usage] : peer_usage_)
+    {
+        if (const auto of = usage.find(workspace); of != usage.end())
+        {
+            used += of->second;
+        }
+    }
+    return used;
+}
+
+bool task_core::within_quota(const task_spec& spec) const
+{
+    const workspace_row* const row = table_.find(spec.of.workspace);
+    if (row == nullptr)
+    {
+        return false;
+    }
+    resources wanted = used_by(spec.of.workspace);
+    wanted += spec.needs;
+    return (row->cpu_millis == 0 || wanted.cpu_millis <= row->cpu_millis) &&
+           (row->memory_mb == 0 || wanted.memory_mb <= row->memory_mb) &&
+           (row->accelerators < 0 || wanted.accelerators <= row->accelerators);
+}
+
+double task_core::share_of(const std::string& workspace,
+                           const resources& fleet) const
+{
+    const workspace_row* const row = table_.find(workspace);
+    const double weight = row == nullptr ? 1 : row->weight;
+    return dominant_share(used_by(workspace), fleet) / weight;
+}
+
+// ---------------------------------------------------------------------------
+// Workers
+// ---------------------------------------------------------------------------
+
+bool task_core::fits_somewhere(const task_spec& spec, const guard_views& guards)
+{
+    return std::any_of(guards.begin(), guards.end(),
+                       [&](const auto& item) {
+                           return spec.needs.fits(item.second.report.capacity);
+                       });
+}
+
+resources task_core::free_of(const guard_view& view) const
+{
+    resources free = view.report.free;
+    const auto promised = promised_.find(view.report.guard);
+    if (promised != promised_.end())
+    {
+        for (const auto& [task, needs] : promised->second)
+        {
+            free -= needs;
+        }
+    }
+    return free;
+}
+
+std::optional<guard_name> task_core::choose_guard(time_point now,
+                                                  const task_record& record,
+                                                  const guard_views& guards)
+{
+    const directory_options silence;
+    const auto failed = failed_on_.find(record.spec.id);
+    std::vector<std::pair<double, guard_name>> fitting;
+    for (const auto& [name, view] : guards)
+    {
+        const bool failed_here =
+            failed != failed_on_.end() && failed->second.contains(name);
+        if (!view.usable(now, silence) || failed_here ||
+            !workers_.may_send(now, name, true) ||
+            !record.spec.needs.fits(free_of(view)))
+        {
+            continue;
+        }
+        resources used = view.report.capacity;
+        used -= free_of(view);
+        fitting.emplace_back(dominant_share(used, view.report.capacity), name);
+    }
+    if (fitting.empty())
+    {
+        return std::nullopt;
+    }
+    const std::size_t few = std::min(sample_size, fitting.size());
+    for (std::size_t index = 0; index < few; ++index)
+    {
+        std::uniform_int_distribution<std::size_t> rest(index,
+                                                        fitting.size() - 1);
+        std::swap(fitting[index], fitting[rest(random_)]);
+    }
+    return std::min_element(fitting.begin(),
+                            fitting.begin() + static_cast<std::ptrdiff_t>(few))
+        ->second;
+}
+
+// ---------------------------------------------------------------------------
+// Placement
+// ---------------------------------------------------------------------------
+
+task_core::waiting_tasks task_core::waiting() const
+{
+    waiting_tasks all;
+    for (const auto& [number, of] : shards_)
+    {
+        if (of.at != phase::held)
+        {
+            continue;
+        }
+        for (const auto& [id, record] : of.book.all())
+        {
+            if (record.state == task_state::queued && !of.busy.contains(id))
+            {
+                all[record.spec.of.workspace].push_back(&record);
+            }
+        }
+    }
+    for (auto& [workspace, tasks] : all)
+    {
+        std::stable_sort(tasks.begin(), tasks.end(),
+                         [](const auto* left, const auto* right)
+                         { return left->spec.urgent > right->spec.urgent; });
+        std::reverse(tasks.begin(), tasks.end()); // taken from the back
+    }
+    return all;
+}
+
+bool task_core::place_one(time_point now, const task_record& record,
+                          const guard_views& guards)
+{
+    if (!within_quota(record.spec))
+    {
+        return false;
+    }
+    const auto chosen = choose_guard(now, record, guards);
+    if (!chosen)
+    {
+        return false;
+    }
+    const guard_view& view = guards.at(*chosen);
+    task_transition step;
+    step.what = task_transition::step::place;
+    step.task = record.spec.id;
+    step.attempt = record.attempt + 1;
+    step.guard = chosen->value;
+    step.incarnation = view.report.incarnation;
+    promised_[*chosen][record.spec.id] = record.spec.needs;
+    usage_[record.spec.of.workspace] += record.spec.needs;
+    workers_.sent(*chosen);
+    add(*held_shard(record.spec.id), std::move(step));
+    return true;
+}
+
+void task_core::place_all(time_point now, const guard_views& guards)
+{
+    if (!store_available_ || draining_)
+    {
+        return;
+    }
+    resources fleet;
+    for (const auto& [name, view] : guards)
+    {
+        fleet += view.report.capacity;
+    }
+    waiting_tasks queues = waiting();
+    std::map<std::string, std::size_t> tries;
+    std::size_t places = 0;
+    while (!queues.empty() && places < options_.places_a_round)
+    {
+        const auto next =
+            std::min_element(queues.begin(), queues.end(),
+                             [&](const auto& left, const auto& right) {
+                                 return share_of(left.first, fleet) <
+                                        share_of(right.first, fleet);
+                             });
+        const task_record* const record = next->second.back();
+        next->second.pop_back();
+        const bool placed = place_one(now, *record, guards);
+        places += placed ? 1 : 0;
+        const bool tired = !placed && ++tries[next->first] >= most_tries;
+        if (next->second.empty() || tired)
+        {
+            queues.erase(next);
+        }
+    }
+}
+
+void task_core::start_placed(time_point now, const task_record& record,
+                             task_actions& actions)
+{
+    const auto address = addresses_.find(record.guard);
+    const std::int64_t number = *shard_of(record.spec.id);
+    starts_[record.spec.id] = {.attempt = record.attempt, .at = now};
+    if (address == addresses_.end())
+    {
+        return;
+    }
+    actions.emplace_back(
+        send_start{.guard = {record.guard},
+                   .address = address->second,
+                   .what = {.spec = record.spec,
+                            .attempt = record.attempt,
+                            .incarnation = record.incarnation,
+                            .checkpoint = record.checkpoint,
+                            .shard = number,
+                            .epoch = shards_.at(number).epoch}});
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/guard/include/springstair/guard.hpp
@@ -0,0 +1,6 @@
+#pragma once
+/// @file
+/// The guard's decisions: the only admission to one executor and worker.
+
+#include <springstair/detail/guard/guard_core.hpp>
+#include <springstair/detail/guard/task_keeper.hpp>
--- /dev/null
+++ b/packages/guard/src/guard_core.cpp
@@ -0,0 +1,245 @@
+#include <springstair/guard.hpp>
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr duration retry_soon = std::chrono::milliseconds(200);
+constexpr double most_jitter = 0.5;
+
+problem_report not_run(refusal reason, duration retry_after)
+{
+    return {.result = outcome::not_run,
+            .reason = reason,
+            .retry_after = retry_after,
+            .detail = {}};
+}
+
+} // namespace
+
+guard_core::guard_core(guard_options options, time_point now)
+    : options_(std::move(options)), admission_(options_.admission),
+      random_(options_.seed), started_(now)
+{
+}
+
+duration guard_core::jittered(duration wait)
+{
+    std::uniform_real_distribution<double> share(0, most_jitter);
+    return wait + from_seconds(to_seconds(wait) * share(random_));
+}
+
+std::optional<problem_report>
+guard_core::refuse_outright(const attempt_request& request)
+{
+    if (request.incarnation != options_.incarnation)
+    {
+        return not_run(refusal::wrong_incarnation, retry_soon);
+    }
+    if (!ready())
+    {
+        return not_run(refusal::starting, retry_soon);
+    }
+    if (draining_)
+    {
+        return not_run(refusal::draining, retry_soon);
+    }
+    return std::nullopt;
+}
+
+void guard_core::remember(time_point now, const attempt_name& attempt)
+{
+    seen_[attempt] = now;
+    forget_at_[now + options_.remember_attempts].push_back(attempt);
+}
+
+guard_actions guard_core::on_attempt(time_point now,
+                                     const attempt_request& request)
+{
+    if (seen_.contains(request.attempt))
+    {
+        // The first copy may run: this one must not be called not_run.
+        return {reply_problem{.attempt = request.attempt,
+                              .what = {.result = outcome::unknown,
+                                       .reason = refusal::duplicate,
+                                       .retry_after = {},
+                                       .detail = {}}}};
+    }
+    if (auto refused = refuse_outright(request))
+    {
+        return {reply_problem{.attempt = request.attempt,
+                              .what = *std::move(refused)}};
+    }
+    const auto refused =
+        admission_.offer(now, {.attempt = request.attempt,
+                               .of = request.of,
+                               .arrived = now,
+                               .deadline = now + request.remaining});
+    if (refused)
+    {
+        return {reply_problem{
+            .attempt = request.attempt,
+            .what = not_run(refused->reason, jittered(refused->retry_after))}};
+    }
+    remember(now, request.attempt);
+    guard_actions actions;
+    start_ready(now, actions);
+    return actions;
+}
+
+void guard_core::start_ready(time_point now, guard_actions& actions)
+{
+    for (slot_request& request : admission_.start_ready())
+    {
+        running_[request.attempt] = {.of = request.of, .started = now};
+        actions.emplace_back(run_attempt{std::move(request.attempt)});
+    }
+}
+
+guard_actions guard_core::on_executor(time_point now,
+                                      const attempt_name& attempt,
+                                      executor_result result)
+{
+    guard_actions actions;
+    const auto found = running_.find(attempt);
+    if (found == running_.end())
+    {
+        return actions;
+    }
+    const duration service = now - found->second.started;
+    running_.erase(found);
+    switch (result)
+    {
+    case executor_result::answered:
+        admission_.finish(attempt, service);
+        actions.emplace_back(reply_answer{attempt});
+        break;
+    case executor_result::failed:
+        admission_.abandon(attempt);
+        actions.emplace_back(reply_answer{attempt});
+        break;
+    case executor_result::not_sent:
+        admission_.abandon(attempt);
+        actions.emplace_back(reply_problem{
+            .attempt = attempt,
+            .what = not_run(refusal::connection_lost, retry_soon)});
+        break;
+    case executor_result::unknown:
+        // Its slot stays taken until the worker says it is free.
+        admission_.abandon(attempt);
+        in_doubt_[attempt.value] = now;
+        update_foreign();
+        actions.emplace_back(
+            reply_problem{.attempt = attempt,
+                          .what = {.result = outcome::unknown,
+                                   .reason = refusal::connection_lost,
+                                   .retry_after = {},
+                                   .detail = {}}});
+        break;
+    }
+    start_ready(now, actions);
+    return actions;
+}
+
+guard_actions
+guard_core::on_executor_list(time_point now, time_point asked,
+                             const std::set<std::string>& attempts)
+{
+    std::set<std::string> foreign;
+    for (const std::string& name : attempts)
+    {
+        const attempt_name attempt{name};
+        const bool ended_here =
+            seen_.contains(attempt) && !in_doubt_.contains(name);
+        if (!running_.contains(attempt) && !ended_here)
+        {
+            foreign.insert(name);
+        }
+    }
+    // Doubt that arose after the worker was asked is not settled by this.
+    std::erase_if(in_doubt_,
+                  [&](const auto& item) { return item.second <= asked; });
+    foreign_ = std::move(foreign);
+    if (asked - started_ >= options_.settle)
+    {
+        listed_ = true;
+    }
+    update_foreign();
+    guard_actions actions;
+    start_ready(now, actions);
+    return actions;
+}
+
+void guard_core::update_foreign()
+{
+    std::set<std::string> all = foreign_;
+    for (const auto& [name, since] : in_doubt_)
+    {
+        all.insert(name);
+    }
+    admission_.occupy(static_cast<std::int64_t>(all.size()));
+}
+
+bool guard_core::on_table(const table& rows)
+{
+    if (rows.revision() <= table_.revision())
+    {
+        return false;
+    }
+    table_ = rows;
+    admission_.use_table(rows);
+    return true;
+}
+
+void guard_core::on_drain() noexcept
+{
+    draining_ = true;
+}
+
+guard_actions guard_core::on_tick(time_point now)
+{
+    guard_actions actions;
+    for (const slot_refusal& refused : admission_.expire(now))
+    {
+        actions.emplace_back(reply_problem{
+            .attempt = refused.request.attempt,
+            .what = not_run(refused.reason, jittered(refused.retry_after))});
+    }
+    while (!forget_at_.empty() && forget_at_.begin()->first <= now)
+    {
+        for (const attempt_name& attempt : forget_at_.begin()->second)
+        {
+            seen_.erase(attempt);
+        }
+        forget_at_.erase(forget_at_.begin());
+    }
+    start_ready(now, actions);
+    return actions;
+}
+
+bool guard_core::idle() const
+{
+    const load_report load = admission_.load();
+    return running_.empty() && load.queued_critical + load.queued_other == 0;
+}
+
+load_report guard_core::load() const
+{
+    return admission_.load();
+}
+
+std::optional<time_point> guard_core::started(const attempt_name& attempt) const
+{
+    const auto found = running_.find(attempt);
+    if (found == running_.end())
+    {
+        return std::nullopt;
+    }
+    return found->second.started;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/guard/src/task_keeper.cpp
@@ -0,0 +1,315 @@
+#include <springstair/guard.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+// How an end is called in a heartbeat.
+std::string report_state(listed_task::state how)
+{
+    switch (how)
+    {
+    case listed_task::state::running:
+        return "running";
+    case listed_task::state::finished:
+        return "finished";
+    case listed_task::state::failed:
+        return "failed";
+    case listed_task::state::checkpointed:
+        return "evicted";
+    default:
+        return "lost";
+    }
+}
+
+} // namespace
+
+task_keeper::task_keeper(task_keeper_options options, time_point now)
+    : options_(std::move(options)), started_(now)
+{
+}
+
+resources task_keeper::free() const
+{
+    resources left = options_.capacity;
+    for (const auto& [name, kept] : attempts_)
+    {
+        if (kept.at != phase::ended)
+        {
+            left -= kept.needs;
+        }
+    }
+    return left;
+}
+
+// ---------------------------------------------------------------------------
+// Commands of entries
+// ---------------------------------------------------------------------------
+
+// Whoever holds a shard has a higher epoch than all who held it before, so
+// a holder that was frozen and overtaken is told apart by it.
+bool task_keeper::stale(std::int64_t shard, std::int64_t epoch)
+{
+    std::int64_t& newest = epochs_[shard];
+    if (epoch < newest)
+    {
+        return true;
+    }
+    newest = epoch;
+    return false;
+}
+
+std::string task_keeper::objection(const start_task& what) const
+{
+    if (what.incarnation != options_.incarnation)
+    {
+        return "wrong_incarnation";
+    }
+    if (!listed_)
+    {
+        return "starting";
+    }
+    if (closed_.contains({what.spec.id, what.attempt}))
+    {
+        return "closed";
+    }
+    if (draining_)
+    {
+        return "draining";
+    }
+    const auto same_task =
+        std::any_of(attempts_.begin(), attempts_.end(),
+                    [&](const auto& item) {
+                        return item.first.first == what.spec.id &&
+                               item.second.at != phase::ended;
+                    });
+    if (same_task)
+    {
+        return "other_attempt";
+    }
+    return what.spec.needs.fits(free()) ? "" : "no_room";
+}
+
+task_reply task_keeper::on_start(time_point now, const start_task& what,
+                                 worker_actions& actions)
+{
+    if (stale(what.shard, what.epoch))
+    {
+        return {.accepted = false, .reason = "stale_epoch"};
+    }
+    const task_attempt name{what.spec.id, what.attempt};
+    if (attempts_.contains(name))
+    {
+        return {.accepted = true, .reason = {}};
+    }
+    if (std::string reason = objection(what); !reason.empty())
+    {
+        const bool for_good =
+            reason != "starting" && reason != "wrong_incarnation";
+        if (for_good)
+        {
+            close(now, name); // a delayed copy must not fare better
+        }
+        return {.accepted = false, .reason = std::move(reason)};
+    }
+    const duration not_after =
+        worker_clock_ + (now - clock_read_) + options_.start_window;
+    attempts_[name] = {.needs = what.spec.needs,
+                       .at = phase::starting,
+                       .not_after = not_after,
+                       .end_state = {},
+                       .detail = {},
+                       .stopping = false};
+    actions.emplace_back(worker_start{.what = what, .not_after = not_after});
+    return {.accepted = true, .reason = {}};
+}
+
+void task_keeper::close(time_point now, const task_attempt& name)
+{
+    closed_[name] = now;
+}
+
+task_reply task_keeper::on_stop(time_point now, const stop_task& what,
+                                worker_actions& actions)
+{
+    if (stale(what.shard, what.epoch))
+    {
+        return {.accepted = false, .reason = "stale_epoch"};
+    }
+    if (!listed_)
+    {
+        return {.accepted = false, .reason = "starting"};
+    }
+    const task_attempt name{what.task, what.attempt};
+    const auto found = attempts_.find(name);
+    if (found == attempts_.end())
+    {
+        close(now, name); // a start that is still on its way comes too late
+        return {.accepted = true, .reason = "not_here"};
+    }
+    if (found->second.at != phase::ended && !found->second.stopping)
+    {
+        found->second.stopping = true;
+        actions.emplace_back(
+            worker_stop{.name = name, .keep_checkpoint = what.keep_checkpoint});
+    }
+    return {.accepted = true, .reason = {}};
+}
+
+void task_keeper::on_acked(time_point now,
+                           const std::vector<attempt_report>& acked,
+                           worker_actions& actions)
+{
+    std::vector<task_attempt> gone;
+    for (const attempt_report& report : acked)
+    {
+        const task_attempt name{report.task, report.attempt};
+        const auto found = attempts_.find(name);
+        if (found == attempts_.end() || found->second.at != phase::ended)
+        {
+            continue;
+        }
+        attempts_.erase(found);
+        close(now, name);
+        gone.push_back(name);
+    }
+    if (!gone.empty())
+    {
+        actions.emplace_back(worker_forget{std::move(gone)});
+    }
+}
+
+// ---------------------------------------------------------------------------
+// The worker's list
+// ---------------------------------------------------------------------------
+
+void task_keeper::take_listed(const listed_task& item)
+{
+    if (closed_.contains(item.name))
+    {
+        return; // on record; the worker has yet to forget it
+    }
+    const auto [position, adopted] = attempts_.try_emplace(item.name);
+    kept_attempt& kept = position->second;
+    if (adopted)
+    {
+        kept.needs = item.needs;
+    }
+    if (kept.at == phase::ended)
+    {
+        return;
+    }
+    kept.at =
+        item.how == listed_task::state::running ? phase::running : phase::ended;
+    kept.end_state = report_state(item.how);
+    kept.detail = item.detail;
+}
+
+// An attempt that the worker listed before and lists no more has died. One
+// that it never listed may still start until its window has closed on the
+// worker's own clock, however long either side was paused.
+void task_keeper::end_missing(duration worker_clock,
+                              const std::set<task_attempt>& listed)
+{
+    for (auto& [name, kept] : attempts_)
+    {
+        if (kept.at == phase::ended || listed.contains(name))
+        {
+            continue;
+        }
+        if (kept.at == phase::running || worker_clock > kept.not_after)
+        {
+            kept.at = phase::ended;
+            kept.end_state = "lost";
+            kept.detail = "the worker does not list it";
+        }
+    }
+}
+
+void task_keeper::on_worker_list(time_point now, time_point asked,
+                                 duration worker_clock,
+                                 const std::vector<listed_task>& list,
+                                 worker_actions& actions)
+{
+    clock_read_ = now;
+    worker_clock_ = worker_clock;
+    std::set<task_attempt> listed;
+    std::vector<task_attempt> recorded;
+    for (const listed_task& item : list)
+    {
+        listed.insert(item.name);
+        const bool ended = item.how != listed_task::state::running;
+        if (closed_.contains(item.name))
+        {
+            if (ended)
+            {
+                recorded.push_back(item.name);
+                continue;
+            }
+            // A start that was closed got through all the same.
+            actions.emplace_back(
+                worker_stop{.name = item.name, .keep_checkpoint = false});
+        }
+        take_listed(item);
+    }
+    end_missing(worker_clock, listed);
+    if (!recorded.empty())
+    {
+        actions.emplace_back(worker_forget{std::move(recorded)});
+    }
+    if (asked - started_ >= options_.settle)
+    {
+        listed_ = true;
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Time
+// ---------------------------------------------------------------------------
+
+void task_keeper::on_tick(time_point now, worker_actions& actions)
+{
+    std::erase_if(closed_, [&](const auto& item)
+                  { return now - item.second > options_.remember_closed; });
+    if (now < next_renewal_)
+    {
+        return;
+    }
+    next_renewal_ = now + options_.renew_every;
+    std::vector<task_attempt> running;
+    for (const auto& [name, kept] : attempts_)
+    {
+        if (kept.at == phase::running)
+        {
+            running.push_back(name);
+        }
+    }
+    if (!running.empty())
+    {
+        actions.emplace_back(worker_renew{std::move(running)});
+    }
+}
+
+std::vector<attempt_report> task_keeper::reports() const
+{
+    std::vector<attempt_report> all;
+    all.reserve(attempts_.size());
+    for (const auto& [name, kept] : attempts_)
+    {
+        const std::string state = kept.at == phase::ended     ? kept.end_state
+                                  : kept.at == phase::running ? "running"
+                                                              : "starting";
+        all.push_back({.task = name.first,
+                       .attempt = name.second,
+                       .state = state,
+                       .detail = kept.detail});
+    }
+    return all;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/membership/src/directory.cpp
@@ -0,0 +1,139 @@
+#include <springstair/membership.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+bool guard_view::usable(time_point now, const directory_options& options) const
+{
+    return report.ready && !report.leaving && !listed_leaving && !unreachable &&
+           now - heard <= options.suspect_after;
+}
+
+// ---------------------------------------------------------------------------
+// Guards
+// ---------------------------------------------------------------------------
+
+guard_directory::guard_directory(directory_options options) : options_(options)
+{
+}
+
+guard_change guard_directory::hear(time_point now, const guard_report& report)
+{
+    const auto [position, fresh] = guards_.try_emplace(report.guard);
+    guard_view& view = position->second;
+    const bool was_silent = silent_.erase(report.guard) > 0;
+    const bool restarted = view.report.incarnation != report.incarnation;
+    const bool now_leaving = report.leaving && !view.report.leaving;
+    view.report = report;
+    view.heard = now;
+    view.unreachable = false;
+    if (fresh || was_silent)
+    {
+        return guard_change::joined;
+    }
+    if (restarted)
+    {
+        return guard_change::restarted;
+    }
+    return now_leaving ? guard_change::leaving : guard_change::none;
+}
+
+void guard_directory::hear_load(const guard_name& guard,
+                                const load_report& load)
+{
+    const auto found = guards_.find(guard);
+    if (found != guards_.end())
+    {
+        found->second.report.load = load;
+    }
+}
+
+void guard_directory::refused(const guard_name& guard)
+{
+    const auto found = guards_.find(guard);
+    if (found != guards_.end())
+    {
+        found->second.unreachable = true;
+    }
+}
+
+void guard_directory::list_leaving(const std::set<std::string>& addresses)
+{
+    for (auto& [name, view] : guards_)
+    {
+        view.listed_leaving = addresses.contains(view.report.address);
+    }
+}
+
+std::vector<guard_name> guard_directory::expire(time_point now)
+{
+    std::vector<guard_name> lost;
+    for (const auto& [name, view] : guards_)
+    {
+        if (now - view.heard > options_.suspect_after &&
+            silent_.insert(name).second)
+        {
+            lost.push_back(name);
+        }
+    }
+    std::erase_if(guards_, [&](const auto& item)
+                  { return now - item.second.heard > options_.forget_after; });
+    std::erase_if(silent_,
+                  [&](const auto& name) { return !guards_.contains(name); });
+    return lost;
+}
+
+const guard_view* guard_directory::find(const guard_name& guard) const
+{
+    const auto found = guards_.find(guard);
+    return found == guards_.end() ? nullptr : &found->second;
+}
+
+// ---------------------------------------------------------------------------
+// Entries
+// ---------------------------------------------------------------------------
+
+entry_directory::entry_directory(directory_options options) : options_(options)
+{
+}
+
+bool entry_directory::hear(time_point now, const entry_summary& summary)
+{
+    const std::string& name = summary.entry.value;
+    heard_[name] = now;
+    return summaries_.insert_or_assign(name, summary).second;
+}
+
+void entry_directory::relay(time_point now,
+                            const std::vector<std::string>& names)
+{
+    for (const std::string& name : names)
+    {
+        heard_[name] = now;
+    }
+}
+
+void entry_directory::expire(time_point now)
+{
+    std::erase_if(heard_, [&](const auto& item)
+                  { return now - item.second > options_.forget_after; });
+    std::erase_if(summaries_, [&](const auto& item)
+                  { return !heard_.contains(item.first); });
+}
+
+std::set<std::string> entry_directory::alive(time_point now) const
+{
+    std::set<std::string> names;
+    for (const auto& [name, heard] : heard_)
+    {
+        if (now - heard <= options_.suspect_after)
+        {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/platform/src/platform_client.cpp
@@ -0,0 +1,181 @@
+#include <springstair/platform.hpp>
+
+#include <array>
+#include <utility>
+
+namespace springstair
+{
+
+static_assert(task_worker<worker_client>);
+
+namespace
+{
+
+constexpr int good = 200;
+constexpr duration call_timeout = std::chrono::seconds(2);
+constexpr std::array<std::string_view, 6> listed_names{
+    "running", "finished", "failed", "lapsed", "stopped", "checkpointed"};
+
+json to_names(const std::vector<task_attempt>& names)
+{
+    json list = json::array();
+    for (const auto& [task, attempt] : names)
+    {
+        list.push_back({{"task", task}, {"attempt", attempt}});
+    }
+    return list;
+}
+
+listed_task parse_task(const json& item)
+{
+    listed_task task;
+    task.name = {item.at("task").get<std::string>(),
+                 item.at("attempt").get<std::int64_t>()};
+    const auto name = item.at("state").get<std::string>();
+    const auto state = from_string<listed_task::state>(name);
+    if (!state)
+    {
+        throw document_error("a task of a worker is " + name);
+    }
+    task.how = *state;
+    item.at("needs").get_to(task.needs);
+    task.detail = item.value("detail", std::string());
+    return task;
+}
+
+} // namespace
+
+std::string_view to_string(listed_task::state value) noexcept
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < listed_names.size() ? listed_names[index]
+                                       : std::string_view{};
+}
+
+worker_list parse_worker_list(const json& document)
+{
+    worker_list list;
+    document.at("requests").get_to(list.requests);
+    for (const json& item : document.at("tasks"))
+    {
+        list.tasks.push_back(parse_task(item));
+    }
+    list.clock =
+        std::chrono::milliseconds(document.at("clock_ms").get<std::int64_t>());
+    return list;
+}
+
+worker_client::worker_client(http_client& client, std::string address,
+                             duration lease)
+    : client_(client), address_(std::move(address)), lease_(lease)
+{
+}
+
+void worker_client::list(list_completion done)
+{
+    client_.send(
+        {.method = "GET",
+         .url = "http://" + address_ + "/v1/worker",
+         .headers = {},
+         .body = {},
+         .timeout = call_timeout},
+        [done = std::move(done)](const http_result& result)
+        {
+            if (result.how != delivery::answered ||
+                result.response.status != good)
+            {
+                done(std::nullopt);
+                return;
+            }
+            try
+            {
+                done(parse_worker_list(parse_body(result.response.body)));
+            }
+            catch (const std::exception&)
+            {
+                done(std::nullopt);
+            }
+        });
+}
+
+void worker_client::post(const std::string& path, const json& body)
+{
+    client_.send({.method = "POST",
+                  .url = "http://" + address_ + path,
+                  .headers = {{"content-type", "application/json"}},
+                  .body = make_body(body.dump()),
+                  .timeout = call_timeout,
+                  .exactly_one_connection = true},
+                 [](const http_result&) {});
+}
+
+void worker_client::carry_out(const worker_action& what)
+{
+    if (const auto* start = std::get_if<worker_start>(&what))
+    {
+        post("/v1/worker/start",
+             {{"task", start->what.spec.id},
+              {"attempt", start->what.attempt},
+              {"needs", start->what.spec.needs},
+              {"class", start->what.spec.of.row()},
+              {"payload", start->what.spec.payload},
+              {"checkpoint", start->what.checkpoint},
+              {"not_after_ms", to_milliseconds(start->not_after)},
+              {"lease_ms", to_milliseconds(lease_)}});
+        return;
+    }
+    if (const auto* stop = std::get_if<worker_stop>(&what))
+    {
+        post("/v1/worker/stop", {{"task", stop->name.first},
+                                 {"attempt", stop->name.second},
+                                 {"checkpoint", stop->keep_checkpoint}});
+        return;
+    }
+    if (const auto* forget = std::get_if<worker_forget>(&what))
+    {
+        post("/v1/worker/forget", {{"attempts", to_names(forget->names)}});
+        return;
+    }
+    const auto& renew = std::get<worker_renew>(what);
+    post("/v1/worker/renew", {{"attempts", to_names(renew.names)},
+                              {"lease_ms", to_milliseconds(lease_)}});
+}
+
+void fetch_vms(http_client& client, const std::string& address,
+               vm_completion done)
+{
+    client.send({.method = "GET",
+                 .url = "http://" + address + "/v1/vms",
+                 .headers = {},
+                 .body = {},
+                 .timeout = call_timeout},
+                [done = std::move(done)](const http_result& result)
+                {
+                    if (result.how != delivery::answered ||
+                        result.response.status != good)
+                    {
+                        done(std::nullopt);
+                        return;
+                    }
+                    try
+                    {
+                        std::vector<listed_vm> vms;
+                        for (const json& item :
+                             parse_body(result.response.body).at("vms"))
+                        {
+                            vms.push_back(
+                                {.name = item.at("name"),
+                                 .address = item.at("address"),
+                                 .role = item.at("role"),
+                                 .leaving = item.at("state") == "leaving"});
+                        }
+                        done(std::move(vms));
+                    }
+                    catch (const std::exception&)
+                    {
+                        done(std::nullopt);
+                    }
+                });
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/policy/src/router.cpp
@@ -0,0 +1,141 @@
+#include <springstair/policy.hpp>
+
+namespace springstair
+{
+
+static_assert(routing_policy<sampled_router>);
+static_assert(routing_policy<random_router>);
+static_assert(routing_policy<least_loaded_router>);
+
+namespace
+{
+
+std::size_t draw(std::size_t below, random_source& random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, below - 1)(random);
+}
+
+// The least loaded of a few members of a group, drawn without repetition.
+std::size_t best_of_few(std::vector<std::size_t> group,
+                        std::span<const route_candidate> from,
+                        random_source& random)
+{
+    const std::size_t few = std::min(group.size(), sampled_router::sample_size);
+    for (std::size_t index = 0; index < few; ++index)
+    {
+        std::swap(group[index],
+                  group[index + draw(group.size() - index, random)]);
+    }
+    return *std::min_element(group.begin(),
+                             group.begin() + static_cast<std::ptrdiff_t>(few),
+                             [&](std::size_t left, std::size_t right)
+                             { return from[left].load < from[right].load; });
+}
+
+template <class Predicate>
+std::vector<std::size_t> members(std::span<const route_candidate> from,
+                                 Predicate wanted)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < from.size(); ++index)
+    {
+        if (wanted(from[index]))
+        {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+sampled_router::pick(std::span<const route_candidate> from,
+                     random_source& random) const
+{
+    auto group = members(from, [](const auto& candidate)
+                         { return candidate.local && candidate.room; });
+    if (group.empty())
+    {
+        group =
+            members(from, [](const auto& candidate) { return candidate.room; });
+    }
+    if (group.empty())
+    {
+        group = members(from, [](const auto&) { return true; });
+    }
+    if (group.empty())
+    {
+        return std::nullopt;
+    }
+    return best_of_few(std::move(group), from, random);
+}
+
+std::optional<std::size_t>
+random_router::pick(std::span<const route_candidate> from,
+                    random_source& random) const
+{
+    if (from.empty())
+    {
+        return std::nullopt;
+    }
+    return draw(from.size(), random);
+}
+
+std::optional<std::size_t>
+least_loaded_router::pick(std::span<const route_candidate> from,
+                          random_source& /*random*/) const
+{
+    if (from.empty())
+    {
+        return std::nullopt;
+    }
+    const auto least = std::min_element(from.begin(), from.end(),
+                                        [](const auto& left, const auto& right)
+                                        { return left.load < right.load; });
+    return static_cast<std::size_t>(least - from.begin());
+}
+
+std::optional<any_router> router_named(const std::string& name)
+{
+    if (name == "sampled")
+    {
+        return sampled_router{};
+    }
+    if (name == "random")
+    {
+        return random_router{};
+    }
+    if (name == "least_loaded")
+    {
+        return least_loaded_router{};
+    }
+    return std::nullopt;
+}
+
+route_candidate make_candidate(const load_report& load, double sent_since,
+                               class_kind kind, std::int64_t reserved)
+{
+    route_candidate candidate;
+    const auto slots =
+        static_cast<double>(std::max<std::int64_t>(1, load.slots));
+    const auto critical =
+        static_cast<double>(load.running_critical + load.queued_critical);
+    const auto running_other = static_cast<double>(load.running_other);
+    const auto queued_other = static_cast<double>(load.queued_other);
+    if (kind == class_kind::latency_critical)
+    {
+        const double used = critical + running_other + sent_since;
+        candidate.load = used / slots;
+        candidate.room = used < slots;
+        return candidate;
+    }
+    const auto kept = std::min(static_cast<double>(reserved), slots - 1);
+    const double spill = std::max(0.0, critical - kept);
+    const double used = running_other + queued_other + spill + sent_since;
+    candidate.load = used / (slots - kept);
+    candidate.room = used < slots - kept;
+    return candidate;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/store/src/etcd_client.cpp
@@ -0,0 +1,73 @@
+#include <springstair/store.hpp>
+
+#include <utility>
+
+namespace springstair
+{
+
+static_assert(key_value_store<etcd_client>);
+
+namespace
+{
+
+constexpr int good = 200;
+constexpr int client_errors = 400;
+constexpr int server_errors = 500;
+
+kv_answer read_answer(const kv_operation& operation, const http_result& result)
+{
+    if (result.how == delivery::not_sent)
+    {
+        return {.how = kv_answer::state::not_done};
+    }
+    if (result.how == delivery::unknown)
+    {
+        return {.how = kv_answer::state::unknown};
+    }
+    const int status = result.response.status;
+    if (status >= client_errors && status < server_errors)
+    {
+        return {.how = kv_answer::state::not_done};
+    }
+    if (status != good)
+    {
+        return {.how = kv_answer::state::unknown};
+    }
+    try
+    {
+        return from_gateway(operation, parse_body(result.response.body));
+    }
+    catch (const std::exception&)
+    {
+        return {.how = kv_answer::state::unknown};
+    }
+}
+
+} // namespace
+
+etcd_client::etcd_client(http_client& client, etcd_options options)
+    : client_(client), options_(std::move(options))
+{
+}
+
+void etcd_client::send(const kv_operation& operation, kv_completion done)
+{
+    const gateway_call call = to_gateway(operation);
+    const std::size_t index = current_ % options_.endpoints.size();
+    client_.send({.method = "POST",
+                  .url = "http://" + options_.endpoints[index] + call.path,
+                  .headers = {{"content-type", "application/json"}},
+                  .body = make_body(call.body.dump()),
+                  .timeout = options_.timeout,
+                  .exactly_one_connection = false},
+                 [this, operation, done = std::move(done)](http_result result)
+                 {
+                     if (result.how != delivery::answered)
+                     {
+                         ++current_; // the next call tries the next one
+                     }
+                     done(read_answer(operation, result));
+                 });
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/transport/include/springstair/detail/transport/http_client.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <springstair/detail/transport/http_message.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace springstair
+{
+
+/// @brief What is known of a call that ended.
+enum class delivery : std::uint8_t
+{
+    answered, ///< the whole answer is here
+    not_sent, ///< no connection: not a byte of the request left
+    unknown   ///< the request, or part of it, was sent; no whole answer
+};
+
+/// @brief A call to make.
+struct http_call
+{
+    std::string method = "POST";
+    std::string url;
+    header_map headers;
+    shared_body body;
+    duration timeout = std::chrono::seconds(5);
+    duration connect_timeout = std::chrono::milliseconds(500);
+    /// A connection of its own, so that no library sends it twice.
+    bool exactly_one_connection = false;
+};
+
+/// @brief What came of a call.
+struct http_result
+{
+    delivery how = delivery::unknown;
+    http_response response;
+    std::string error;
+};
+
+/// @brief Called once for each call, on the client's thread; it must not
+/// block.
+using http_completion = std::function<void(http_result)>;
+
+/// @brief Makes many calls at once on one thread.
+class http_client
+{
+public:
+    http_client();
+    /// @brief Ends open calls as `unknown`, then stops.
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// @brief Starts a call. Safe from any thread.
+    void send(http_call call, http_completion done);
+
+    /// @brief Makes a call and waits for its end. Not from a completion.
+    http_result send_and_wait(http_call call);
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/transport/src/http_client.cpp
@@ -0,0 +1,305 @@
+#include <springstair/transport.hpp>
+
+#include <absl/synchronization/notification.h>
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <map>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr int library_failed = 202;
+constexpr std::size_t most_answer_bytes = 64U << 20U;
+constexpr int longest_poll_ms = 1000;
+constexpr std::size_t kept_handles = 256;
+constexpr long kept_connections = 512;
+
+// A call on its way; curl's callbacks write into it.
+struct open_call
+{
+    http_call call;
+    http_completion done;
+    CURL* handle = nullptr;
+    curl_slist* header_list = nullptr;
+    http_response response;
+    std::string received;
+
+    open_call(http_call what, http_completion then)
+        : call(std::move(what)), done(std::move(then))
+    {
+    }
+    open_call(const open_call&) = delete;
+    open_call& operator=(const open_call&) = delete;
+    ~open_call()
+    {
+        curl_slist_free_all(header_list);
+    }
+};
+
+std::size_t on_body(char* data, std::size_t size, std::size_t count,
+                    void* context)
+{
+    auto& current = *static_cast<open_call*>(context);
+    const std::size_t bytes = size * count;
+    if (current.received.size() + bytes > most_answer_bytes)
+    {
+        return 0;
+    }
+    current.received.append(data, bytes);
+    return bytes;
+}
+
+std::size_t on_header(char* data, std::size_t size, std::size_t count,
+                      void* context)
+{
+    auto& current = *static_cast<open_call*>(context);
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+    {
+        return line.size();
+    }
+    std::string name(line.substr(0, colon));
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::tolower(c)); });
+    std::string_view value = line.substr(colon + 1);
+    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+    value = value.substr(0, value.find_last_not_of("\r\n ") + 1);
+    current.response.headers[name] = std::string(value);
+    return line.size();
+}
+
+long whole_milliseconds(duration value)
+{
+    return std::max(1L, static_cast<long>(to_milliseconds(value)));
+}
+
+void set_headers(open_call& current)
+{
+    current.header_list = curl_slist_append(nullptr, "Expect:");
+    for (const auto& [name, value] : current.call.headers)
+    {
+        const std::string line = name + ": " + value;
+        current.header_list =
+            curl_slist_append(current.header_list, line.c_str());
+    }
+    curl_easy_setopt(current.handle, CURLOPT_HTTPHEADER, current.header_list);
+}
+
+void set_body(open_call& current)
+{
+    if (!current.call.body)
+    {
+        return;
+    }
+    curl_easy_setopt(current.handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(current.call.body->size()));
+    curl_easy_setopt(current.handle, CURLOPT_POSTFIELDS,
+                     current.call.body->data());
+}
+
+void set_up(open_call& current)
+{
+    CURL* const handle = current.handle;
+    curl_easy_setopt(handle, CURLOPT_URL, current.call.url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &current);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                     whole_milliseconds(current.call.timeout));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     whole_milliseconds(current.call.connect_timeout));
+    set_body(current);
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST,
+                     current.call.method.c_str());
+    set_headers(current);
+    const long alone = current.call.exactly_one_connection ? 1L : 0L;
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, alone);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, alone);
+}
+
+bool nothing_was_sent(CURL* handle)
+{
+    long request_bytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return request_bytes == 0;
+}
+
+http_result result_of(open_call& current, CURLcode code)
+{
+    http_result result;
+    if (code != CURLE_OK)
+    {
+        result.how = nothing_was_sent(current.handle) ? delivery::not_sent
+                                                      : delivery::unknown;
+        result.error = curl_easy_strerror(code);
+        return result;
+    }
+    long status = 0;
+    curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
+    result.how = delivery::answered;
+    result.response = std::move(current.response);
+    result.response.status = static_cast<int>(status);
+    result.response.body = make_body(std::move(current.received));
+    return result;
+}
+
+} // namespace
+
+struct http_client::state
+{
+    CURLM* multi = nullptr;
+    absl::Mutex mutex;
+    std::vector<std::unique_ptr<open_call>> waiting;
+    bool stopping = false;
+    std::map<CURL*, std::unique_ptr<open_call>> open;
+    std::vector<CURL*> idle_handles;
+    std::thread thread;
+
+    bool take_waiting()
+    {
+        std::vector<std::unique_ptr<open_call>> taken;
+        bool stop = false;
+        {
+            const absl::MutexLock lock(&mutex);
+            taken.swap(waiting);
+            stop = stopping;
+        }
+        for (auto& call : taken)
+        {
+            start(std::move(call));
+        }
+        return !stop;
+    }
+
+    void start(std::unique_ptr<open_call> call)
+    {
+        if (idle_handles.empty())
+        {
+            call->handle = curl_easy_init();
+        }
+        else
+        {
+            call->handle = idle_handles.back();
+            idle_handles.pop_back();
+        }
+        set_up(*call);
+        curl_multi_add_handle(multi, call->handle);
+        CURL* const handle = call->handle;
+        open.emplace(handle, std::move(call));
+    }
+
+    void finish(CURL* handle, http_result result)
+    {
+        const auto found = open.find(handle);
+        const std::unique_ptr<open_call> ended = std::move(found->second);
+        open.erase(found);
+        curl_multi_remove_handle(multi, handle);
+        if (idle_handles.size() < kept_handles)
+        {
+            curl_easy_reset(handle);
+            idle_handles.push_back(handle);
+        }
+        else
+        {
+            curl_easy_cleanup(handle);
+        }
+        ended->done(std::move(result));
+    }
+
+    void collect_ended()
+    {
+        int left = 0;
+        while (const CURLMsg* message = curl_multi_info_read(multi, &left))
+        {
+            if (message->msg != CURLMSG_DONE)
+            {
+                continue;
+            }
+            CURL* const handle = message->easy_handle;
+            const CURLcode code = message->data.result;
+            finish(handle, result_of(*open.at(handle), code));
+        }
+    }
+
+    void run()
+    {
+        while (take_waiting())
+        {
+            int running = 0;
+            curl_multi_perform(multi, &running);
+            collect_ended();
+            curl_multi_poll(multi, nullptr, 0, longest_poll_ms, nullptr);
+        }
+        while (!open.empty())
+        {
+            finish(open.begin()->first, {.error = "the client stops"});
+        }
+    }
+};
+
+http_client::http_client() : state_(std::make_unique<state>())
+{
+    static const CURLcode ready = curl_global_init(CURL_GLOBAL_DEFAULT);
+    state_->multi = curl_multi_init();
+    if (ready != CURLE_OK || state_->multi == nullptr)
+    {
+        throw transport_error(library_failed, "libcurl does not start");
+    }
+    curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS, kept_connections);
+    state_->thread = std::thread([this] { state_->run(); });
+}
+
+http_client::~http_client()
+{
+    {
+        const absl::MutexLock lock(&state_->mutex);
+        state_->stopping = true;
+    }
+    curl_multi_wakeup(state_->multi);
+    state_->thread.join();
+    for (CURL* handle : state_->idle_handles)
+    {
+        curl_easy_cleanup(handle);
+    }
+    curl_multi_cleanup(state_->multi);
+}
+
+void http_client::send(http_call call, http_completion done)
+{
+    auto fresh = std::make_unique<open_call>(std::move(call), std::move(done));
+    {
+        const absl::MutexLock lock(&state_->mutex);
+        state_->waiting.push_back(std::move(fresh));
+    }
+    curl_multi_wakeup(state_->multi);
+}
+
+http_result http_client::send_and_wait(http_call call)
+{
+    http_result result;
+    absl::Notification ended;
+    send(std::move(call),
+         [&](http_result with)
+         {
+             result = std::move(with);
+             ended.Notify();
+         });
+    ended.WaitForNotification();
+    return result;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/transport/src/http_message.cpp
@@ -0,0 +1,52 @@
+#include <springstair/transport.hpp>
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+std::string value_or_empty(const header_map& map, std::string_view name)
+{
+    const auto found = map.find(name);
+    return found == map.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+shared_body make_body(std::string text)
+{
+    return std::make_shared<const std::string>(std::move(text));
+}
+
+std::string http_request::header(std::string_view name) const
+{
+    return value_or_empty(headers, name);
+}
+
+std::string http_request::argument(std::string_view name) const
+{
+    return value_or_empty(query, name);
+}
+
+http_response json_response(int status, const json& document)
+{
+    return {.status = status,
+            .headers = {{"content-type", "application/json"}},
+            .body = make_body(document.dump())};
+}
+
+json parse_body(const shared_body& body)
+{
+    const json document =
+        json::parse(body ? *body : std::string(), nullptr, false);
+    if (document.is_discarded())
+    {
+        throw document_error("the body is not JSON");
+    }
+    return document;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/transport/src/problem.cpp
@@ -0,0 +1,108 @@
+#include <springstair/transport.hpp>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr std::string_view problem_type = "application/problem+json";
+constexpr int millis_per_second = 1000;
+
+std::string title_of(const problem_report& what)
+{
+    switch (what.result)
+    {
+    case outcome::not_run:
+        return "The request was not run";
+    case outcome::unknown:
+        return "The request may have run";
+    case outcome::failed:
+        break;
+    }
+    return "The request failed";
+}
+
+} // namespace
+
+int status_of(const problem_report& what) noexcept
+{
+    switch (what.reason)
+    {
+    case refusal::unauthenticated:
+        return 401;
+    case refusal::bad_request:
+        return 400;
+    case refusal::unknown_class:
+        return 404;
+    case refusal::never_fits:
+        return 422;
+    case refusal::over_limit:
+        return 429;
+    case refusal::deadline:
+        return 504;
+    case refusal::connection_lost:
+        return 502;
+    case refusal::duplicate:
+        return 409;
+    default:
+        return 503;
+    }
+}
+
+http_response to_response(const problem_report& what)
+{
+    const std::int64_t millis = to_milliseconds(what.retry_after);
+    json body{{"type", "about:blank"},
+              {"title", title_of(what)},
+              {"status", status_of(what)},
+              {"outcome", to_string(what.result)},
+              {"reason", to_string(what.reason)}};
+    if (!what.detail.empty())
+    {
+        body["detail"] = what.detail;
+    }
+    http_response response{
+        .status = status_of(what),
+        .headers = {{"content-type", std::string(problem_type)}},
+        .body = {}};
+    if (millis > 0)
+    {
+        body["retry_after_ms"] = millis;
+        const auto seconds =
+            (millis + millis_per_second - 1) / millis_per_second;
+        response.headers["retry-after"] = std::to_string(seconds);
+    }
+    response.body = make_body(body.dump());
+    return response;
+}
+
+std::optional<problem_report> problem_of(const http_response& response)
+{
+    const auto type = response.headers.find("content-type");
+    if (type == response.headers.end() || type->second != problem_type ||
+        !response.body)
+    {
+        return std::nullopt;
+    }
+    const json body = json::parse(*response.body, nullptr, false);
+    if (!body.is_object())
+    {
+        return std::nullopt;
+    }
+    const auto result =
+        from_string<outcome>(body.value("outcome", std::string()));
+    const auto reason =
+        from_string<refusal>(body.value("reason", std::string()));
+    if (!result || !reason)
+    {
+        return std::nullopt;
+    }
+    return problem_report{.result = *result,
+                          .reason = *reason,
+                          .retry_after = std::chrono::milliseconds(
+                              body.value("retry_after_ms", std::int64_t{0})),
+                          .detail = body.value("detail", std::string())};
+}
+
+} // namespace springstair
