--- a/packages/daemon/src/guard_role.cpp
+++ b/packages/daemon/src/guard_role.cpp
@@ -84,8 +84,7 @@
         : process_(process), incarnation_(random_hex(incarnation_bytes)),
           core_(core_options(), clock_.now()),
           keeper_({.incarnation = incarnation_,
-                   .capacity = process.from.guard.capacity},
-                  clock_.now()),
+                   .capacity = process.from.guard.capacity}),
           worker_(process.client, process.from.guard.worker,
                   process.from.guard.task_lease)
     {
@@ -334,7 +333,7 @@
         }
         const time_point now = clock_.now();
         worker_actions actions;
-        keeper_.on_worker_list(now, listed.asked, listed.list->clock,
+        keeper_.on_worker_list(now, listed.list->clock,
                                listed.list->tasks, actions);
         carry_out(actions);
         carry_out(
@@ -368,7 +367,8 @@
                          .address = process_.from.common.address + ":" +
                                     std::to_string(process_.from.common.port),
                          .leaving = core_.draining(),
-                         .ready = core_.ready() && keeper_.ready(),
+                         .ready = core_.ready(),
+            .tasks_ready = keeper_.ready(),
                          .load = core_.load(),
                          .table_revision = core_.rows().revision(),
                          .capacity = keeper_.capacity(),
--- a/packages/entry/include/springstair/detail/entry/request_core.hpp
+++ b/packages/entry/include/springstair/detail/entry/request_core.hpp
@@ -198,6 +198,8 @@
                          bool from_budget, request_actions& actions);
     void record_result(time_point now, const attempt_result& result,
                        const sent_attempt& sent, request_actions& actions);
+    void after_refusal(time_point now, open_request& of, problem_report why,
+                       request_actions& actions);
     void record_silence(time_point now, const open_request& of,
                         request_actions& actions);
     void retry_from_lost_guards(time_point now,
--- a/packages/entry/include/springstair/detail/entry/task_core.hpp
+++ b/packages/entry/include/springstair/detail/entry/task_core.hpp
@@ -29,6 +29,7 @@
     duration retry = std::chrono::milliseconds(300);
     duration resend_start = std::chrono::seconds(1);
     duration gone_after = std::chrono::seconds(10);
+    duration forget_unknown = std::chrono::minutes(1);
     std::int64_t snapshot_every = 64; ///< segments
     std::size_t most_book_bytes = 700'000;
     std::int64_t most_failures = 3;
@@ -118,7 +119,7 @@
                   task_actions& actions);
     /// @brief A guard's heartbeat.
     /// @return ended attempts that are on record, for the answer
-    std::vector<attempt_report> on_report(time_point now,
+    std::vector<attempt_ack> on_report(time_point now,
                                           const guard_report& report,
                                           task_actions& actions);
     /// @brief A guard's reply to a start.
@@ -194,10 +195,12 @@
         std::optional<kv_operation> again; ///< to send when retry_at comes
         bool too_large = false; ///< the book nears what the store can hold
         bool snapshotting = false;
+        std::int64_t snapshot_revision = 0; ///< of the last one; 0: none
         bool checking = false; ///< reading back a refused segment
         time_point retry_at;
         time_point next_commit{};
         time_point free_since{};
+        time_point confirmed{}; ///< when the store was asked who holds it
         std::set<std::string> busy; ///< tasks with steps not yet on record
         std::vector<waiting_call> calls;
     };
@@ -233,6 +236,9 @@
     void send_for(shard& of, kv_operation operation, task_actions& actions);
     void after_commit(time_point now, std::int64_t number,
                       const kv_answer& answer, task_actions& actions);
+    void after_write(time_point now, std::int64_t number,
+                     std::int64_t revision, task_actions& actions);
+    std::string next_nonce();
     void committed(time_point now, std::int64_t number, task_actions& actions);
     void answer_calls(std::int64_t number, task_actions& actions);
     static void refuse_calls(shard& of, bool may_be_written,
@@ -250,6 +256,12 @@
     [[nodiscard]] waiting_tasks waiting() const;
     bool place_one(time_point now, const task_record& record,
                    const guard_views& guards);
+    using loaded_guards = std::vector<std::pair<double, guard_name>>;
+
+    [[nodiscard]] loaded_guards fitting(time_point now,
+                                        const task_record& record,
+                                        const guard_views& guards,
+                                        bool also_failed) const;
     [[nodiscard]] std::optional<guard_name>
     choose_guard(time_point now, const task_record& record,
                  const guard_views& guards);
@@ -266,6 +278,8 @@
                       bool keep_checkpoint, task_actions& actions);
 
     // Reports of guards.
+    bool is_stranger(time_point now, const shard& of,
+                     const attempt_report& attempt);
     void take_ended(const std::string& guard, const task_record& record,
                     const attempt_report& report);
     void take_failure(const std::string& guard, const task_record& record,
@@ -275,6 +289,7 @@
     void lose(const std::string& task, std::int64_t attempt,
               const std::string& why);
 
+    std::string new_id(std::int64_t number);
     shard* held_shard(const std::string& task);
     [[nodiscard]] const shard* held_shard(const std::string& task) const;
 
@@ -295,7 +310,10 @@
     time_point next_renewal_{};
     std::optional<store_token> look_token_;
     time_point next_look_{};
+    time_point look_asked_{};
     std::optional<kv_answer> seen_shards_;
+    std::map<std::pair<std::string, std::int64_t>, time_point>
+        unknown_since_;
     store_token next_token_ = 1;
     std::uint64_t next_nonce_ = 1;
     random_source random_;
--- a/packages/entry/src/request_core.cpp
+++ b/packages/entry/src/request_core.cpp
@@ -282,6 +282,28 @@
                   actions);
 }
 
+void request_core::after_refusal(time_point now, open_request& of,
+                                 problem_report why, request_actions& actions)
+{
+    // Sent once, over one connection, which the new process answered: the
+    // process that was there before never saw it.
+    if (!of.repeatable && why.reason == refusal::wrong_incarnation)
+    {
+        why.result = outcome::not_run;
+    }
+    if (why.result != outcome::not_run)
+    {
+        of.may_have_run = true;
+        if (!of.repeatable)
+        {
+            refuse(of.request.number, std::move(why), actions);
+            return;
+        }
+    }
+    const bool from_budget = !free_to_retry(why.reason);
+    retry_or_refuse(now, of, std::move(why), from_budget, actions);
+}
+
 request_actions request_core::on_attempt(time_point now,
                                          const attempt_result& result)
 {
@@ -322,17 +344,7 @@
         close(sent.number);
         break;
     case ending::refused:
-        if (result.refused_with.result != outcome::not_run)
-        {
-            of.may_have_run = true;
-            if (!of.repeatable)
-            {
-                refuse(sent.number, result.refused_with, actions);
-                break;
-            }
-        }
-        retry_or_refuse(now, of, result.refused_with,
-                        !free_to_retry(result.refused_with.reason), actions);
+        after_refusal(now, of, result.refused_with, actions);
         break;
     case ending::not_sent:
         guards_.refused(sent.guard);
--- a/packages/entry/src/task_core.cpp
+++ b/packages/entry/src/task_core.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr int id_bytes = 8;
+constexpr int id_digits = 16;
 constexpr std::size_t most_pending = 2000;
 constexpr std::size_t most_detail = 4096;
 constexpr std::size_t most_payload = 4096;
@@ -120,6 +120,19 @@
     add(to, std::move(step));
 }
 
+std::string task_core::new_id(std::int64_t number)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string id = "t" + std::to_string(number) + "-";
+    std::uint64_t bits = random_();
+    for (int count = 0; count < id_digits; ++count)
+    {
+        id += digits[bits % digits.size()];
+        bits /= digits.size();
+    }
+    return id;
+}
+
 void task_core::on_submit(task_call call, time_point deadline, task_spec spec,
                           const guard_views& guards, task_actions& actions)
 {
@@ -175,7 +188,7 @@
         reject(refusal::queue_full, retry_soon, "too many tasks wait");
         return;
     }
-    spec.id = "t" + std::to_string(number) + "-" + random_hex(id_bytes);
+    spec.id = new_id(number);
     task_transition step;
     step.task = spec.id;
     step.spec = std::move(spec);
@@ -289,6 +302,7 @@
     {
         return;
     }
+    workers_.returned({record->guard}); // nothing is known of the worker
     task_transition step;
     step.what = task_transition::step::lose;
     step.task = task;
@@ -304,7 +318,7 @@
                               task_actions& actions)
 {
     const auto placed = placed_on_.find(report.guard.value);
-    if (placed == placed_on_.end() || !report.ready)
+    if (placed == placed_on_.end() || !report.tasks_ready)
     {
         return;
     }
@@ -342,11 +356,22 @@
     }
 }
 
-std::vector<attempt_report> task_core::on_report(time_point now,
+// A task that is not in the book may be a later holder's, if this entry was
+// overtaken and does not know it yet. It is a stranger only once the store
+// has named this entry the holder after the attempt was seen.
+bool task_core::is_stranger(time_point now, const shard& of,
+                            const attempt_report& attempt)
+{
+    const auto [seen, fresh] =
+        unknown_since_.try_emplace({attempt.task, attempt.attempt}, now);
+    return !fresh && of.confirmed > seen->second;
+}
+
+std::vector<attempt_ack> task_core::on_report(time_point now,
                                                  const guard_report& report,
                                                  task_actions& actions)
 {
-    std::vector<attempt_report> acked;
+    std::vector<attempt_ack> acked;
     const std::string& guard = report.guard.value;
     addresses_[guard] = report.address;
     for (const attempt_report& attempt : report.attempts)
@@ -368,8 +393,16 @@
             if (!runs && !of->busy.contains(attempt.task))
             {
                 const bool failed = attempt.state == "failed";
-                workers_.record(now, report.guard, record->spec.of, !failed,
-                                addresses_.size());
+                const bool ran = failed || attempt.state == "finished";
+                if (ran)
+                {
+                    workers_.record(now, report.guard, record->spec.of,
+                                    !failed, addresses_.size());
+                }
+                else
+                {
+                    workers_.returned(report.guard);
+                }
                 take_ended(guard, *record, attempt);
             }
             continue;
@@ -378,6 +411,10 @@
         {
             continue; // a later holder placed it; this one was overtaken
         }
+        if (record == nullptr && !is_stranger(now, *of, attempt))
+        {
+            continue;
+        }
         if (runs)
         {
             stop_attempt(guard,
@@ -385,7 +422,10 @@
                          false, actions);
             continue;
         }
-        acked.push_back(attempt);
+        acked.push_back({.task = attempt.task,
+                         .attempt = attempt.attempt,
+                         .shard = *shard_of(attempt.task),
+                         .epoch = of->epoch});
     }
     check_missing(now, report, actions);
     return acked;
@@ -450,6 +490,10 @@
         const kv_answer seen = *std::exchange(seen_shards_, std::nullopt);
         take_shards(now, seen, entries, actions);
     }
+    std::erase_if(unknown_since_,
+                  [&](const auto& item) {
+                      return now - item.second > options_.forget_unknown;
+                  });
     recount();
     place_all(now, guards);
     for (auto& [number, of] : shards_)
--- a/packages/entry/src/task_journal.cpp
+++ b/packages/entry/src/task_journal.cpp
@@ -70,8 +70,7 @@
     {
         call.sent = true;
     }
-    of.nonce = options_.name.value + "." + options_.incarnation + "." +
-               std::to_string(next_nonce_++);
+    of.nonce = next_nonce();
     const json segment{{"nonce", of.nonce}, {"steps", of.committing}};
     const std::string key = task_keys::segment(number, of.next_segment);
     std::string value = segment.dump();
@@ -89,23 +88,37 @@
     of.in_flight = std::get<store_call>(actions.back()).operation;
 }
 
+std::string task_core::next_nonce()
+{
+    return options_.name.value + "." + options_.incarnation + "." +
+           std::to_string(next_nonce_++);
+}
+
+// Only one copy of a snapshot can win: a delayed one would bring an old book
+// back and take newer segments away.
 void task_core::snapshot(std::int64_t number, task_actions& actions)
 {
     shard& of = shards_.at(number);
-    const json document{{"book", of.book.to_document()},
+    of.nonce = next_nonce();
+    const json document{{"nonce", of.nonce},
+                        {"book", of.book.to_document()},
                         {"next_segment", of.next_segment}};
     std::string value = document.dump();
     of.too_large = value.size() > options_.most_book_bytes;
     of.snapshotting = true;
     ++cost_.commits;
     cost_.bytes += value.size();
-    send_for(of,
-             kv_transaction{.compares = {still_holder(number, of.epoch)},
-                            .puts = {{.key = task_keys::snapshot(number),
-                                      .value = std::move(value)}},
-                            .deletes = {{.key = task_keys::segments(number),
-                                         .prefix = true}}},
-             actions);
+    send_for(
+        of,
+        kv_transaction{
+            .compares = {still_holder(number, of.epoch),
+                         {.key = task_keys::snapshot(number),
+                          .of = kv_compare::number::mod_revision,
+                          .equals = of.snapshot_revision}},
+            .puts = {{.key = task_keys::snapshot(number),
+                      .value = std::move(value)}},
+            .deletes = {{.key = task_keys::segments(number), .prefix = true}}},
+        actions);
     of.in_flight = std::get<store_call>(actions.back()).operation;
 }
 
@@ -120,28 +133,17 @@
         of.retry_at = now + options_.retry;
         return;
     }
-    if (of.checking)
-    {
-        of.checking = false;
-        if (has_nonce(answer, of.nonce))
-        {
-            committed(now, number, actions);
-            return;
-        }
-        drop(number, false, actions);
-        return;
-    }
-    if (answer.succeeded)
+    const bool checked = std::exchange(of.checking, false);
+    const bool written =
+        checked ? has_nonce(answer, of.nonce) : answer.succeeded;
+    if (written)
     {
-        if (std::exchange(of.snapshotting, false))
-        {
-            of.since_snapshot = 0;
-            return;
-        }
-        committed(now, number, actions);
+        const std::int64_t revision =
+            checked ? answer.items.front().mod_revision : answer.revision;
+        after_write(now, number, revision, actions);
         return;
     }
-    if (of.snapshotting)
+    if (checked)
     {
         drop(number, false, actions);
         return;
@@ -149,10 +151,25 @@
     // Refused: an earlier copy of this write took effect, or there is
     // another holder.
     of.checking = true;
-    of.in_flight = kv_range{.key = task_keys::segment(number, of.next_segment)};
+    of.in_flight = kv_range{
+        .key = of.snapshotting ? task_keys::snapshot(number)
+                               : task_keys::segment(number, of.next_segment)};
     send_for(of, of.in_flight, actions);
 }
 
+void task_core::after_write(time_point now, std::int64_t number,
+                            std::int64_t revision, task_actions& actions)
+{
+    shard& of = shards_.at(number);
+    if (!std::exchange(of.snapshotting, false))
+    {
+        committed(now, number, actions);
+        return;
+    }
+    of.since_snapshot = 0;
+    of.snapshot_revision = revision;
+}
+
 void task_core::committed(time_point now, std::int64_t number,
                           task_actions& actions)
 {
--- a/packages/entry/src/task_placement.cpp
+++ b/packages/entry/src/task_placement.cpp
@@ -132,18 +132,20 @@
     return free;
 }
 
-std::optional<guard_name> task_core::choose_guard(time_point now,
-                                                  const task_record& record,
-                                                  const guard_views& guards)
+task_core::loaded_guards task_core::fitting(time_point now,
+                                            const task_record& record,
+                                            const guard_views& guards,
+                                            bool also_failed) const
 {
     const directory_options silence;
     const auto failed = failed_on_.find(record.spec.id);
-    std::vector<std::pair<double, guard_name>> fitting;
+    loaded_guards all;
     for (const auto& [name, view] : guards)
     {
         const bool failed_here =
             failed != failed_on_.end() && failed->second.contains(name);
-        if (!view.usable(now, silence) || failed_here ||
+        if (!view.usable(now, silence) || !view.report.tasks_ready ||
+            (failed_here && !also_failed) ||
             !workers_.may_send(now, name, true) ||
             !record.spec.needs.fits(free_of(view)))
         {
@@ -151,21 +153,35 @@
         }
         resources used = view.report.capacity;
         used -= free_of(view);
-        fitting.emplace_back(dominant_share(used, view.report.capacity), name);
+        all.emplace_back(dominant_share(used, view.report.capacity), name);
+    }
+    return all;
+}
+
+// A worker where the task failed is tried again only if no other can hold
+// it.
+std::optional<guard_name> task_core::choose_guard(time_point now,
+                                                  const task_record& record,
+                                                  const guard_views& guards)
+{
+    loaded_guards found = fitting(now, record, guards, false);
+    if (found.empty() && failed_on_.contains(record.spec.id))
+    {
+        found = fitting(now, record, guards, true);
     }
-    if (fitting.empty())
+    if (found.empty())
     {
         return std::nullopt;
     }
-    const std::size_t few = std::min(sample_size, fitting.size());
+    const std::size_t few = std::min(sample_size, found.size());
     for (std::size_t index = 0; index < few; ++index)
     {
         std::uniform_int_distribution<std::size_t> rest(index,
-                                                        fitting.size() - 1);
-        std::swap(fitting[index], fitting[rest(random_)]);
+                                                        found.size() - 1);
+        std::swap(found[index], found[rest(random_)]);
     }
-    return std::min_element(fitting.begin(),
-                            fitting.begin() + static_cast<std::ptrdiff_t>(few))
+    return std::min_element(found.begin(),
+                            found.begin() + static_cast<std::ptrdiff_t>(few))
         ->second;
 }
 
--- a/packages/entry/src/task_shards.cpp
+++ b/packages/entry/src/task_shards.cpp
@@ -95,6 +95,7 @@
     next_look_ = now + options_.look_every;
     store_call call = ask(kv_range{.key = task_keys::holders, .prefix = true});
     look_token_ = call.token;
+    look_asked_ = now;
     actions.emplace_back(std::move(call));
 }
 
@@ -124,6 +125,10 @@
         {
             const bool overtaken =
                 holder != nullptr && holder->create_revision > of.epoch;
+            if (holder != nullptr && holder->create_revision == of.epoch)
+            {
+                of.confirmed = look_asked_;
+            }
             if (overtaken)
             {
                 drop(number, false, actions);
@@ -208,11 +213,13 @@
     of.book = task_book{};
     of.next_segment = 1;
     of.since_snapshot = 0;
+    of.snapshot_revision = 0;
     for (const kv_item& item : answer.items)
     {
         if (item.key == task_keys::snapshot(number))
         {
             const json document = json::parse(item.value);
+            of.snapshot_revision = item.mod_revision;
             of.book = task_book::parse(document.at("book"));
             of.next_segment = document.at("next_segment").get<std::int64_t>();
         }
--- a/packages/guard/include/springstair/detail/guard/guard_core.hpp
+++ b/packages/guard/include/springstair/detail/guard/guard_core.hpp
@@ -157,6 +157,7 @@
     std::set<std::string> foreign_;
     std::map<std::string, time_point> in_doubt_;
     time_point started_;
+    time_point last_asked_{};
     bool listed_ = false;
     bool draining_ = false;
 };
--- a/packages/guard/include/springstair/detail/guard/task_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/task_keeper.hpp
@@ -21,7 +21,6 @@
     /// For how long, on the worker's own clock, it may act on a start.
     duration start_window = std::chrono::seconds(3);
     duration remember_closed = std::chrono::minutes(10);
-    duration settle = std::chrono::milliseconds(300);
 };
 
 /// @brief The ledger of a worker, and the attempts that run on it.
@@ -32,8 +31,8 @@
 class task_keeper
 {
 public:
-    /// @param options from the settings @param now when the process began
-    task_keeper(task_keeper_options options, time_point now);
+    /// @param options from the settings
+    explicit task_keeper(task_keeper_options options);
 
     /// @brief An entry asks for a start.
     task_reply on_start(time_point now, const start_task& what,
@@ -42,13 +41,12 @@
     task_reply on_stop(time_point now, const stop_task& what,
                        worker_actions& actions);
     /// @brief The worker's list.
-    /// @param asked when the worker was asked for it
     /// @param worker_clock the worker's own reading when it made the list
-    void on_worker_list(time_point now, time_point asked, duration worker_clock,
+    void on_worker_list(time_point now, duration worker_clock,
                         const std::vector<listed_task>& list,
                         worker_actions& actions);
     /// @brief An entry has these ends on record.
-    void on_acked(time_point now, const std::vector<attempt_report>& acked,
+    void on_acked(time_point now, const std::vector<attempt_ack>& acked,
                   worker_actions& actions);
     /// @brief A planned stop began.
     void on_drain() noexcept
@@ -102,7 +100,7 @@
     std::map<task_attempt, kept_attempt> attempts_;
     std::map<task_attempt, time_point> closed_;
     std::map<std::int64_t, std::int64_t> epochs_;
-    time_point started_;
+    std::optional<duration> first_clock_; ///< of the worker's first list
     time_point next_renewal_{};
     time_point clock_read_{};
     duration worker_clock_{0}; ///< as of clock_read_
--- a/packages/guard/src/guard_core.cpp
+++ b/packages/guard/src/guard_core.cpp
@@ -38,7 +38,10 @@
 {
     if (request.incarnation != options_.incarnation)
     {
-        return not_run(refusal::wrong_incarnation, retry_soon);
+        // A copy of it may have reached the process that was here before.
+        return problem_report{.result = outcome::unknown,
+                              .reason = refusal::wrong_incarnation,
+                              .retry_after = retry_soon};
     }
     if (!ready())
     {
@@ -161,6 +164,11 @@
 guard_core::on_executor_list(time_point now, time_point asked,
                              const std::set<std::string>& attempts)
 {
+    if (asked < last_asked_)
+    {
+        return {}; // overtaken by a later list
+    }
+    last_asked_ = asked;
     std::set<std::string> foreign;
     for (const std::string& name : attempts)
     {
--- a/packages/guard/src/task_keeper.cpp
+++ b/packages/guard/src/task_keeper.cpp
@@ -29,8 +29,8 @@
 
 } // namespace
 
-task_keeper::task_keeper(task_keeper_options options, time_point now)
-    : options_(std::move(options)), started_(now)
+task_keeper::task_keeper(task_keeper_options options)
+    : options_(std::move(options))
 {
 }
 
@@ -162,13 +162,17 @@
 }
 
 void task_keeper::on_acked(time_point now,
-                           const std::vector<attempt_report>& acked,
+                           const std::vector<attempt_ack>& acked,
                            worker_actions& actions)
 {
     std::vector<task_attempt> gone;
-    for (const attempt_report& report : acked)
+    for (const attempt_ack& ack : acked)
     {
-        const task_attempt name{report.task, report.attempt};
+        if (stale(ack.shard, ack.epoch))
+        {
+            continue; // a holder that was overtaken knows less
+        }
+        const task_attempt name{ack.task, ack.attempt};
         const auto found = attempts_.find(name);
         if (found == attempts_.end() || found->second.at != phase::ended)
         {
@@ -231,8 +235,7 @@
     }
 }
 
-void task_keeper::on_worker_list(time_point now, time_point asked,
-                                 duration worker_clock,
+void task_keeper::on_worker_list(time_point now, duration worker_clock,
                                  const std::vector<listed_task>& list,
                                  worker_actions& actions)
 {
@@ -262,10 +265,13 @@
     {
         actions.emplace_back(worker_forget{std::move(recorded)});
     }
-    if (asked - started_ >= options_.settle)
+    // What a dead predecessor asked to start may still begin until its window
+    // has closed; by then it is listed, or never will be.
+    if (!first_clock_)
     {
-        listed_ = true;
+        first_clock_ = worker_clock;
     }
+    listed_ = listed_ || worker_clock > *first_clock_ + options_.start_window;
 }
 
 // ---------------------------------------------------------------------------
--- a/packages/membership/include/springstair/detail/membership/messages.hpp
+++ b/packages/membership/include/springstair/detail/membership/messages.hpp
@@ -56,6 +56,17 @@
     bool operator==(const attempt_report&) const = default;
 };
 
+/// @brief An entry's word that the end of an attempt is on record.
+struct attempt_ack
+{
+    std::string task;
+    std::int64_t attempt = 0;
+    std::int64_t shard = 0;
+    std::int64_t epoch = 0; ///< of the shard's holder that says so
+
+    bool operator==(const attempt_ack&) const = default;
+};
+
 /// @brief A guard's heartbeat.
 struct guard_report
 {
@@ -65,7 +76,8 @@
     std::string rack;
     std::string address; ///< IP number and port
     bool leaving = false;
-    bool ready = false; ///< has listed what runs on its worker
+    bool ready = false; ///< knows what its executor works on
+    bool tasks_ready = false; ///< knows all its worker runs or may start
     load_report load;
     std::int64_t table_revision = 0;
     std::vector<std::string> entries_heard; ///< entries alive in its view
@@ -82,7 +94,7 @@
     entry_name entry;
     json table;                        ///< null unless newer than reported
     std::vector<std::string> entries;  ///< addresses of all known entries
-    std::vector<attempt_report> acked; ///< ended attempts now on record
+    std::vector<attempt_ack> acked;   ///< ended attempts now on record
 
     bool operator==(const heartbeat_answer&) const = default;
 };
@@ -122,6 +134,8 @@
 void from_json(const json& from, resources& to);
 void to_json(json& to, const attempt_report& from);
 void from_json(const json& from, attempt_report& to);
+void to_json(json& to, const attempt_ack& from);
+void from_json(const json& from, attempt_ack& to);
 void to_json(json& to, const guard_report& from);
 void from_json(const json& from, guard_report& to);
 void to_json(json& to, const heartbeat_answer& from);
--- a/packages/membership/src/messages.cpp
+++ b/packages/membership/src/messages.cpp
@@ -60,6 +60,22 @@
     from.at("detail").get_to(to.detail);
 }
 
+void to_json(json& to, const attempt_ack& from)
+{
+    to = {{"task", from.task},
+          {"attempt", from.attempt},
+          {"shard", from.shard},
+          {"epoch", from.epoch}};
+}
+
+void from_json(const json& from, attempt_ack& to)
+{
+    from.at("task").get_to(to.task);
+    from.at("attempt").get_to(to.attempt);
+    from.at("shard").get_to(to.shard);
+    from.at("epoch").get_to(to.epoch);
+}
+
 void to_json(json& to, const guard_report& from)
 {
     to = {{"guard", from.guard.value},
@@ -69,6 +85,7 @@
           {"address", from.address},
           {"leaving", from.leaving},
           {"ready", from.ready},
+          {"tasks_ready", from.tasks_ready},
           {"load", from.load},
           {"table_revision", from.table_revision},
           {"entries_heard", from.entries_heard},
@@ -86,6 +103,7 @@
     from.at("address").get_to(to.address);
     from.at("leaving").get_to(to.leaving);
     from.at("ready").get_to(to.ready);
+    from.at("tasks_ready").get_to(to.tasks_ready);
     from.at("load").get_to(to.load);
     from.at("table_revision").get_to(to.table_revision);
     from.at("entries_heard").get_to(to.entries_heard);
--- /dev/null
+++ b/tests/unit/table_keeper_tests.cpp
@@ -0,0 +1,215 @@
+// Operators' edits against a store that delays, loses answers and is away.
+
+#include "memory_store.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <springstair/entry.hpp>
+
+#include <functional>
+#include <random>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Several keepers on one store; every answer may be late, lost before or
+// after its effect, and whole calls may take effect long after their loss.
+class operators
+{
+public:
+    operators(std::uint32_t seed, int faults) : random_(seed), faults_(faults)
+    {
+        for (int index = 0; index < 3; ++index)
+        {
+            keepers_.emplace_back(
+                table_keeper_options{.writer = "w" + std::to_string(index)});
+        }
+        seen_.resize(keepers_.size());
+    }
+
+    void run(int edits)
+    {
+        for (int count = 0; count < edits; ++count)
+        {
+            edit();
+            for (int steps = draw(20); steps > 0; --steps)
+            {
+                advance();
+            }
+        }
+        faults_ = 0;
+        for (int steps = 0; steps < 1500; ++steps)
+        {
+            advance();
+        }
+    }
+
+    void check()
+    {
+        RC_ASSERT(ended_.size() == values_.size());
+        RC_ASSERT(went_back_ == 0);
+        const json document =
+            json::parse(store_.items().at(store_keys::table).value);
+        const auto revision = document.at("revision").get<std::int64_t>();
+        std::int64_t committed = 0;
+        std::set<std::int64_t> revisions;
+        for (const auto& [number, end] : ended_)
+        {
+            const bool done = end.how == edit_ended::ending::committed;
+            committed += done ? 1 : 0;
+            RC_ASSERT(!done || revisions.insert(end.revision).second);
+            // The history tells which edits took effect, and in what order.
+            const bool in_history = effects_of(number) > 0;
+            RC_ASSERT(effects_of(number) <= 1);
+            RC_ASSERT(!done || in_history);
+            const bool surely_not =
+                end.how == edit_ended::ending::unavailable ||
+                end.how == edit_ended::ending::conflict ||
+                end.how == edit_ended::ending::refused;
+            RC_ASSERT(!surely_not || !in_history);
+        }
+        RC_ASSERT(revision >= committed);
+        for (const std::int64_t seen : seen_)
+        {
+            RC_ASSERT(seen == revision);
+        }
+    }
+
+private:
+    int draw(int below)
+    {
+        return std::uniform_int_distribution<int>(0, below - 1)(random_);
+    }
+
+    void later(duration wait, std::function<void()> what)
+    {
+        due_.emplace(clock_.now() + wait, std::move(what));
+    }
+
+    void edit()
+    {
+        const auto at = static_cast<std::size_t>(draw(3));
+        const edit_number number = ++next_;
+        values_.insert(number);
+        const std::string column = draw(2) == 0 ? "max_rate" : "max_in_flight";
+        take(at, keepers_[at].on_edit(
+                     clock_.now(), number,
+                     {{.row = "a", .column = column, .value = number}}));
+    }
+
+    int effects_of(edit_number number) const
+    {
+        int count = 0;
+        for (const auto& [key, item] : store_.items())
+        {
+            if (!key.starts_with(store_keys::history))
+            {
+                continue;
+            }
+            const json entry = json::parse(item.value);
+            count += entry.at("edits").at(0).at("value") == number ? 1 : 0;
+        }
+        return count;
+    }
+
+    void take(std::size_t at, const table_actions& actions)
+    {
+        for (const table_action& action : actions)
+        {
+            if (const auto* call = std::get_if<store_call>(&action))
+            {
+                send(at, *call);
+            }
+            else if (const auto* end = std::get_if<edit_ended>(&action))
+            {
+                ended_.emplace(end->number, *end);
+            }
+            else if (const auto* found = std::get_if<table_found>(&action))
+            {
+                const std::int64_t revision = found->rows.revision();
+                went_back_ += revision <= seen_[at] ? 1 : 0;
+                seen_[at] = revision;
+            }
+        }
+    }
+
+    void send(std::size_t at, const store_call& call)
+    {
+        const bool lost = draw(100) < faults_;
+        const bool no_effect = lost && draw(2) == 0;
+        const duration wait = milliseconds(draw(lost ? 3000 : 60));
+        const auto reply = [this, at, token = call.token](kv_answer answer)
+        {
+            later(milliseconds(draw(60)),
+                  [this, at, token, answer = std::move(answer)] {
+                      take(at, keepers_[at].on_store(clock_.now(), token,
+                                                     answer));
+                  });
+        };
+        if (lost)
+        {
+            reply({.how = kv_answer::state::unknown});
+        }
+        if (no_effect)
+        {
+            return;
+        }
+        later(wait,
+              [this, reply, lost, call]
+              {
+                  kv_answer answer =
+                      store_.call(clock_.now(), call.operation);
+                  if (!lost)
+                  {
+                      reply(std::move(answer));
+                  }
+              });
+    }
+
+    void advance()
+    {
+        clock_.advance(milliseconds(20));
+        while (!due_.empty() && due_.begin()->first <= clock_.now())
+        {
+            const auto what = std::move(due_.begin()->second);
+            due_.erase(due_.begin());
+            what();
+        }
+        for (std::size_t at = 0; at < keepers_.size(); ++at)
+        {
+            take(at, keepers_[at].on_tick(clock_.now()));
+        }
+    }
+
+    std::mt19937 random_;
+    int faults_;
+    manual_clock clock_;
+    memory_store store_;
+    std::vector<table_keeper> keepers_;
+    std::multimap<time_point, std::function<void()>> due_;
+    std::set<edit_number> values_;
+    std::map<edit_number, edit_ended> ended_;
+    std::vector<std::int64_t> seen_;
+    edit_number next_ = 0;
+    int went_back_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("racing operators on a lying store lose nothing and double nothing")
+{
+    const bool good =
+        rc::check("each edit ends once and as it was told",
+                  [](std::uint32_t seed)
+                  {
+                      operators all(seed, *rc::gen::inRange(0, 50));
+                      all.run(30);
+                      all.check();
+                  });
+    CHECK(good);
+}
--- /dev/null
+++ b/tests/unit/task_world_tests.cpp
@@ -0,0 +1,844 @@
+// Entries, guards and workers that pause, die and lose messages, on a store
+// that lies: tasks are never lost, never in two places, and end once.
+
+#include "memory_store.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <springstair/entry.hpp>
+#include <springstair/guard.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration step = milliseconds(50);
+constexpr resources worker_capacity{.cpu_millis = 4000, .memory_mb = 4000};
+constexpr duration worker_lease = seconds(10);
+
+// Shares of a thousand, at each step or message, at which things go wrong.
+struct task_faults
+{
+    int lost = 0;
+    int store_lost = 0;
+    int pause = 0;
+    int kill_entry = 0;
+    int kill_guard = 0;
+    int lose_worker = 0;
+    int evict = 0;
+    int cancel = 0;
+    int fail = 0;
+    int store_down = 0;
+};
+
+struct interval
+{
+    task_attempt name;
+    time_point begin;
+    time_point end;
+    listed_task::state how = listed_task::state::running;
+    std::size_t worker = 0;
+};
+
+// A worker: runs attempts under leases on its own clock.
+class fake_worker
+{
+public:
+    struct running
+    {
+        resources needs;
+        time_point begun;
+        time_point ends;
+        time_point lease_until;
+        listed_task::state how = listed_task::state::running;
+        bool fails = false;
+    };
+
+    void start(time_point now, const worker_start& what, bool fails,
+               duration length)
+    {
+        settle(now);
+        const task_attempt name{what.what.spec.id, what.what.attempt};
+        if (now.time_since_epoch() > what.not_after || runs.contains(name))
+        {
+            return;
+        }
+        runs[name] = {.needs = what.what.spec.needs,
+                      .begun = now,
+                      .ends = now + length,
+                      .lease_until = now + worker_lease,
+                      .fails = fails};
+        resources used;
+        for (const auto& [key, run] : runs)
+        {
+            if (run.how == listed_task::state::running)
+            {
+                used += run.needs;
+            }
+        }
+        overshoot = overshoot || !used.fits(worker_capacity);
+    }
+
+    void end(const task_attempt& name, time_point when,
+             listed_task::state how)
+    {
+        running& run = runs.at(name);
+        if (run.how == listed_task::state::running)
+        {
+            run.how = how;
+            past.push_back({name, run.begun, when, how});
+        }
+    }
+
+    void settle(time_point now)
+    {
+        for (auto& [name, run] : runs)
+        {
+            const bool lapses = run.lease_until < run.ends;
+            const time_point due = std::min(run.lease_until, run.ends);
+            if (due <= now)
+            {
+                end(name, due,
+                    lapses      ? listed_task::state::lapsed
+                    : run.fails ? listed_task::state::failed
+                                : listed_task::state::finished);
+            }
+        }
+    }
+
+    std::vector<listed_task> list(time_point now)
+    {
+        settle(now);
+        std::vector<listed_task> all;
+        for (const auto& [name, run] : runs)
+        {
+            all.push_back({.name = name, .how = run.how, .needs = run.needs});
+        }
+        return all;
+    }
+
+    std::map<task_attempt, running> runs;
+    std::vector<interval> past;
+    bool overshoot = false;
+};
+
+class task_world
+{
+public:
+    task_world(std::uint32_t seed, task_faults faults)
+        : random_(seed), faults_(faults)
+    {
+        for (std::size_t index = 0; index < entries_.size(); ++index)
+        {
+            start_entry(index);
+        }
+        for (std::size_t index = 0; index < guards_.size(); ++index)
+        {
+            start_guard(index);
+        }
+    }
+
+    void run(int steps)
+    {
+        for (int count = 0; count < steps; ++count)
+        {
+            if (draw(1000) < 150)
+            {
+                submit();
+            }
+            break_things();
+            advance();
+        }
+        faults_ = {};
+        store_down_until_ = clock_.now();
+        for (int count = 0; count < 2400 && !all_ended(); ++count)
+        {
+            advance();
+        }
+        for (int count = 0; count < 400; ++count)
+        {
+            advance(); // what was cancelled is stopped as well
+        }
+    }
+
+    void check()
+    {
+        RC_ASSERT(all_ended());
+        std::map<std::string, std::vector<interval>> by_task;
+        for (std::size_t index = 0; index < guards_.size(); ++index)
+        {
+            fake_worker& worker = guards_[index].worker;
+            RC_ASSERT(!worker.overshoot);
+            worker.settle(clock_.now());
+            for (interval one : worker.past)
+            {
+                one.worker = index;
+                by_task[one.name.first].push_back(one);
+            }
+            for (const auto& [name, run] : worker.runs)
+            {
+                RC_ASSERT(guards_[index].gone ||
+                          run.how != listed_task::state::running);
+            }
+        }
+        for (auto& [task, all] : by_task)
+        {
+            check_task(all);
+        }
+    }
+
+    [[nodiscard]] std::size_t accepted() const
+    {
+        return accepted_.size();
+    }
+
+private:
+    struct entry_side
+    {
+        std::unique_ptr<task_core> core;
+        guard_directory guards;
+        int life = 0;
+        time_point paused_until{};
+        std::deque<std::function<void()>> inbox;
+    };
+
+    struct guard_side
+    {
+        std::unique_ptr<task_keeper> keeper;
+        fake_worker worker;
+        std::string incarnation;
+        int life = 0;
+        bool gone = false;
+        time_point gone_at{};
+        time_point paused_until{};
+        std::deque<std::function<void()>> inbox;
+        bool polling = false;
+        std::optional<task_attempt> evict;
+    };
+
+    void check_task(std::vector<interval>& all)
+    {
+        std::sort(all.begin(), all.end(),
+                  [](const interval& left, const interval& right)
+                  { return left.begin < right.begin; });
+        for (const interval& one : all)
+        {
+            RC_LOG() << one.name.first << " attempt " << one.name.second
+                     << " at worker " << one.worker << " from "
+                     << to_milliseconds(one.begin.time_since_epoch())
+                     << " to " << to_milliseconds(one.end.time_since_epoch())
+                     << " ended " << to_string(one.how) << "\n";
+        }
+        int finished = 0;
+        std::set<std::int64_t> numbers;
+        for (std::size_t index = 0; index < all.size(); ++index)
+        {
+            RC_ASSERT(index == 0 || all[index - 1].end <= all[index].begin);
+            RC_ASSERT(numbers.insert(all[index].name.second).second);
+            const bool counts =
+                all[index].how == listed_task::state::finished &&
+                !guards_[all[index].worker].gone;
+            finished += counts ? 1 : 0;
+        }
+        RC_ASSERT(finished <= 1);
+    }
+
+    int draw(int below)
+    {
+        return std::uniform_int_distribution<int>(0, below - 1)(random_);
+    }
+
+    bool chance(int of_thousand)
+    {
+        return draw(1000) < of_thousand;
+    }
+
+    void later(duration wait, std::function<void()> what)
+    {
+        due_.emplace(clock_.now() + wait, std::move(what));
+    }
+
+    // A message to a process: lost with it, kept while it is paused.
+    template <class Side>
+    void send(Side& side, std::function<void()> what)
+    {
+        if (chance(faults_.lost))
+        {
+            return;
+        }
+        const duration wait = milliseconds(draw(chance(20) ? 4000 : 100));
+        later(wait,
+              [this, &side, life = side.life, what = std::move(what)]
+              {
+                  if (side.life != life)
+                  {
+                      return;
+                  }
+                  if (clock_.now() < side.paused_until)
+                  {
+                      side.inbox.push_back(what);
+                      return;
+                  }
+                  what();
+              });
+    }
+
+    // To a guard's address: whichever process is there when it arrives.
+    void send_to_guard(std::size_t index, std::function<void()> what)
+    {
+        if (chance(faults_.lost))
+        {
+            return;
+        }
+        later(milliseconds(draw(chance(30) ? 6000 : 100)),
+              [this, index, what = std::move(what)]
+              {
+                  guard_side& side = guards_[index];
+                  if (side.gone)
+                  {
+                      return;
+                  }
+                  if (clock_.now() < side.paused_until)
+                  {
+                      side.inbox.push_back(what);
+                      return;
+                  }
+                  what();
+              });
+    }
+
+    void start_entry(std::size_t index)
+    {
+        entry_side& side = entries_[index];
+        ++side.life;
+        side.inbox.clear();
+        side.paused_until = time_point{};
+        side.guards = guard_directory{};
+        side.core = std::make_unique<task_core>(task_core_options{
+            .name = {"e" + std::to_string(index)},
+            .incarnation = std::to_string(side.life),
+            .shards = 3,
+            .snapshot_every = 7,
+            .seed = static_cast<std::uint64_t>(draw(1000))});
+        side.core->on_table(table::parse(
+            {{"revision", 1},
+             {"rows",
+              {{"a", json::object()}, {"a/b", {{"kind", "batch"}}}}}}));
+    }
+
+    void start_guard(std::size_t index)
+    {
+        guard_side& side = guards_[index];
+        ++side.life;
+        side.inbox.clear();
+        side.paused_until = time_point{};
+        side.polling = false;
+        side.incarnation = "i" + std::to_string(side.life);
+        side.keeper = std::make_unique<task_keeper>(
+            task_keeper_options{.incarnation = side.incarnation,
+                                .capacity = worker_capacity});
+    }
+
+    void break_things()
+    {
+        for (std::size_t index = 0; index < entries_.size(); ++index)
+        {
+            if (chance(faults_.kill_entry))
+            {
+                start_entry(index);
+            }
+            else if (chance(faults_.pause))
+            {
+                entries_[index].paused_until =
+                    clock_.now() + milliseconds(draw(20'000));
+            }
+        }
+        for (std::size_t index = 0; index < guards_.size(); ++index)
+        {
+            guard_side& side = guards_[index];
+            if (side.gone)
+            {
+                continue;
+            }
+            if (index > 0 && chance(faults_.lose_worker))
+            {
+                lose_worker(side);
+            }
+            else if (chance(faults_.kill_guard))
+            {
+                start_guard(index);
+            }
+            else if (chance(faults_.pause))
+            {
+                side.paused_until =
+                    clock_.now() + milliseconds(draw(20'000));
+            }
+            if (chance(faults_.evict))
+            {
+                evict_one(side);
+            }
+        }
+        if (chance(faults_.store_down))
+        {
+            store_down_until_ = clock_.now() + milliseconds(draw(15'000));
+        }
+        if (chance(faults_.cancel) && !accepted_.empty())
+        {
+            cancel();
+        }
+    }
+
+    void lose_worker(guard_side& side)
+    {
+        side.worker.settle(clock_.now());
+        for (const auto& [name, run] : side.worker.runs)
+        {
+            side.worker.end(name, clock_.now(), listed_task::state::stopped);
+        }
+        side.gone = true;
+        side.gone_at = clock_.now();
+        ++side.life;
+    }
+
+    static void evict_one(guard_side& side)
+    {
+        for (auto& [name, run] : side.worker.runs)
+        {
+            if (run.how == listed_task::state::running)
+            {
+                side.evict = name;
+                return;
+            }
+        }
+    }
+
+    void submit()
+    {
+        const auto at = static_cast<std::size_t>(draw(3));
+        entry_side& side = entries_[at];
+        task_spec spec;
+        spec.of = {.workspace = "a", .work_class = "b"};
+        spec.needs = {.cpu_millis = 500 + draw(1500), .memory_mb = 100};
+        spec.run_ms = 200 + draw(6000);
+        send(side,
+             [this, at, spec]
+             {
+                 task_actions actions;
+                 entries_[at].core->on_submit(
+                     ++next_call_, clock_.now() + seconds(5), spec,
+                     entries_[at].guards.all(), actions);
+                 take(at, actions);
+             });
+    }
+
+    void cancel()
+    {
+        auto chosen = accepted_.begin();
+        std::advance(chosen, draw(static_cast<int>(accepted_.size())));
+        for (std::size_t at = 0; at < entries_.size(); ++at)
+        {
+            send(entries_[at],
+                 [this, at, task = *chosen]
+                 {
+                     task_actions actions;
+                     entries_[at].core->on_cancel(
+                         ++next_call_, clock_.now() + seconds(5), "a", task,
+                         actions);
+                     take(at, actions);
+                 });
+        }
+    }
+
+    void take(std::size_t at, const task_actions& actions)
+    {
+        for (const task_action& action : actions)
+        {
+            if (const auto* call = std::get_if<store_call>(&action))
+            {
+                ask_store(at, *call);
+            }
+            else if (const auto* answer = std::get_if<task_answer>(&action))
+            {
+                if (answer->record)
+                {
+                    accepted_.insert(answer->record->spec.id);
+                }
+            }
+            else if (const auto* start = std::get_if<send_start>(&action))
+            {
+                const auto guard = index_of(start->guard);
+                send_to_guard(guard, [this, at, guard, what = start->what]
+                              { start_at(at, guard, what); });
+            }
+            else if (const auto* stop = std::get_if<send_stop>(&action))
+            {
+                const auto guard = index_of(stop->guard);
+                send_to_guard(guard, [this, at, guard, what = stop->what]
+                              { stop_at(at, guard, what); });
+            }
+        }
+    }
+
+    static std::size_t index_of(const guard_name& guard)
+    {
+        return static_cast<std::size_t>(guard.value.back() - '0');
+    }
+
+    void start_at(std::size_t at, std::size_t guard, const start_task& what)
+    {
+        worker_actions actions;
+        const task_reply reply =
+            guards_[guard].keeper->on_start(clock_.now(), what, actions);
+        command(guard, actions);
+        send(entries_[at], [this, at, what, reply]
+             { entries_[at].core->on_start_reply(what, reply); });
+    }
+
+    void stop_at(std::size_t at, std::size_t guard, const stop_task& what)
+    {
+        worker_actions actions;
+        const task_reply reply =
+            guards_[guard].keeper->on_stop(clock_.now(), what, actions);
+        command(guard, actions);
+        send(entries_[at], [this, at, what, reply]
+             { entries_[at].core->on_stop_reply(what, reply); });
+    }
+
+    void command(std::size_t guard, const worker_actions& actions)
+    {
+        for (const worker_action& action : actions)
+        {
+            if (chance(faults_.lost))
+            {
+                continue;
+            }
+            later(milliseconds(draw(chance(30) ? 6000 : 50)),
+                  [this, guard, action]
+                  {
+                      if (!guards_[guard].gone)
+                      {
+                          obey(guards_[guard].worker, action);
+                      }
+                  });
+        }
+    }
+
+    void obey(fake_worker& worker, const worker_action& action)
+    {
+        worker.settle(clock_.now());
+        if (const auto* start = std::get_if<worker_start>(&action))
+        {
+            worker.start(clock_.now(), *start, chance(faults_.fail),
+                         milliseconds(start->what.spec.run_ms));
+        }
+        else if (const auto* stop = std::get_if<worker_stop>(&action))
+        {
+            if (worker.runs.contains(stop->name))
+            {
+                worker.end(stop->name, clock_.now(),
+                           stop->keep_checkpoint
+                               ? listed_task::state::checkpointed
+                               : listed_task::state::stopped);
+            }
+        }
+        else if (const auto* forget = std::get_if<worker_forget>(&action))
+        {
+            for (const task_attempt& name : forget->names)
+            {
+                const auto found = worker.runs.find(name);
+                if (found != worker.runs.end() &&
+                    found->second.how != listed_task::state::running)
+                {
+                    worker.runs.erase(found);
+                }
+            }
+        }
+        else if (const auto* renew = std::get_if<worker_renew>(&action))
+        {
+            for (const task_attempt& name : renew->names)
+            {
+                const auto found = worker.runs.find(name);
+                if (found != worker.runs.end())
+                {
+                    found->second.lease_until = clock_.now() + worker_lease;
+                }
+            }
+        }
+    }
+
+    void ask_store(std::size_t at, const store_call& call)
+    {
+        const auto reply = [this, at, token = call.token](kv_answer answer)
+        {
+            entry_side& side = entries_[at];
+            const int life = side.life;
+            later(milliseconds(draw(60)),
+                  [this, at, life, token, answer = std::move(answer)]
+                  {
+                      entry_side& now_there = entries_[at];
+                      if (now_there.life != life)
+                      {
+                          return;
+                      }
+                      const auto deliver = [this, at, token, answer]
+                      {
+                          task_actions actions;
+                          entries_[at].core->on_store(clock_.now(), token,
+                                                      answer, actions);
+                          take(at, actions);
+                      };
+                      if (clock_.now() < now_there.paused_until)
+                      {
+                          now_there.inbox.emplace_back(deliver);
+                          return;
+                      }
+                      deliver();
+                  });
+        };
+        const bool down = clock_.now() < store_down_until_;
+        const bool lost = down || chance(faults_.store_lost);
+        if (lost)
+        {
+            reply({.how = kv_answer::state::unknown});
+        }
+        if (down || (lost && chance(500)))
+        {
+            return;
+        }
+        later(milliseconds(draw(lost ? 5000 : 60)),
+              [this, reply, lost, operation = call.operation]
+              {
+                  kv_answer answer = store_.call(clock_.now(), operation);
+                  if (!lost)
+                  {
+                      reply(std::move(answer));
+                  }
+              });
+    }
+
+    void advance()
+    {
+        clock_.advance(step);
+        while (!due_.empty() && due_.begin()->first <= clock_.now())
+        {
+            const auto what = std::move(due_.begin()->second);
+            due_.erase(due_.begin());
+            what();
+        }
+        for (std::size_t index = 0; index < guards_.size(); ++index)
+        {
+            guard_tick(index);
+        }
+        for (std::size_t index = 0; index < entries_.size(); ++index)
+        {
+            entry_tick(index);
+        }
+    }
+
+    template <class Side>
+    bool wake(Side& side)
+    {
+        if (clock_.now() < side.paused_until)
+        {
+            return false;
+        }
+        while (!side.inbox.empty())
+        {
+            const auto what = std::move(side.inbox.front());
+            side.inbox.pop_front();
+            what();
+        }
+        return true;
+    }
+
+    void entry_tick(std::size_t index)
+    {
+        entry_side& side = entries_[index];
+        if (!wake(side))
+        {
+            return;
+        }
+        std::set<std::string> gone;
+        for (std::size_t guard = 0; guard < guards_.size(); ++guard)
+        {
+            if (guards_[guard].gone &&
+                clock_.now() - guards_[guard].gone_at > seconds(6))
+            {
+                gone.insert("g" + std::to_string(guard));
+            }
+        }
+        task_actions actions;
+        side.core->on_gone(clock_.now(), gone, side.guards.all());
+        side.core->on_tick(clock_.now(), side.guards.all(),
+                           {"e0", "e1", "e2"}, actions);
+        take(index, actions);
+    }
+
+    void guard_tick(std::size_t index)
+    {
+        guard_side& side = guards_[index];
+        if (side.gone || !wake(side))
+        {
+            return;
+        }
+        if (side.evict)
+        {
+            const auto [task, number] = *std::exchange(side.evict, {});
+            command(index, {worker_stop{.name = {task, number},
+                                        .keep_checkpoint = true}});
+        }
+        worker_actions actions;
+        side.keeper->on_tick(clock_.now(), actions);
+        command(index, actions);
+        if (!side.polling && chance(300))
+        {
+            poll(index);
+        }
+        if (chance(150))
+        {
+            heartbeat(index);
+        }
+    }
+
+    void poll(std::size_t index)
+    {
+        guard_side& side = guards_[index];
+        side.polling = true;
+        const int life = side.life;
+        later(milliseconds(draw(40)),
+              [this, index, life]
+              {
+                  const auto list = guards_[index].worker.list(clock_.now());
+                  const duration clock = clock_.now().time_since_epoch();
+                  later(milliseconds(draw(40)),
+                        [this, index, life, list, clock]
+                        {
+                            guard_side& there = guards_[index];
+                            if (there.life != life)
+                            {
+                                return;
+                            }
+                            there.polling = false;
+                            worker_actions actions;
+                            there.keeper->on_worker_list(
+                                clock_.now(), clock, list, actions);
+                            command(index, actions);
+                        });
+              });
+    }
+
+    void heartbeat(std::size_t index)
+    {
+        const guard_side& side = guards_[index];
+        const guard_report report{.guard = {"g" + std::to_string(index)},
+                                  .incarnation = side.incarnation,
+                                  .address = "g" + std::to_string(index),
+                                  .ready = true,
+                                  .tasks_ready = side.keeper->ready(),
+                                  .capacity = side.keeper->capacity(),
+                                  .free = side.keeper->free(),
+                                  .attempts = side.keeper->reports()};
+        for (std::size_t at = 0; at < entries_.size(); ++at)
+        {
+            send(entries_[at],
+                 [this, at, index, report, life = side.life]
+                 {
+                     entries_[at].guards.hear(clock_.now(), report);
+                     task_actions actions;
+                     const auto acked = entries_[at].core->on_report(
+                         clock_.now(), report, actions);
+                     take(at, actions);
+                     acknowledge(index, life, acked);
+                 });
+        }
+    }
+
+    void acknowledge(std::size_t index, int life,
+                     const std::vector<attempt_ack>& acked)
+    {
+        send(guards_[index],
+             [this, index, life, acked]
+             {
+                 if (guards_[index].life != life)
+                 {
+                     return;
+                 }
+                 worker_actions actions;
+                 guards_[index].keeper->on_acked(clock_.now(), acked,
+                                                 actions);
+                 command(index, actions);
+             });
+    }
+
+    bool all_ended()
+    {
+        for (const std::string& task : accepted_)
+        {
+            bool ended = false;
+            for (const entry_side& side : entries_)
+            {
+                const task_record* const record = side.core->find(task);
+                ended = ended ||
+                        (record != nullptr && is_final(record->state));
+            }
+            if (!ended)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::mt19937 random_;
+    task_faults faults_;
+    manual_clock clock_;
+    memory_store store_;
+    time_point store_down_until_{};
+    std::array<entry_side, 3> entries_;
+    std::array<guard_side, 3> guards_;
+    std::multimap<time_point, std::function<void()>> due_;
+    std::set<std::string> accepted_;
+    task_call next_call_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("tasks survive everything, in one place, to one end")
+{
+    std::size_t accepted = 0;
+    std::size_t worlds = 0;
+    const bool good = rc::check(
+        "no overlap, no loss, one end, capacity held",
+        [&](std::uint32_t seed)
+        {
+            const auto rate = [](int most) { return *rc::gen::inRange(0, most); };
+            const task_faults faults{.lost = rate(100),
+                                     .store_lost = rate(150),
+                                     .pause = rate(6),
+                                     .kill_entry = rate(6),
+                                     .kill_guard = rate(6),
+                                     .lose_worker = rate(2),
+                                     .evict = rate(20),
+                                     .cancel = rate(20),
+                                     .fail = rate(100),
+                                     .store_down = rate(4)};
+            task_world all(seed, faults);
+            all.run(600);
+            all.check();
+            accepted += all.accepted();
+            ++worlds;
+        });
+    CHECK(good);
+    CHECK(accepted > 20 * worlds); // the checks were about something
+    MESSAGE(accepted << " tasks in " << worlds << " worlds");
+}
