--- a/packages/daemon/src/guard_role.cpp
+++ b/packages/daemon/src/guard_role.cpp
@@ -333,8 +333,8 @@
         }
         const time_point now = clock_.now();
         worker_actions actions;
-        keeper_.on_worker_list(now, listed.list->clock,
-                               listed.list->tasks, actions);
+        keeper_.on_worker_list(now, listed.list->clock, listed.list->tasks,
+                               actions);
         carry_out(actions);
         carry_out(
             core_.on_executor_list(now, listed.asked, listed.list->requests));
@@ -368,7 +368,7 @@
                                     std::to_string(process_.from.common.port),
                          .leaving = core_.draining(),
                          .ready = core_.ready(),
-            .tasks_ready = keeper_.ready(),
+                         .tasks_ready = keeper_.ready(),
                          .load = core_.load(),
                          .table_revision = core_.rows().revision(),
                          .capacity = keeper_.capacity(),
--- a/packages/entry/include/springstair/detail/entry/task_core.hpp
+++ b/packages/entry/include/springstair/detail/entry/task_core.hpp
@@ -120,8 +120,8 @@
     /// @brief A guard's heartbeat.
     /// @return ended attempts that are on record, for the answer
     std::vector<attempt_ack> on_report(time_point now,
-                                          const guard_report& report,
-                                          task_actions& actions);
+                                       const guard_report& report,
+                                       task_actions& actions);
     /// @brief A guard's reply to a start.
     void on_start_reply(const start_task& what, const task_reply& reply);
     /// @brief A guard's reply to a stop.
@@ -196,11 +196,11 @@
         bool too_large = false; ///< the book nears what the store can hold
         bool snapshotting = false;
         std::int64_t snapshot_revision = 0; ///< of the last one; 0: none
-        bool checking = false; ///< reading back a refused segment
+        bool checking = false;              ///< reading back a refused segment
         time_point retry_at;
         time_point next_commit{};
         time_point free_since{};
-        time_point confirmed{}; ///< when the store was asked who holds it
+        time_point confirmed{};     ///< when the store was asked who holds it
         std::set<std::string> busy; ///< tasks with steps not yet on record
         std::vector<waiting_call> calls;
     };
@@ -236,8 +236,8 @@
     void send_for(shard& of, kv_operation operation, task_actions& actions);
     void after_commit(time_point now, std::int64_t number,
                       const kv_answer& answer, task_actions& actions);
-    void after_write(time_point now, std::int64_t number,
-                     std::int64_t revision, task_actions& actions);
+    void after_write(time_point now, std::int64_t number, std::int64_t revision,
+                     task_actions& actions);
     std::string next_nonce();
     void committed(time_point now, std::int64_t number, task_actions& actions);
     void answer_calls(std::int64_t number, task_actions& actions);
@@ -251,6 +251,7 @@
     using waiting_tasks =
         std::map<std::string, std::vector<const task_record*>>;
 
+    void forget_promises();
     void recount();
     void place_all(time_point now, const guard_views& guards);
     [[nodiscard]] waiting_tasks waiting() const;
@@ -312,8 +313,7 @@
     time_point next_look_{};
     time_point look_asked_{};
     std::optional<kv_answer> seen_shards_;
-    std::map<std::pair<std::string, std::int64_t>, time_point>
-        unknown_since_;
+    std::map<std::pair<std::string, std::int64_t>, time_point> unknown_since_;
     store_token next_token_ = 1;
     std::uint64_t next_nonce_ = 1;
     random_source random_;
--- a/packages/entry/src/request_core.cpp
+++ b/packages/entry/src/request_core.cpp
@@ -204,7 +204,7 @@
     of.current_guard = guard;
     of.tried.insert(guard);
     attempts_[attempt] = {.number = of.request.number, .guard = guard};
-    outliers_.sent(guard);
+    outliers_.sent(now, guard);
     outstanding& sent = since_report_[guard];
     (of.kind == class_kind::latency_critical ? sent.critical : sent.other) += 1;
     actions.emplace_back(send_attempt{.number = of.request.number,
--- a/packages/entry/src/task_core.cpp
+++ b/packages/entry/src/task_core.cpp
@@ -368,8 +368,8 @@
 }
 
 std::vector<attempt_ack> task_core::on_report(time_point now,
-                                                 const guard_report& report,
-                                                 task_actions& actions)
+                                              const guard_report& report,
+                                              task_actions& actions)
 {
     std::vector<attempt_ack> acked;
     const std::string& guard = report.guard.value;
@@ -396,8 +396,8 @@
                 const bool ran = failed || attempt.state == "finished";
                 if (ran)
                 {
-                    workers_.record(now, report.guard, record->spec.of,
-                                    !failed, addresses_.size());
+                    workers_.record(now, report.guard, record->spec.of, !failed,
+                                    addresses_.size());
                 }
                 else
                 {
@@ -490,10 +490,8 @@
         const kv_answer seen = *std::exchange(seen_shards_, std::nullopt);
         take_shards(now, seen, entries, actions);
     }
-    std::erase_if(unknown_since_,
-                  [&](const auto& item) {
-                      return now - item.second > options_.forget_unknown;
-                  });
+    std::erase_if(unknown_since_, [&](const auto& item)
+                  { return now - item.second > options_.forget_unknown; });
     recount();
     place_all(now, guards);
     for (auto& [number, of] : shards_)
--- a/packages/entry/src/task_placement.cpp
+++ b/packages/entry/src/task_placement.cpp
@@ -34,8 +34,31 @@
 // Shares and quotas
 // ---------------------------------------------------------------------------
 
+// Room is promised to a task from its placement until its guard lists it.
+// What became of it otherwise (another holder, another guard) frees it.
+void task_core::forget_promises()
+{
+    for (auto& [guard, tasks] : promised_)
+    {
+        std::erase_if(tasks,
+                      [&](const auto& item)
+                      {
+                          const shard* const of = held_shard(item.first);
+                          const task_record* const record = find(item.first);
+                          const bool placed_there =
+                              record != nullptr &&
+                              record->state == task_state::placed &&
+                              record->guard == guard.value;
+                          const bool on_its_way =
+                              of != nullptr && of->busy.contains(item.first);
+                          return !placed_there && !on_its_way;
+                      });
+    }
+}
+
 void task_core::recount()
 {
+    forget_promises();
     usage_.clear();
     placed_on_.clear();
     for (const auto& [number, of] : shards_)
@@ -237,7 +260,7 @@
     step.incarnation = view.report.incarnation;
     promised_[*chosen][record.spec.id] = record.spec.needs;
     usage_[record.spec.of.workspace] += record.spec.needs;
-    workers_.sent(*chosen);
+    workers_.sent(now, *chosen);
     add(*held_shard(record.spec.id), std::move(step));
     return true;
 }
--- a/packages/membership/include/springstair/detail/membership/messages.hpp
+++ b/packages/membership/include/springstair/detail/membership/messages.hpp
@@ -76,7 +76,7 @@
     std::string rack;
     std::string address; ///< IP number and port
     bool leaving = false;
-    bool ready = false; ///< knows what its executor works on
+    bool ready = false;       ///< knows what its executor works on
     bool tasks_ready = false; ///< knows all its worker runs or may start
     load_report load;
     std::int64_t table_revision = 0;
@@ -92,8 +92,8 @@
 struct heartbeat_answer
 {
     entry_name entry;
-    json table;                        ///< null unless newer than reported
-    std::vector<std::string> entries;  ///< addresses of all known entries
+    json table;                       ///< null unless newer than reported
+    std::vector<std::string> entries; ///< addresses of all known entries
     std::vector<attempt_ack> acked;   ///< ended attempts now on record
 
     bool operator==(const heartbeat_answer&) const = default;
--- a/packages/policy/include/springstair/detail/policy/outlier_detector.hpp
+++ b/packages/policy/include/springstair/detail/policy/outlier_detector.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] bool may_send(time_point now, const guard_name& guard,
                                 bool repeatable) const;
     /// @brief A request was sent; it is the probe if the guard is ejected.
-    void sent(const guard_name& guard);
+    void sent(time_point now, const guard_name& guard);
     /// @brief A request that was sent never reached the executor.
     void returned(const guard_name& guard);
     /// @brief The guard's process is a new one: past failures are forgotten.
@@ -61,6 +61,8 @@
         int ejections = 0;
         bool ejected = false;
         bool probing = false;
+        time_point probed; ///< a probe that is never heard of counts no more
+                           ///< after the longest ejection
         time_point until;
     };
 
--- a/packages/policy/src/outlier_detector.cpp
+++ b/packages/policy/src/outlier_detector.cpp
@@ -97,15 +97,18 @@
         return true;
     }
     const record_of_guard& record = found->second;
-    return repeatable && !record.probing && now >= record.until;
+    const bool probe_out =
+        record.probing && now - record.probed <= options_.longest_ejection;
+    return repeatable && !probe_out && now >= record.until;
 }
 
-void outlier_detector::sent(const guard_name& guard)
+void outlier_detector::sent(time_point now, const guard_name& guard)
 {
     const auto found = guards_.find(guard);
     if (found != guards_.end() && found->second.ejected)
     {
         found->second.probing = true;
+        found->second.probed = now;
     }
 }
 
--- a/tests/unit/memory_store.hpp
+++ b/tests/unit/memory_store.hpp
@@ -109,8 +109,8 @@
         for (const kv_put& put : transaction.puts)
         {
             kv_item& item = items_[put.key];
-            item.create_revision = item.key.empty() ? revision_
-                                                    : item.create_revision;
+            item.create_revision =
+                item.key.empty() ? revision_ : item.create_revision;
             item.key = put.key;
             item.mod_revision = revision_;
             item.value = put.value;
@@ -131,8 +131,8 @@
         kv_answer answer = done();
         answer.lease = ++next_lease_;
         answer.ttl_seconds = grant.ttl_seconds;
-        leases_[answer.lease] = {
-            grant.ttl_seconds, now + std::chrono::seconds(grant.ttl_seconds)};
+        leases_[answer.lease] = {grant.ttl_seconds,
+                                 now + std::chrono::seconds(grant.ttl_seconds)};
         return answer;
     }
 
--- a/tests/unit/table_keeper_tests.cpp
+++ b/tests/unit/table_keeper_tests.cpp
@@ -147,8 +147,8 @@
         {
             later(milliseconds(draw(60)),
                   [this, at, token, answer = std::move(answer)] {
-                      take(at, keepers_[at].on_store(clock_.now(), token,
-                                                     answer));
+                      take(at,
+                           keepers_[at].on_store(clock_.now(), token, answer));
                   });
         };
         if (lost)
@@ -162,8 +162,7 @@
         later(wait,
               [this, reply, lost, call]
               {
-                  kv_answer answer =
-                      store_.call(clock_.now(), call.operation);
+                  kv_answer answer = store_.call(clock_.now(), call.operation);
                   if (!lost)
                   {
                       reply(std::move(answer));
--- a/tests/unit/task_world_tests.cpp
+++ b/tests/unit/task_world_tests.cpp
@@ -89,8 +89,7 @@
         overshoot = overshoot || !used.fits(worker_capacity);
     }
 
-    void end(const task_attempt& name, time_point when,
-             listed_task::state how)
+    void end(const task_attempt& name, time_point when, listed_task::state how)
     {
         running& run = runs.at(name);
         if (run.how == listed_task::state::running)
@@ -173,6 +172,10 @@
 
     void check()
     {
+        for (const std::string& task : unended())
+        {
+            RC_LOG() << "not ended: " << describe(task) << "\n";
+        }
         RC_ASSERT(all_ended());
         std::map<std::string, std::vector<interval>> by_task;
         for (std::size_t index = 0; index < guards_.size(); ++index)
@@ -235,9 +238,9 @@
         {
             RC_LOG() << one.name.first << " attempt " << one.name.second
                      << " at worker " << one.worker << " from "
-                     << to_milliseconds(one.begin.time_since_epoch())
-                     << " to " << to_milliseconds(one.end.time_since_epoch())
-                     << " ended " << to_string(one.how) << "\n";
+                     << to_milliseconds(one.begin.time_since_epoch()) << " to "
+                     << to_milliseconds(one.end.time_since_epoch()) << " ended "
+                     << to_string(one.how) << "\n";
         }
         int finished = 0;
         std::set<std::int64_t> numbers;
@@ -324,16 +327,15 @@
         side.inbox.clear();
         side.paused_until = time_point{};
         side.guards = guard_directory{};
-        side.core = std::make_unique<task_core>(task_core_options{
-            .name = {"e" + std::to_string(index)},
-            .incarnation = std::to_string(side.life),
-            .shards = 3,
-            .snapshot_every = 7,
-            .seed = static_cast<std::uint64_t>(draw(1000))});
+        side.core = std::make_unique<task_core>(
+            task_core_options{.name = {"e" + std::to_string(index)},
+                              .incarnation = std::to_string(side.life),
+                              .shards = 3,
+                              .snapshot_every = 7,
+                              .seed = static_cast<std::uint64_t>(draw(1000))});
         side.core->on_table(table::parse(
             {{"revision", 1},
-             {"rows",
-              {{"a", json::object()}, {"a/b", {{"kind", "batch"}}}}}}));
+             {"rows", {{"a", json::object()}, {"a/b", {{"kind", "batch"}}}}}}));
     }
 
     void start_guard(std::size_t index)
@@ -344,9 +346,8 @@
         side.paused_until = time_point{};
         side.polling = false;
         side.incarnation = "i" + std::to_string(side.life);
-        side.keeper = std::make_unique<task_keeper>(
-            task_keeper_options{.incarnation = side.incarnation,
-                                .capacity = worker_capacity});
+        side.keeper = std::make_unique<task_keeper>(task_keeper_options{
+            .incarnation = side.incarnation, .capacity = worker_capacity});
     }
 
     void break_things()
@@ -380,8 +381,7 @@
             }
             else if (chance(faults_.pause))
             {
-                side.paused_until =
-                    clock_.now() + milliseconds(draw(20'000));
+                side.paused_until = clock_.now() + milliseconds(draw(20'000));
             }
             if (chance(faults_.evict))
             {
@@ -451,9 +451,9 @@
                  [this, at, task = *chosen]
                  {
                      task_actions actions;
-                     entries_[at].core->on_cancel(
-                         ++next_call_, clock_.now() + seconds(5), "a", task,
-                         actions);
+                     entries_[at].core->on_cancel(++next_call_,
+                                                  clock_.now() + seconds(5),
+                                                  "a", task, actions);
                      take(at, actions);
                  });
         }
@@ -679,8 +679,8 @@
         }
         task_actions actions;
         side.core->on_gone(clock_.now(), gone, side.guards.all());
-        side.core->on_tick(clock_.now(), side.guards.all(),
-                           {"e0", "e1", "e2"}, actions);
+        side.core->on_tick(clock_.now(), side.guards.all(), {"e0", "e1", "e2"},
+                           actions);
         take(index, actions);
     }
 
@@ -730,8 +730,8 @@
                             }
                             there.polling = false;
                             worker_actions actions;
-                            there.keeper->on_worker_list(
-                                clock_.now(), clock, list, actions);
+                            there.keeper->on_worker_list(clock_.now(), clock,
+                                                         list, actions);
                             command(index, actions);
                         });
               });
@@ -774,29 +774,47 @@
                      return;
                  }
                  worker_actions actions;
-                 guards_[index].keeper->on_acked(clock_.now(), acked,
-                                                 actions);
+                 guards_[index].keeper->on_acked(clock_.now(), acked, actions);
                  command(index, actions);
              });
     }
 
-    bool all_ended()
+    std::vector<std::string> unended() const
     {
+        std::vector<std::string> tasks;
         for (const std::string& task : accepted_)
         {
-            bool ended = false;
-            for (const entry_side& side : entries_)
+            const bool ended = std::any_of(
+                entries_.begin(), entries_.end(),
+                [&](const entry_side& side)
+                {
+                    const task_record* const record = side.core->find(task);
+                    return record != nullptr && is_final(record->state);
+                });
+            if (!ended)
             {
-                const task_record* const record = side.core->find(task);
-                ended = ended ||
-                        (record != nullptr && is_final(record->state));
+                tasks.push_back(task);
             }
-            if (!ended)
+        }
+        return tasks;
+    }
+
+    bool all_ended() const
+    {
+        return unended().empty();
+    }
+
+    std::string describe(const std::string& task) const
+    {
+        std::string text = task;
+        for (const entry_side& side : entries_)
+        {
+            if (const task_record* const record = side.core->find(task))
             {
-                return false;
+                text += " " + json(*record).dump();
             }
         }
-        return true;
+        return text;
     }
 
     std::mt19937 random_;
@@ -817,27 +835,30 @@
 {
     std::size_t accepted = 0;
     std::size_t worlds = 0;
-    const bool good = rc::check(
-        "no overlap, no loss, one end, capacity held",
-        [&](std::uint32_t seed)
-        {
-            const auto rate = [](int most) { return *rc::gen::inRange(0, most); };
-            const task_faults faults{.lost = rate(100),
-                                     .store_lost = rate(150),
-                                     .pause = rate(6),
-                                     .kill_entry = rate(6),
-                                     .kill_guard = rate(6),
-                                     .lose_worker = rate(2),
-                                     .evict = rate(20),
-                                     .cancel = rate(20),
-                                     .fail = rate(100),
-                                     .store_down = rate(4)};
-            task_world all(seed, faults);
-            all.run(600);
-            all.check();
-            accepted += all.accepted();
-            ++worlds;
-        });
+    const bool good =
+        rc::check("no overlap, no loss, one end, capacity held",
+                  [&](std::uint32_t seed)
+                  {
+                      const auto rate = [](int most)
+                      {
+                          return *rc::gen::inRange(0, most);
+                      };
+                      const task_faults faults{.lost = rate(100),
+                                               .store_lost = rate(150),
+                                               .pause = rate(6),
+                                               .kill_entry = rate(6),
+                                               .kill_guard = rate(6),
+                                               .lose_worker = rate(2),
+                                               .evict = rate(20),
+                                               .cancel = rate(20),
+                                               .fail = rate(100),
+                                               .store_down = rate(4)};
+                      task_world all(seed, faults);
+                      all.run(600);
+                      all.check();
+                      accepted += all.accepted();
+                      ++worlds;
+                  });
     CHECK(good);
     CHECK(accepted > 20 * worlds); // the checks were about something
     MESSAGE(accepted << " tasks in " << worlds << " worlds");
