Drills with real processes; faults they found mended

Cause: four faults. (1) The platform's list of VMs was read through a reference into a temporary, so a leaving VM was never learnt from it. (2) A stop that overtook its start at the worker was lost, and a cancelled task ran on: it is repeated until the worker lists the end. (3) A new entry called itself healthy before any guard had told it of itself, and refused eight requests of 1,403 in a rolling replacement. (4) The command line took a value that begins with a dash for an option. Ruled out for (3): the guards (each of the eight was refused no_executor by the entry that had just started). Conclusion: health means a table and the guards' word.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	@$(PYTHON) scripts/run.py
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 bench: build
 	@$(PYTHON) bench/bench.py
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -9,6 +9,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <algorithm>
+#include <atomic>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -21,12 +22,15 @@
 using namespace springstair; // NOLINT: a program of its own
 
 constexpr std::size_t clients = 2;
+constexpr duration health_period = std::chrono::milliseconds(100);
 constexpr double percent = 100.0;
 
 struct target
 {
     std::string address;
     std::string data_centre;
+    std::shared_ptr<std::atomic<bool>> healthy =
+        std::make_shared<std::atomic<bool>>(true);
 };
 
 struct stream
@@ -93,7 +97,8 @@
               plan.at("duration_ms").get<std::int64_t>())),
           client_delay_(std::chrono::microseconds(
               plan.value("client_delay_us", std::int64_t{0}))),
-          prefix_(plan.value("prefix", std::string("r")))
+          prefix_(plan.value("prefix", std::string("r"))),
+          check_(plan.value("balancer", true))
     {
         for (const json& one : plan.at("targets"))
         {
@@ -122,6 +127,10 @@
             {
                 break;
             }
+            if (check_ && boot_clock::now() >= next_check_)
+            {
+                check_health();
+            }
             std::this_thread::sleep_for(*first - boot_clock::now());
             const auto index = static_cast<std::size_t>(first - next.begin());
             send(index, *first);
@@ -170,7 +179,8 @@
         const stream& of = streams_[index];
         const std::string id =
             prefix_ + "-" + of.label + "-" + std::to_string(next_id_++);
-        const target& to = targets_[next_id_ % targets_.size()];
+        const std::uint64_t at = healthy_from(next_id_);
+        const target& to = targets_[at % targets_.size()];
         header_map headers{
             {"springstair-credential", of.credential},
             {"springstair-class", of.work_class},
@@ -188,14 +198,62 @@
             ++tallies_[index].sent;
         }
         const json body{{"id", id}, {"service_ms", service_of(of)}};
-        clients_[next_id_ % clients].send(
-            {.method = "POST",
-             .url = "http://" + to.address + "/v1/request",
-             .headers = std::move(headers),
-             .body = make_body(body.dump()),
-             .timeout = std::chrono::milliseconds(of.deadline_ms + 2000)},
-            [this, index, id, due](const http_result& result)
-            { take(index, id, due, result); });
+        http_call call{.method = "POST",
+                       .url = {},
+                       .headers = std::move(headers),
+                       .body = make_body(body.dump()),
+                       .timeout =
+                           std::chrono::milliseconds(of.deadline_ms + 2000)};
+        dispatch(index, id, due, std::move(call), at, targets_.size());
+    }
+
+    // The first target from here on that passed its last health check.
+    std::uint64_t healthy_from(std::uint64_t at) const
+    {
+        for (std::uint64_t step = 0; step < targets_.size(); ++step)
+        {
+            if (*targets_[(at + step) % targets_.size()].healthy)
+            {
+                return at + step;
+            }
+        }
+        return at;
+    }
+
+    void check_health()
+    {
+        next_check_ = boot_clock::now() + health_period;
+        for (const target& one : targets_)
+        {
+            clients_[0].send({.method = "GET",
+                              .url = "http://" + one.address + "/healthz",
+                              .timeout = health_period},
+                             [healthy = one.healthy](const http_result& result)
+                             {
+                                 *healthy = result.how == delivery::answered &&
+                                            result.response.status == 200;
+                             });
+        }
+    }
+
+    // As a balancer does: an entry that refuses the connection is passed
+    // over for the next one.
+    void dispatch(std::size_t index, const std::string& id, time_point due,
+                  http_call call, std::uint64_t at, std::size_t left)
+    {
+        call.url =
+            "http://" + targets_[at % targets_.size()].address + "/v1/request";
+        clients_[at % clients].send(
+            call,
+            [this, index, id, due, call, at, left](const http_result& result)
+            {
+                if (result.how == delivery::not_sent && left > 1)
+                {
+                    dispatch(index, id, due, call, at + 1, left - 1);
+                    return;
+                }
+                take(index, id, due, result);
+            });
     }
 
     void take(std::size_t index, const std::string& id, time_point due,
@@ -263,10 +321,12 @@
     duration length_;
     duration client_delay_;
     std::string prefix_;
+    bool check_ = true; ///< off where the targets are executors
     std::vector<target> targets_;
     std::vector<stream> streams_;
     std::vector<tally> tallies_;
     std::uint64_t next_id_ = 0;
+    time_point next_check_{};
     std::int64_t open_ = 0;
     time_point begin_;
     absl::Mutex mutex_;
--- a/packages/cli/main.cpp
+++ b/packages/cli/main.cpp
@@ -56,8 +56,9 @@
         {"version", 'v', POPT_ARG_NONE, &line.version, 0,
          "print the version and exit", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
-    const poptContext context =
-        poptGetContext("springstair", count, arguments, options, 0);
+    const poptContext context = poptGetContext(
+        "springstair", count, arguments, options,
+        POPT_CONTEXT_POSIXMEHARDER); // a value may begin with a dash
     poptSetOtherOptionHelp(context, usage());
     const int result = poptGetNextOpt(context);
     if (result < -1)
--- a/packages/daemon/src/entry_control.cpp
+++ b/packages/daemon/src/entry_control.cpp
@@ -19,6 +19,8 @@
 constexpr duration exchange_every = std::chrono::milliseconds(250);
 constexpr duration shortest_farewell = std::chrono::milliseconds(500);
 constexpr int lists_until_gone = 3;
+constexpr duration warm_up = std::chrono::seconds(1);
+constexpr duration longest_warm_up = std::chrono::seconds(5);
 
 std::string nonce_prefix(const settings& from, const std::string& incarnation)
 {
@@ -28,7 +30,8 @@
 } // namespace
 
 entry_control::entry_control(entry_process& process)
-    : process_(process), incarnation_(random_hex(incarnation_bytes)),
+    : process_(process), started_(clock_.now()),
+      incarnation_(random_hex(incarnation_bytes)),
       requests_({.name = {process.from.common.name},
                  .incarnation = incarnation_,
                  .data_centre = process.from.common.data_centre,
@@ -72,11 +75,14 @@
     return common.address + ":" + std::to_string(common.port);
 }
 
-// An entry serves once it has a table: until then it would not know whom to
-// refuse.
+// An entry serves once it has a table, without which it would not know whom
+// to refuse, and once the guards have had time to tell it of themselves.
 bool entry_control::serving() const
 {
-    return requests_.rows().revision() > 0 && !drain_since_;
+    const duration up = clock_.now() - started_;
+    const bool heard = !requests_.guards().all().empty() && up >= warm_up;
+    return requests_.rows().revision() > 0 && !drain_since_ &&
+           (heard || up >= longest_warm_up);
 }
 
 // ---------------------------------------------------------------------------
@@ -243,6 +249,7 @@
              {"running",
               report.load.running_critical + report.load.running_other},
              {"queued", report.load.queued_critical + report.load.queued_other},
+             {"tasks_ready", report.tasks_ready},
              {"tasks", report.attempts.size()}});
     }
     json entries = json::array();
--- a/packages/daemon/src/entry_control.hpp
+++ b/packages/daemon/src/entry_control.hpp
@@ -126,6 +126,7 @@
 
     entry_process& process_;
     daemon_clock clock_;
+    time_point started_;
     std::string incarnation_;
     request_core requests_;
     table_keeper table_;
--- a/packages/guard/include/springstair/detail/guard/task_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/task_keeper.hpp
@@ -87,12 +87,14 @@
         std::string end_state;
         std::string detail;
         bool stopping = false;
+        bool keep_checkpoint = false;
     };
 
     bool stale(std::int64_t shard, std::int64_t epoch);
     [[nodiscard]] std::string objection(const start_task& what) const;
     void close(time_point now, const task_attempt& name);
     void take_listed(const listed_task& item);
+    void stop_again(const listed_task& item, worker_actions& actions) const;
     void end_missing(duration worker_clock,
                      const std::set<task_attempt>& listed);
 
--- a/packages/guard/src/task_keeper.cpp
+++ b/packages/guard/src/task_keeper.cpp
@@ -155,6 +155,7 @@
     if (found->second.at != phase::ended && !found->second.stopping)
     {
         found->second.stopping = true;
+        found->second.keep_checkpoint = what.keep_checkpoint;
         actions.emplace_back(
             worker_stop{.name = name, .keep_checkpoint = what.keep_checkpoint});
     }
@@ -214,6 +215,21 @@
     kept.detail = item.detail;
 }
 
+// A stop that overtook its start found nothing to stop.
+void task_keeper::stop_again(const listed_task& item,
+                             worker_actions& actions) const
+{
+    const auto found = attempts_.find(item.name);
+    const bool due = found != attempts_.end() && found->second.stopping &&
+                     found->second.at == phase::running;
+    if (due)
+    {
+        actions.emplace_back(
+            worker_stop{.name = item.name,
+                        .keep_checkpoint = found->second.keep_checkpoint});
+    }
+}
+
 // An attempt that the worker listed before and lists no more has died. One
 // that it never listed may still start until its window has closed on the
 // worker's own clock, however long either side was paused.
@@ -259,6 +275,7 @@
                 worker_stop{.name = item.name, .keep_checkpoint = false});
         }
         take_listed(item);
+        stop_again(item, actions);
     }
     end_missing(worker_clock, listed);
     if (!recorded.empty())
--- a/packages/platform/include/springstair/detail/platform/platform_client.hpp
+++ b/packages/platform/include/springstair/detail/platform/platform_client.hpp
@@ -55,6 +55,10 @@
 void fetch_vms(http_client& client, const std::string& address,
                vm_completion done);
 
+/// @brief Reads the platform's list of VMs.
+/// @throw nlohmann's exceptions if it is not one
+std::vector<listed_vm> parse_vms(const json& document);
+
 /// @brief Reads a worker's list.
 /// @throw nlohmann's exceptions or document_error if it is not one
 worker_list parse_worker_list(const json& document);
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/platform/src/platform_client.cpp
@@ -141,6 +141,19 @@
                               {"lease_ms", to_milliseconds(lease_)}});
 }
 
+std::vector<listed_vm> parse_vms(const json& document)
+{
+    std::vector<listed_vm> vms;
+    for (const json& item : document.at("vms"))
+    {
+        vms.push_back({.name = item.at("name"),
+                       .address = item.at("address"),
+                       .role = item.at("role"),
+                       .leaving = item.at("state") == "leaving"});
+    }
+    return vms;
+}
+
 void fetch_vms(http_client& client, const std::string& address,
                vm_completion done)
 {
@@ -159,17 +172,7 @@
                     }
                     try
                     {
-                        std::vector<listed_vm> vms;
-                        for (const json& item :
-                             parse_body(result.response.body).at("vms"))
-                        {
-                            vms.push_back(
-                                {.name = item.at("name"),
-                                 .address = item.at("address"),
-                                 .role = item.at("role"),
-                                 .leaving = item.at("state") == "leaving"});
-                        }
-                        done(std::move(vms));
+                        done(parse_vms(parse_body(result.response.body)));
                     }
                     catch (const std::exception&)
                     {
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,6 +1,7 @@
 """Starts a fleet of plain processes on this machine, for the demonstration,
 the drills and the measurements. Every process is ended by its own id."""
 
+import fcntl
 import hashlib
 import http.client
 import json
@@ -23,19 +24,28 @@
     return hashlib.sha256(credential.encode()).hexdigest()
 
 
-def free_port(taken=set()):
-    """A port below the range from which clients' ports are taken."""
-    draw = random.Random(os.getpid() * 1000 + len(taken))
+HELD_PORTS = {}
+
+
+def free_port():
+    """A port below the range from which clients' ports are taken, held for
+    this process against others that choose at the same moment."""
+    locks = os.path.join(tempfile.gettempdir(), "springstair-ports")
+    os.makedirs(locks, exist_ok=True)
+    draw = random.Random(os.getpid() * 1000 + len(HELD_PORTS))
     while True:
         port = draw.randrange(12000, 32000)
-        if port in taken:
+        if port in HELD_PORTS:
             continue
-        with socket.socket() as probe:
-            try:
+        lock = open(os.path.join(locks, str(port)), "w", encoding="utf-8")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.socket() as probe:
                 probe.bind((ADDRESS, port))
-            except OSError:
-                continue
-        taken.add(port)
+        except OSError:
+            lock.close()
+            continue
+        HELD_PORTS[port] = lock
         return port
 
 
@@ -268,6 +278,11 @@
             wait_for("all guards at " + name, lambda n=name: self.live_guards(
                 n) == len(self.guards))
 
+    def wait_until_tasks_run(self):
+        for name in self.entries:
+            wait_for("workers take tasks", lambda n=name: all(
+                one["tasks_ready"] for one in self.status(n)["guards"]))
+
     def live_guards(self, entry="entry-1"):
         return sum(1 for one in self.status(entry)["guards"]
                    if one["state"] == "live")
--- /dev/null
+++ b/tests/drills/drills.py
@@ -0,0 +1,442 @@
+"""Drills with real processes: each causes a failure under load and checks
+what the executors, the workers and the callers recorded."""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "scripts"))
+
+from fleet import (Fleet, OPERATOR, call, collect, hash_of,  # noqa: E402
+                   two_workspaces, wait_for)
+
+FIRMS = ("ferreira", "ramdeen")
+SECRET = {"springstair-credential": "ferreira-secret"}
+
+
+def mixed_plan(milliseconds, rate=60, seed=11):
+    streams = []
+    for firm in FIRMS:
+        common = {"credential": firm + "-secret", "workspace": firm}
+        streams.append({"label": firm + "-fill", "class": "clause-fill",
+                        "rate": rate, "service_ms": 3, "repeatable": "true",
+                        "deadline_ms": 2000, **common})
+        streams.append({"label": firm + "-render", "class": "bundle-render",
+                        "rate": rate / 4, "service_ms": 120,
+                        "repeatable": "false", "deadline_ms": 4000,
+                        **common})
+    return {"duration_ms": milliseconds, "seed": seed, "streams": streams}
+
+
+class Drill(unittest.TestCase):
+    def fleet(self, **options):
+        fleet = Fleet(**options)
+        self.addCleanup(fleet.end)
+        fleet.up(two_workspaces())
+        return fleet
+
+    def check_requests(self, fleet, results):
+        """The promises of the request path, by the recorded history."""
+        runs = fleet.runs()
+        overshoot = max(one["executor"]["overshoot"]
+                        for one in fleet.history().values())
+        sent = answered = 0
+        for label, one in results.items():
+            sent += one["sent"]
+            answered += one["answered"]
+            self.assertEqual(one["mixed"], 0, label)
+            told = len(one["ids"]["not_run"]) + len(one["ids"]["unknown"])
+            self.assertEqual(
+                one["sent"], one["answered"] + one["failed"] + told, label)
+            ran = [i for i in one["ids"]["not_run"] if runs.get(i, 0) > 0]
+            self.assertEqual(ran, [], "called not_run, but ran")
+            lost = [i for i in one["ids"]["answered"] if runs.get(i, 0) < 1]
+            self.assertEqual(lost, [], "answered, but never ran")
+            if label.endswith("-render"):
+                twice = [i for i, n in runs.items()
+                         if n > 1 and label in i]
+                self.assertEqual(twice, [], "must not be repeated")
+        self.assertLessEqual(overshoot, 0, "slots")
+        print(f"    {self.id().split('.')[-1]}: {sent} sent, {answered} "
+              "answered, mixed/doubled/false not_run/overshoot all 0")
+        return sent, answered
+
+    def unknown_of(self, results):
+        return sum(sum(one["unknown"].values()) for one in results.values())
+
+    # -- the request path ---------------------------------------------------
+
+    def test_guard_killed_and_restarted(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(5000))
+        for name in ("guard-1", "guard-2"):
+            time.sleep(1)
+            fleet.kill(name)
+            fleet.start(name)
+        results = collect(load)
+        self.check_requests(fleet, results)
+        wait_for("the guards are back", lambda: fleet.live_guards() == 3)
+
+    def test_guard_frozen_and_thawed(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(6000))
+        time.sleep(1)
+        fleet.freeze("guard-1")
+        wait_for("the freeze is seen", lambda: fleet.live_guards() == 2)
+        fleet.thaw("guard-1")
+        self.check_requests(fleet, collect(load))
+
+    def test_executor_frozen(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(6000))
+        time.sleep(1)
+        fleet.freeze("worker-2")
+        time.sleep(3)
+        fleet.thaw("worker-2")
+        self.check_requests(fleet, collect(load))
+
+    def test_entry_frozen_and_killed(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(6000))
+        time.sleep(1)
+        fleet.freeze("entry-1")
+        time.sleep(2)
+        fleet.thaw("entry-1")
+        time.sleep(1)
+        fleet.kill("entry-2")
+        fleet.start("entry-2")
+        results = collect(load)
+        self.check_requests(fleet, results)
+
+    def test_executor_dies_for_good(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(4000))
+        time.sleep(1)
+        before = fleet.history()["guard-3"]["executor"]["runs"]
+        fleet.kill("worker-3")
+        results = collect(load)
+        self.assertGreater(len(before), 0)
+        sent = sum(one["sent"] for one in results.values())
+        answered = sum(one["answered"] for one in results.values())
+        self.assertGreater(answered, 0.9 * sent)
+
+    def test_rolling_replacement_cuts_nothing(self):
+        fleet = self.fleet(guards=4)
+        load = fleet.load(mixed_plan(14000, rate=40))
+        for name in list(fleet.guards) + list(fleet.entries):
+            self.assertEqual(fleet.restart(name), 0, name)
+            other = "entry-2" if name == "entry-1" else "entry-1"
+            wait_for("all guards live", lambda: fleet.live_guards(
+                other) == 4)
+            wait_for("it serves", lambda: name not in fleet.entries or call(
+                fleet.entries[name], "GET", "/healthz")[0] == 200)
+        self.assertIsNone(load.poll(), "the load ended before the drill")
+        results = collect(load)
+        sent, answered = self.check_requests(fleet, results)
+        reasons = {label: {**one["not_run"], **one["unknown"]}
+                   for label, one in results.items()}
+        self.assertEqual(self.unknown_of(results), 0, reasons)
+        self.assertEqual(sent, answered, reasons)
+
+    def test_leaving_executor_gets_no_new_work(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(7000))
+        time.sleep(1)
+        code, _, err = fleet.cli("drain", "guard-1")
+        self.assertEqual(code, 0, err)
+        fleet.set_vms(leaving=("guard-2",))
+        wait_for("both are known to leave", lambda: all(
+            fleet.live_guards(entry) == 1 for entry in fleet.entries), 5)
+        at_most = fleet.history()
+        time.sleep(0.5)  # what was on its way then has arrived
+        settled = fleet.history()
+        results = collect(load)
+        after = fleet.history()
+        for name in ("guard-1", "guard-2"):
+            self.assertEqual(len(settled[name]["executor"]["runs"]),
+                             len(after[name]["executor"]["runs"]), name)
+            self.assertGreater(len(at_most[name]["executor"]["runs"]), 0)
+        self.check_requests(fleet, results)
+
+    def test_store_down_slow_and_lying(self):
+        fleet = self.fleet()
+        load = fleet.load(mixed_plan(7000))
+        for mode in ("down", "slow", "lie", "hang"):
+            fleet.set_store(mode, 1500)
+            time.sleep(1.5)
+        fleet.set_store("up")
+        results = collect(load)
+        sent, answered = self.check_requests(fleet, results)
+        self.assertEqual(sent, answered, "none is refused for the store")
+
+    # -- the table ------------------------------------------------------------
+
+    def test_edit_in_force_although_the_store_goes_away(self):
+        fleet = self.fleet()
+        fleet.set_store("lie")  # the answer is lost, the effect is not
+        done = threading.Event()
+
+        def heal():
+            time.sleep(1)
+            fleet.set_store("up")
+            done.set()
+        healer = threading.Thread(target=heal)
+        healer.start()
+        code, out, err = fleet.cli("--no-wait", "table", "set", "ferreira",
+                                   "weight", "5")
+        fleet.set_store("down")
+        saved = time.monotonic()
+        healer.join()
+        self.assertEqual(code, 0, err)
+        revision = int(out.split()[-1])
+
+        def everywhere():
+            status = fleet.status()
+            return all(one["table_revision"] >= revision
+                       for one in status["guards"] + status["entries"])
+        wait_for("in force everywhere", everywhere, 6)
+        print(f"    in force after {time.monotonic() - saved:.2f} s, "
+              "store down since the success line")
+        # A process that starts during the outage takes it from its peers.
+        fleet.kill("entry-2")
+        fleet.start("entry-2")
+        wait_for("the new process serves", lambda: call(
+            fleet.entries["entry-2"], "GET", "/healthz")[0] == 200)
+        seen = call(fleet.entries["entry-2"], "GET", "/v1/table", headers={
+            "springstair-operator": OPERATOR})[1]["revision"]
+        self.assertEqual(seen, revision)
+        fleet.kill("guard-1")
+        fleet.start("guard-1")
+        wait_for("the new guard has it", everywhere, 6)
+
+    def test_racing_operators(self):
+        fleet = self.fleet()
+        outcomes = {}
+
+        def edit(number):
+            column = "max_rate" if number % 2 else "max_in_flight"
+            entry = [list(fleet.entries.values())[number % 2]]
+            outcomes[number] = fleet.cli(
+                "--no-wait", "table", "set", "ramdeen", column,
+                str(1000 + number), entries=entry)
+        threads = [threading.Thread(target=edit, args=(n,))
+                   for n in range(12)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for code, _, err in outcomes.values():
+            self.assertEqual(code, 0, err)
+        code, out, _ = fleet.cli("--output", "json", "table", "history")
+        edits = [one["edits"][0]["value"]
+                 for one in json.loads(out)["history"][1:]]
+        self.assertEqual(sorted(edits), [1000 + n for n in range(12)])
+        # The loser of the same cell sees both values.
+        code, _, err = fleet.cli("--expects", "1", "table", "set", "ramdeen",
+                                 "weight", "9")
+        self.assertEqual(code, 0, err)
+        code, _, err = fleet.cli("--expects", "1", "table", "set", "ramdeen",
+                                 "weight", "8")
+        self.assertEqual(code, 3, err)
+        self.assertIn("you expected 1, it is now 9", err)
+        code, _, err = fleet.cli("table", "set", "ramdeen", "weight", "-1")
+        self.assertEqual(code, 4)
+        self.assertIn("/rows/ramdeen/weight", err)
+
+    # -- who is told what -------------------------------------------------------
+
+    def test_strangers_and_rivals_are_told_nothing(self):
+        fleet = self.fleet()
+        entry = fleet.entries["entry-1"]
+        guard = fleet.guards["guard-1"]
+        cases = [
+            ("no credential", entry, "POST", "/v1/request", {}, 401),
+            ("wrong credential", entry, "POST", "/v1/request",
+             {"springstair-credential": "guess"}, 401),
+            ("a rival's class", entry, "POST", "/v1/request",
+             {**SECRET, "springstair-class": "no-such-class"}, 404),
+            ("no class", entry, "POST", "/v1/request", SECRET, 400),
+            ("bad deadline", entry, "POST", "/v1/request",
+             {**SECRET, "springstair-class": "clause-fill",
+              "springstair-deadline-ms": "soon"}, 400),
+            ("table without credential", entry, "GET", "/v1/table", {}, 404),
+            ("table with a caller's", entry, "GET", "/v1/table", SECRET, 404),
+            ("metrics without one", entry, "GET", "/metrics", {}, 404),
+            ("a guard's port", guard, "POST", "/v1/execute", {}, 404),
+            ("a guard's port, wrong key", guard, "POST", "/v1/rpc",
+             {"springstair-fleet-key": "guess"}, 404),
+            ("an entry's rpc", entry, "POST", "/v1/rpc", {}, 404),
+            ("posing as an entry", entry, "GET", "/v1/tasks",
+             {"springstair-workspace": "ramdeen",
+              "springstair-fleet-key": "guess"}, 401),
+        ]
+        for name, address, method, path, headers, wanted in cases:
+            with self.subTest(name):
+                status, body = call(address, method, path,
+                                    {} if method == "POST" else None,
+                                    headers)
+                self.assertEqual(status, wanted, body)
+                self.assertEqual(body.get("outcome", "not_run"), "not_run")
+        record = self.submit(fleet, {"run_ms": 10})
+        rival = {"springstair-credential": "ramdeen-secret"}
+        path = "/v1/tasks/" + record["id"]
+        for method in ("GET", "DELETE"):
+            for address in fleet.entries.values():
+                self.assertEqual(call(address, method, path,
+                                      headers=rival)[0], 404)
+        self.assertEqual(fleet.runs(), {})
+
+    # -- tasks --------------------------------------------------------------
+
+    def submit(self, fleet, payload, entry="entry-1", needs=None,
+               expected=202):
+        body = {"class": "statute-watch", "cpu_millis": 500,
+                "memory_mb": 256, "payload": json.dumps(payload),
+                **(needs or {})}
+        answer = [None, None]
+
+        def submitted():
+            answer[:] = call(fleet.entries[entry], "POST", "/v1/tasks", body,
+                             SECRET)
+            return answer[0] == expected
+        wait_for(f"a submission answered {expected}", submitted)
+        return answer[1]
+
+    def state_of(self, fleet, task, entry):
+        return call(fleet.entries[entry], "GET", "/v1/tasks/" + task,
+                    headers=SECRET)[1]
+
+    def check_tasks(self, fleet, tasks, lost_workers=()):
+        """Every accepted task ends once, in one place at a time."""
+        for task in tasks:
+            wait_for("the end of " + task, lambda t=task: self.state_of(
+                fleet, t, "entry-1").get("state") == "finished", 60)
+        by_task = {}
+        for name, one in fleet.history().items():
+            self.assertEqual(one["worker"]["overshoot"], 0, name)
+            for interval in one["worker"]["intervals"]:
+                by_task.setdefault(interval["task"], []).append(interval)
+        for task in tasks:
+            intervals = sorted(by_task[task], key=lambda i: i["begin"])
+            for left, right in zip(intervals, intervals[1:]):
+                self.assertLessEqual(left["end"], right["begin"], intervals)
+            numbers = [i["attempt"] for i in intervals]
+            self.assertEqual(len(numbers), len(set(numbers)), intervals)
+            ends = [i for i in intervals if i["state"] == "finished"]
+            self.assertEqual(len(ends), 1, intervals)
+        print(f"    {self.id().split('.')[-1]}: {len(tasks)} tasks, each "
+              "ended once, none in two places, no worker overbooked")
+
+    def test_tasks_outlive_entries_and_guards(self):
+        fleet = self.fleet()
+        fleet.wait_until_tasks_run()
+        tasks = [self.submit(fleet, {"run_ms": 4000},
+                             "entry-1" if n % 2 else "entry-2")["id"]
+                 for n in range(20)]
+        fleet.kill("entry-2")
+        fleet.kill("guard-1")
+        fleet.start("guard-1")
+        fleet.freeze("guard-2")
+        time.sleep(2)
+        fleet.thaw("guard-2")
+        fleet.start("entry-2")
+        self.check_tasks(fleet, tasks)
+        attempts = [self.state_of(fleet, task, "entry-1")["attempt"]
+                    for task in tasks]
+        self.assertEqual(set(attempts), {1}, "nobody was evicted")
+
+    def test_tasks_with_entry_frozen_past_its_lease(self):
+        fleet = self.fleet()
+        fleet.wait_until_tasks_run()
+        tasks = [self.submit(fleet, {"run_ms": 3000}, "entry-2")["id"]
+                 for n in range(10)]
+        fleet.freeze("entry-2")
+        held = lambda: sum(len(one["shards"]) for one in fleet.status()
+                           ["entries"] if one["entry"] == "entry-1")
+        wait_for("entry-1 holds every shard", lambda: held() == 8, 40)
+        fleet.thaw("entry-2")
+        self.check_tasks(fleet, tasks)
+
+    def test_tasks_with_the_store_away(self):
+        fleet = self.fleet()
+        fleet.wait_until_tasks_run()
+        tasks = [self.submit(fleet, {"run_ms": 3000})["id"]
+                 for n in range(10)]
+        wait_for("they run", lambda: sum(
+            one["tasks"] for one in fleet.status()["guards"]) == 10)
+        fleet.set_store("down")
+        wait_for("the outage is seen", lambda: not fleet.status()[
+            "store_available"])
+        refusal = self.submit(fleet, {"run_ms": 10}, expected=503)
+        self.assertEqual(refusal["outcome"], "not_run")
+        self.assertGreater(refusal["retry_after_ms"], 0)
+        time.sleep(12)  # longer than the lease of a shard's holder
+        fleet.set_store("up")
+        self.check_tasks(fleet, tasks)
+
+    def test_worker_lost_for_good(self):
+        fleet = self.fleet()
+        fleet.wait_until_tasks_run()
+        tasks = [self.submit(fleet, {"run_ms": 3000})["id"]
+                 for n in range(12)]
+        wait_for("they run", lambda: sum(
+            one["tasks"] for one in fleet.status()["guards"]) == 12)
+        there = fleet.history()["guard-3"]["worker"]["intervals"]
+        self.assertGreater(len(there), 0)
+        fleet.kill("worker-3")
+        fleet.kill("guard-3")
+        fleet.set_vms(gone=("guard-3",))
+        del fleet.workers["guard-3"]
+        self.check_tasks(fleet, tasks)
+
+    def test_task_refusals(self):
+        fleet = self.fleet()
+        never = self.submit(fleet, {}, needs={"cpu_millis": 9_000_000},
+                            expected=422)
+        self.assertEqual(never["reason"], "never_fits")
+        bad = call(fleet.entries["entry-1"], "POST", "/v1/tasks",
+                   {"class": "statute-watch", "cpu_millis": "many"},
+                   SECRET)
+        self.assertEqual(bad[0], 400)
+        self.assertIn("/cpu_millis", bad[1]["detail"])
+        self.assertIn("/memory_mb", bad[1]["detail"])
+        failing = self.submit(fleet, {"fail": True})["id"]
+        wait_for("it is failed for good", lambda: self.state_of(
+            fleet, failing, "entry-1")["state"] == "failed", 60)
+        self.assertEqual(self.state_of(fleet, failing,
+                                       "entry-1")["failures"], 2)
+        long = self.submit(fleet, {"run_ms": 60000})["id"]
+        done = call(fleet.entries["entry-2"], "DELETE", "/v1/tasks/" + long,
+                    headers=SECRET)
+        self.assertEqual((done[0], done[1]["state"]), (200, "cancelled"))
+        wait_for("it runs nowhere", lambda: all(
+            i["state"] != "running" for one in fleet.history().values()
+            for i in one["worker"]["intervals"]))
+
+    # -- settings -------------------------------------------------------------
+
+    def test_bad_settings_start_nothing(self):
+        fleet = Fleet()
+        self.addCleanup(fleet.end)
+        path = os.path.join(fleet.directory, "bad.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump({"role": "entry", "name": "e", "port": "x",
+                       "address": "host", "entry": {"routing": "best"}},
+                      file)
+        done = subprocess.run(
+            [fleet.commands["entry-1"][0], "--settings", path],
+            capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 78)
+        for place in ("/port", "/address", "/entry/routing", "/entry/store",
+                      "/data_centre", "/fleet_key"):
+            self.assertIn(place + ":", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
