Routing: exact count of own attempts, and guards that say busy at once

Ruled out: the executors (service histogram unchanged) and the shared slots (heavy work never exceeded them). Now a report tells an entry how much of the load is its own, and the entry uses its own count instead; a latency-critical attempt that finds no free slot is refused at once (busy), twice at most, before it may wait.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -50,6 +50,7 @@
 {
     std::int64_t sent = 0;
     std::int64_t answered = 0;
+    std::int64_t in_window = 0; ///< of these, before the sending ended
     std::int64_t failed = 0;
     std::int64_t mixed = 0; ///< answers that belong to another request
     std::map<std::string, std::int64_t> not_run;
@@ -291,6 +292,7 @@
             return;
         }
         ++to.answered;
+        to.in_window += boot_clock::now() < begin_ + length_ ? 1 : 0;
         to.ids_answered.push_back(id);
         const double millis = 1000 * to_seconds(waited);
         to.latencies_ms.push_back(millis);
@@ -301,6 +303,7 @@
         std::sort(from.latencies_ms.begin(), from.latencies_ms.end());
         json all{{"sent", from.sent},
                  {"answered", from.answered},
+                 {"in_window", from.in_window},
                  {"failed", from.failed},
                  {"mixed", from.mixed},
                  {"not_run", from.not_run},
--- a/packages/core/include/springstair/detail/core/names.hpp
+++ b/packages/core/include/springstair/detail/core/names.hpp
@@ -73,7 +73,8 @@
     duplicate,
     starting,
     store_unavailable,
-    never_fits
+    never_fits,
+    busy ///< no slot is free at once, and the attempt may not wait
 };
 
 /// @brief The wire name of a value; empty for a value out of range.
--- a/packages/core/src/names.cpp
+++ b/packages/core/src/names.cpp
@@ -12,11 +12,11 @@
                                                      "heavy", "batch"};
 constexpr std::array<std::string_view, 3> outcome_names{"not_run", "unknown",
                                                         "failed"};
-constexpr std::array<std::string_view, 15> refusal_names{
+constexpr std::array<std::string_view, 16> refusal_names{
     "unauthenticated", "bad_request",       "unknown_class",     "over_limit",
     "queue_full",      "deadline",          "draining",          "no_executor",
     "retry_budget",    "connection_lost",   "wrong_incarnation", "duplicate",
-    "starting",        "store_unavailable", "never_fits"};
+    "starting",        "store_unavailable", "never_fits",        "busy"};
 
 template <class Names, class Enum>
 std::string_view name_of(const Names& names, Enum value) noexcept
--- a/packages/daemon/src/entry_requests.cpp
+++ b/packages/daemon/src/entry_requests.cpp
@@ -143,10 +143,12 @@
     header_map headers = end_to_end_headers(open.request.headers);
     headers[wire::fleet_key] = process_.from.common.fleet_key;
     headers[wire::attempt] = send.attempt.value;
+    headers[wire::entry] = process_.from.common.name;
     headers[wire::incarnation] = send.incarnation;
     headers[wire::workspace] = open.of.workspace;
     headers[wire::work_class] = open.of.work_class;
     headers[wire::repeatable] = send.repeatable ? "true" : "false";
+    headers[wire::may_wait] = send.may_wait ? "true" : "false";
     headers[wire::deadline_ms] =
         std::to_string(to_milliseconds(send.remaining));
     headers[wire::path] = open.request.path.substr(request_path.size());
--- a/packages/daemon/src/guard_role.cpp
+++ b/packages/daemon/src/guard_role.cpp
@@ -176,15 +176,17 @@
         const http_request& request = arrival.request;
         const attempt_request attempt{
             .attempt = {request.header(wire::attempt)},
+            .entry = request.header(wire::entry),
             .of = {.workspace = request.header(wire::workspace),
                    .work_class = request.header(wire::work_class)},
             .incarnation = request.header(wire::incarnation),
             .remaining = std::chrono::milliseconds(std::strtoll(
-                request.header(wire::deadline_ms).c_str(), nullptr, 10))};
+                request.header(wire::deadline_ms).c_str(), nullptr, 10)),
+            .may_wait = request.header(wire::may_wait) != "false"};
         const time_point now = clock_.now();
         if (open_.contains(attempt.attempt))
         {
-            reply(*arrival.responder, attempt.attempt,
+            reply(*arrival.responder, request, attempt.attempt,
                   problem_report{.result = outcome::unknown,
                                  .reason = refusal::duplicate});
             return;
@@ -260,7 +262,7 @@
         http_response response = answer_->response;
         const bool failed = response.status >= server_error;
         response.headers = end_to_end_headers(response.headers);
-        mark(response, reply.attempt,
+        mark(response, found->second.request, reply.attempt,
              failed ? wire::ending_failed : wire::ending_answered);
         found->second.responder->respond(std::move(response));
         open_.erase(found);
@@ -275,24 +277,26 @@
         }
         process_.numbers.count("refused", found->second.of,
                                to_string(problem.what.reason));
-        reply(*found->second.responder, problem.attempt, problem.what);
+        reply(*found->second.responder, found->second.request, problem.attempt,
+              problem.what);
         open_.erase(found);
     }
 
-    void reply(http_responder& responder, const attempt_name& attempt,
-               const problem_report& what)
+    void reply(http_responder& responder, const http_request& to,
+               const attempt_name& attempt, const problem_report& what)
     {
         http_response response = to_response(what);
-        mark(response, attempt, wire::ending_refused);
+        mark(response, to, attempt, wire::ending_refused);
         responder.respond(std::move(response));
     }
 
-    void mark(http_response& response, const attempt_name& attempt,
-              const char* ending)
+    void mark(http_response& response, const http_request& to,
+              const attempt_name& attempt, const char* ending)
     {
         response.headers[wire::ending] = ending;
         response.headers[wire::attempt] = attempt.value;
-        response.headers[wire::load] = to_header(core_.load());
+        response.headers[wire::load] =
+            to_header(core_.load(to.header(wire::entry)));
     }
 
     // Tasks ------------------------------------------------------------------
@@ -358,7 +362,7 @@
 
     // Heartbeats -------------------------------------------------------------
 
-    guard_report report(time_point now) const
+    guard_report report(time_point now, const std::string& entry) const
     {
         guard_report all{.guard = {process_.from.common.name},
                          .incarnation = incarnation_,
@@ -369,7 +373,7 @@
                          .leaving = core_.draining(),
                          .ready = core_.ready(),
                          .tasks_ready = keeper_.ready(),
-                         .load = core_.load(),
+                         .load = core_.load(entry),
                          .table_revision = core_.rows().revision(),
                          .capacity = keeper_.capacity(),
                          .free = keeper_.free(),
@@ -387,7 +391,6 @@
     void send_heartbeats(time_point now)
     {
         next_heartbeat_ = now + process_.from.guard.heartbeat;
-        const json message = report(now);
         for (auto& [address, entry] : entries_)
         {
             if (std::exchange(entry.asked, true))
@@ -396,7 +399,7 @@
             }
             process_.client.send(
                 make_rpc_call(address, process_.from.common.fleet_key,
-                              wire::heartbeat_method, message),
+                              wire::heartbeat_method, report(now, entry.name)),
                 [&process = process_, to = address](http_result result) {
                     process.events.post(heartbeat_ended{to, std::move(result)});
                 });
--- a/packages/entry/include/springstair/detail/entry/request_core.hpp
+++ b/packages/entry/include/springstair/detail/entry/request_core.hpp
@@ -21,6 +21,9 @@
     std::string data_centre;
     any_router router = sampled_router{};
     int most_attempts = 3;
+    /// How many guards a latency-critical request may find busy before it
+    /// waits in a queue.
+    int most_bounces = 2;
     std::size_t most_open = 20'000;
     retry_budget_options retries;
     outlier_options outliers;
@@ -70,6 +73,7 @@
     std::string incarnation;
     duration remaining{0};
     bool repeatable = false;
+    bool may_wait = true; ///< for a slot; else it starts at once or not
 
     bool operator==(const send_attempt&) const = default;
 };
@@ -174,6 +178,7 @@
         bool repeatable = false;
         class_kind kind = class_kind::heavy;
         int attempts = 0;
+        int bounces = 0;      ///< guards that had no slot free at once
         attempt_name current; ///< empty while none is out
         guard_name current_guard;
         std::set<guard_name> tried;
@@ -187,11 +192,11 @@
 
     [[nodiscard]] std::vector<route_candidate>
     candidates(time_point now, const open_request& of) const;
-    [[nodiscard]] double sent_since_report(const guard_name& guard,
-                                           class_kind kind) const;
+    [[nodiscard]] own_attempts out_at(const guard_name& guard) const;
+    void count_out(const open_request& of, const guard_name& guard, int change);
     bool route(time_point now, open_request& of, request_actions& actions);
     void send_to(time_point now, open_request& of, const guard_name& guard,
-                 request_actions& actions);
+                 bool may_wait, request_actions& actions);
     void refuse(request_number number, problem_report why,
                 request_actions& actions);
     void retry_or_refuse(time_point now, open_request& of, problem_report why,
@@ -220,12 +225,7 @@
     std::map<request_number, open_request> requests_;
     std::map<attempt_name, sent_attempt> attempts_;
     std::set<std::pair<time_point, request_number>> deadlines_;
-    struct outstanding
-    {
-        double critical = 0;
-        double other = 0;
-    };
-    std::map<guard_name, outstanding> since_report_;
+    std::map<guard_name, own_attempts> out_; ///< not yet answered
     std::uint64_t next_attempt_ = 0;
 };
 
--- a/packages/entry/src/request_core.cpp
+++ b/packages/entry/src/request_core.cpp
@@ -34,7 +34,7 @@
 bool free_to_retry(refusal reason)
 {
     return reason == refusal::draining || reason == refusal::starting ||
-           reason == refusal::wrong_incarnation;
+           reason == refusal::wrong_incarnation || reason == refusal::busy;
 }
 
 } // namespace
@@ -118,9 +118,24 @@
     {
         attempts_.erase(of.current);
         of.current = {};
+        count_out(of, of.current_guard, -1);
     }
 }
 
+void request_core::count_out(const open_request& of, const guard_name& guard,
+                             int change)
+{
+    own_attempts& out = out_[guard];
+    (of.kind == class_kind::latency_critical ? out.critical : out.other) +=
+        change;
+}
+
+own_attempts request_core::out_at(const guard_name& guard) const
+{
+    const auto found = out_.find(guard);
+    return found == out_.end() ? own_attempts{} : found->second;
+}
+
 void request_core::refuse(request_number number, problem_report why,
                           request_actions& actions)
 {
@@ -143,19 +158,6 @@
 // Routing
 // ---------------------------------------------------------------------------
 
-double request_core::sent_since_report(const guard_name& guard,
-                                       class_kind kind) const
-{
-    const auto found = since_report_.find(guard);
-    if (found == since_report_.end())
-    {
-        return 0;
-    }
-    const outstanding& sent = found->second;
-    return kind == class_kind::latency_critical ? sent.critical + sent.other
-                                                : sent.other;
-}
-
 std::vector<route_candidate>
 request_core::candidates(time_point now, const open_request& of) const
 {
@@ -167,9 +169,8 @@
         {
             continue;
         }
-        route_candidate candidate =
-            make_candidate(view.report.load, sent_since_report(name, of.kind),
-                           of.kind, table_.reserved_slots());
+        route_candidate candidate = make_candidate(
+            view.report.load, out_at(name), of.kind, table_.reserved_slots());
         candidate.guard = name;
         candidate.local = view.report.data_centre == options_.data_centre;
         all.push_back(std::move(candidate));
@@ -188,12 +189,18 @@
     {
         return false;
     }
-    send_to(now, of, all[*index].guard, actions);
+    // Where another guard may have a slot at once, this one is to say so
+    // rather than let the request wait.
+    const bool critical = of.kind == class_kind::latency_critical;
+    const bool may_wait =
+        !critical || of.bounces >= options_.most_bounces || all.size() == 1;
+    send_to(now, of, all[*index].guard, may_wait, actions);
     return true;
 }
 
 void request_core::send_to(time_point now, open_request& of,
-                           const guard_name& guard, request_actions& actions)
+                           const guard_name& guard, bool may_wait,
+                           request_actions& actions)
 {
     const guard_view& view = *guards_.find(guard);
     const attempt_name attempt{options_.name.value + "." +
@@ -205,15 +212,15 @@
     of.tried.insert(guard);
     attempts_[attempt] = {.number = of.request.number, .guard = guard};
     outliers_.sent(now, guard);
-    outstanding& sent = since_report_[guard];
-    (of.kind == class_kind::latency_critical ? sent.critical : sent.other) += 1;
+    count_out(of, guard, 1);
     actions.emplace_back(send_attempt{.number = of.request.number,
                                       .attempt = attempt,
                                       .guard = guard,
                                       .address = view.report.address,
                                       .incarnation = view.report.incarnation,
                                       .remaining = of.request.deadline - now,
-                                      .repeatable = of.repeatable});
+                                      .repeatable = of.repeatable,
+                                      .may_wait = may_wait});
 }
 
 void request_core::retry_or_refuse(time_point now, open_request& of,
@@ -300,6 +307,11 @@
             return;
         }
     }
+    if (why.reason == refusal::busy)
+    {
+        ++of.bounces;
+        --of.attempts; // it only asked; no queue and no slot was used
+    }
     const bool from_budget = !free_to_retry(why.reason);
     retry_or_refuse(now, of, std::move(why), from_budget, actions);
 }
@@ -318,10 +330,10 @@
     attempts_.erase(found);
     open_request& of = requests_.at(sent.number);
     of.current = {};
+    count_out(of, sent.guard, -1);
     if (result.load)
     {
         guards_.hear_load(sent.guard, *result.load);
-        since_report_.erase(sent.guard);
     }
     record_result(now, result, sent, actions);
     switch (result.how)
@@ -377,7 +389,6 @@
     std::erase(others, options_.name.value);
     entries_.relay(now, others);
     const guard_change change = guards_.hear(now, report);
-    since_report_.erase(report.guard);
     switch (change)
     {
     case guard_change::restarted:
@@ -447,9 +458,11 @@
         }
         const attempt_name silent = of.current;
         of.may_have_run = true;
+        const guard_name from = of.current_guard;
         if (route(now, of, actions))
         {
             attempts_.erase(silent);
+            count_out(of, from, -1);
         }
     }
 }
--- a/packages/guard/include/springstair/detail/guard/guard_core.hpp
+++ b/packages/guard/include/springstair/detail/guard/guard_core.hpp
@@ -30,9 +30,11 @@
 struct attempt_request
 {
     attempt_name attempt;
+    std::string entry; ///< that sent it
     class_name of;
     std::string incarnation; ///< the one the entry believes it talks to
     duration remaining{0};   ///< until the caller's deadline
+    bool may_wait = true;    ///< else it starts at once or is refused
 };
 
 /// @brief What the executor did with an attempt.
@@ -118,7 +120,8 @@
     /// @brief Whether nothing runs or waits.
     [[nodiscard]] bool idle() const;
     /// @brief What runs and waits.
-    [[nodiscard]] load_report load() const;
+    /// @param entry that is told
+    [[nodiscard]] load_report load(const std::string& entry) const;
     /// @brief The table in force.
     [[nodiscard]] const table& rows() const noexcept
     {
@@ -129,6 +132,12 @@
     started(const attempt_name& attempt) const;
 
 private:
+    struct admitted_attempt
+    {
+        std::string entry;
+        bool critical = false;
+    };
+
     struct running_attempt
     {
         class_name of;
@@ -150,7 +159,12 @@
     admission admission_;
     table table_;
     random_source random_;
+    void admit(const attempt_request& request);
+    void dismiss(const attempt_name& attempt);
+
     std::map<attempt_name, running_attempt> running_;
+    std::map<attempt_name, admitted_attempt> admitted_;
+    std::map<std::string, load_report> by_entry_;
     /// Attempts that came, and how they were refused if they were.
     std::map<attempt_name, std::optional<problem_report>> seen_;
     std::map<time_point, std::vector<attempt_name>> forget_at_;
--- a/packages/guard/src/guard_core.cpp
+++ b/packages/guard/src/guard_core.cpp
@@ -94,13 +94,15 @@
         admission_.offer(now, {.attempt = request.attempt,
                                .of = request.of,
                                .arrived = now,
-                               .deadline = now + request.remaining});
+                               .deadline = now + request.remaining,
+                               .may_wait = request.may_wait});
     if (refused)
     {
         return refuse(now, request.attempt,
                       not_run(refused->reason, jittered(refused->retry_after)));
     }
     remember(now, request.attempt, std::nullopt);
+    admit(request);
     guard_actions actions;
     start_ready(now, actions);
     return actions;
@@ -127,6 +129,7 @@
     }
     const duration service = now - found->second.started;
     running_.erase(found);
+    dismiss(attempt);
     switch (result)
     {
     case executor_result::answered:
@@ -248,9 +251,42 @@
     return running_.empty() && load.queued_critical + load.queued_other == 0;
 }
 
-load_report guard_core::load() const
+load_report guard_core::load(const std::string& entry) const
 {
-    return admission_.load();
+    load_report report = admission_.load();
+    const auto own = by_entry_.find(entry);
+    if (own != by_entry_.end())
+    {
+        report.own_critical = own->second.own_critical;
+        report.own_other = own->second.own_other;
+    }
+    return report;
+}
+
+void guard_core::admit(const attempt_request& request)
+{
+    const class_row* const row = table_.find(request.of);
+    const bool critical =
+        row != nullptr && row->kind == class_kind::latency_critical;
+    admitted_[request.attempt] = {.entry = request.entry, .critical = critical};
+    load_report& own = by_entry_[request.entry];
+    ++(critical ? own.own_critical : own.own_other);
+}
+
+void guard_core::dismiss(const attempt_name& attempt)
+{
+    const auto found = admitted_.find(attempt);
+    if (found == admitted_.end())
+    {
+        return;
+    }
+    load_report& own = by_entry_[found->second.entry];
+    --(found->second.critical ? own.own_critical : own.own_other);
+    if (own.own_critical + own.own_other == 0)
+    {
+        by_entry_.erase(found->second.entry);
+    }
+    admitted_.erase(found);
 }
 
 std::optional<time_point> guard_core::started(const attempt_name& attempt) const
--- a/packages/membership/include/springstair/detail/membership/messages.hpp
+++ b/packages/membership/include/springstair/detail/membership/messages.hpp
@@ -41,6 +41,10 @@
     std::int64_t running_other = 0;
     std::int64_t queued_critical = 0;
     std::int64_t queued_other = 0;
+    /// Of these, what the entry that is told sent itself: it knows better
+    /// how much of that is still out.
+    std::int64_t own_critical = 0;
+    std::int64_t own_other = 0;
 
     bool operator==(const load_report&) const = default;
 };
@@ -162,7 +166,9 @@
 inline constexpr const char* deadline_ms = "springstair-deadline-ms";
 inline constexpr const char* repeatable = "springstair-repeatable";
 inline constexpr const char* credential = "springstair-credential";
+inline constexpr const char* may_wait = "springstair-may-wait";
 inline constexpr const char* load = "springstair-load";
+inline constexpr const char* entry = "springstair-entry";
 inline constexpr const char* operator_key = "springstair-operator";
 inline constexpr const char* execute_path = "/v1/execute";
 inline constexpr const char* rpc_path = "/v1/rpc";
--- a/packages/membership/src/messages.cpp
+++ b/packages/membership/src/messages.cpp
@@ -28,7 +28,8 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(load_report, slots, running_critical,
-                                   running_other, queued_critical, queued_other)
+                                   running_other, queued_critical, queued_other,
+                                   own_critical, own_other)
 
 void to_json(json& to, const resources& from)
 {
@@ -162,7 +163,8 @@
     std::ostringstream text;
     text << load.slots << ' ' << load.running_critical << ' '
          << load.running_other << ' ' << load.queued_critical << ' '
-         << load.queued_other;
+         << load.queued_other << ' ' << load.own_critical << ' '
+         << load.own_other;
     return text.str();
 }
 
@@ -171,7 +173,8 @@
     std::istringstream in(text);
     load_report load;
     in >> load.slots >> load.running_critical >> load.running_other >>
-        load.queued_critical >> load.queued_other;
+        load.queued_critical >> load.queued_other >> load.own_critical >>
+        load.own_other;
     if (!in)
     {
         return std::nullopt;
--- a/packages/policy/include/springstair/detail/policy/admission.hpp
+++ b/packages/policy/include/springstair/detail/policy/admission.hpp
@@ -18,6 +18,7 @@
     class_name of;
     time_point arrived;
     time_point deadline;
+    bool may_wait = true; ///< else it starts at once or is refused
 };
 
 /// @brief A request for a slot that is given up, and why.
--- a/packages/policy/include/springstair/detail/policy/router.hpp
+++ b/packages/policy/include/springstair/detail/policy/router.hpp
@@ -18,6 +18,13 @@
 /// @brief Source of the router's randomness; seeded once a process.
 using random_source = std::mt19937_64;
 
+/// @brief Attempts of this entry that a guard has not answered yet.
+struct own_attempts
+{
+    int critical = 0;
+    int other = 0;
+};
+
 /// @brief A guard that a request may go to.
 struct route_candidate
 {
@@ -80,10 +87,13 @@
 std::optional<any_router> router_named(const std::string& name);
 
 /// @brief Fills load and room from a guard's report.
-/// @param load what the guard reported @param sent_since requests of this
-/// entry sent to it since @param kind of the request
+///
+/// What others sent is taken from the report, what this entry sent from its
+/// own count, which knows of attempts that are still on their way.
+/// @param load what the guard reported @param own this entry's attempts
+/// @param kind of the request
 /// @param reserved slots kept for latency-critical classes
-route_candidate make_candidate(const load_report& load, double sent_since,
+route_candidate make_candidate(const load_report& load, const own_attempts& own,
                                class_kind kind, std::int64_t reserved);
 
 } // namespace springstair
--- a/packages/policy/src/admission.cpp
+++ b/packages/policy/src/admission.cpp
@@ -166,6 +166,12 @@
     const bool at_once = may_start(critical) && lane_open(request.of, lane) &&
                          lane.waiting.empty();
     const duration wait = at_once ? duration{0} : backlog(critical);
+    if (!at_once && !request.may_wait)
+    {
+        return slot_refusal{.request = request,
+                            .reason = refusal::busy,
+                            .retry_after = shortest_retry};
+    }
     const auto length = static_cast<std::int64_t>(lane.waiting.size());
     if (!at_once && length >= row->max_queue)
     {
--- a/packages/policy/src/router.cpp
+++ b/packages/policy/src/router.cpp
@@ -113,27 +113,28 @@
     return std::nullopt;
 }
 
-route_candidate make_candidate(const load_report& load, double sent_since,
+route_candidate make_candidate(const load_report& load, const own_attempts& own,
                                class_kind kind, std::int64_t reserved)
 {
+    const auto slots = std::max<std::int64_t>(1, load.slots);
+    const std::int64_t kept = std::min(reserved, slots - 1);
+    const std::int64_t critical = load.running_critical + load.queued_critical -
+                                  load.own_critical + own.critical;
+    const std::int64_t other =
+        load.running_other + load.queued_other - load.own_other + own.other;
     route_candidate candidate;
-    const auto slots =
-        static_cast<double>(std::max<std::int64_t>(1, load.slots));
-    const auto critical =
-        static_cast<double>(load.running_critical + load.queued_critical);
-    const auto running_other = static_cast<double>(load.running_other);
-    const auto queued_other = static_cast<double>(load.queued_other);
     if (kind == class_kind::latency_critical)
     {
-        const double used = critical + running_other + sent_since;
-        candidate.load = used / slots;
+        // Only what fits into the shared slots can be in the way.
+        const std::int64_t used = critical + std::min(other, slots - kept);
+        candidate.load = static_cast<double>(used) / static_cast<double>(slots);
         candidate.room = used < slots;
         return candidate;
     }
-    const auto kept = std::min(static_cast<double>(reserved), slots - 1);
-    const double spill = std::max(0.0, critical - kept);
-    const double used = running_other + queued_other + spill + sent_since;
-    candidate.load = used / (slots - kept);
+    const std::int64_t spill = std::max<std::int64_t>(0, critical - kept);
+    const std::int64_t used = other + spill;
+    candidate.load =
+        static_cast<double>(used) / static_cast<double>(slots - kept);
     candidate.room = used < slots - kept;
     return candidate;
 }
--- a/tests/unit/request_world_tests.cpp
+++ b/tests/unit/request_world_tests.cpp
@@ -312,7 +312,8 @@
             clock_.now(), {.attempt = send.attempt,
                            .of = asked_.at(send.number).request.of,
                            .incarnation = send.incarnation,
-                           .remaining = send.remaining});
+                           .remaining = send.remaining,
+             .may_wait = send.may_wait});
         if (copy)
         {
             return; // the copy's own connection got the answer
@@ -436,7 +437,7 @@
                                   .address = "g" + std::to_string(index),
                                   .leaving = side.core->draining(),
                                   .ready = side.core->ready(),
-                                  .load = side.core->load()};
+                                  .load = side.core->load("")};
         for (std::size_t entry = 0; entry < entries_.size(); ++entry)
         {
             later(delay(30),
