--- a/packages/core/include/springstair/detail/core/errors.hpp
+++ b/packages/core/include/springstair/detail/core/errors.hpp
@@ -74,12 +74,4 @@
     explicit rpc_error(const std::string& message);
 };
 
-/// @brief 401: the platform's store gave no answer; 402: it refused.
-class store_error : public exception
-{
-public:
-    /// @brief Error @p id with a message.
-    store_error(int id, const std::string& message);
-};
-
 } // namespace springstair
--- a/packages/core/src/errors.cpp
+++ b/packages/core/src/errors.cpp
@@ -54,9 +54,4 @@
 {
 }
 
-store_error::store_error(int id, const std::string& message)
-    : exception(id, "store_error", message)
-{
-}
-
 } // namespace springstair
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -318,7 +319,8 @@
 
 http_server::~http_server()
 {
-    MHD_quiesce_daemon(state_->daemon);
+    // From here on new connections are refused rather than kept waiting.
+    close(MHD_quiesce_daemon(state_->daemon));
     state_->answer_all();
     state_->await_sent();
     MHD_stop_daemon(state_->daemon);
--- /dev/null
+++ b/tests/unit/edge_tests.cpp
@@ -0,0 +1,392 @@
+// Contracts of the edges: HTTP, JSON-RPC, the store's gateway, settings,
+// messages, secrets, the supervisor.
+
+#include <doctest/doctest.h>
+
+#include <springstair/daemon.hpp>
+#include <springstair/entry.hpp>
+#include <springstair/guard.hpp>
+
+#include <absl/synchronization/notification.h>
+
+#include <fstream>
+#include <thread>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+std::string url_of(const http_server& server, const std::string& path = "/")
+{
+    return "http://127.0.0.1:" + std::to_string(server.port()) + path;
+}
+
+} // namespace
+
+TEST_CASE("a request and its answer pass whole, query and headers too")
+{
+    http_server server({},
+                       [](const http_request& got, http_responder to)
+                       {
+                           to.respond(
+                               {.status = 201,
+                                .headers = {{"x-seen", got.header("x-own")},
+                                            {"x-arg", got.argument("q")}},
+                                .body = got.body});
+                       });
+    http_client client;
+    const std::string body(300'000, 'b');
+    const http_result got =
+        client.send_and_wait({.url = url_of(server, "/p?q=7"),
+                              .headers = {{"x-own", "v"}},
+                              .body = make_body(body)});
+    REQUIRE(got.how == delivery::answered);
+    CHECK(got.response.status == 201);
+    CHECK(*got.response.body == body);
+    CHECK(got.response.headers.at("x-seen") == "v");
+    CHECK(got.response.headers.at("x-arg") == "7");
+}
+
+TEST_CASE("what is known of a call that failed")
+{
+    http_client client;
+    std::string dead;
+    {
+        const http_server gone({}, [](const http_request&, http_responder) {});
+        dead = url_of(gone);
+    }
+    CHECK(client.send_and_wait({.url = dead}).how == delivery::not_sent);
+    std::vector<std::shared_ptr<http_responder>> kept;
+    absl::Mutex mutex;
+    const http_server silent(
+        {},
+        [&](const http_request&, http_responder to)
+        {
+            const absl::MutexLock lock(&mutex);
+            kept.push_back(std::make_shared<http_responder>(std::move(to)));
+        });
+    CHECK(client
+              .send_and_wait({.url = url_of(silent),
+                              .timeout = std::chrono::milliseconds(100)})
+              .how == delivery::unknown);
+    const absl::MutexLock lock(&mutex);
+    kept.clear();
+}
+
+TEST_CASE("a responder that is dropped answers unknown, not nothing")
+{
+    const http_server server({}, [](const http_request&, http_responder) {});
+    http_client client;
+    const http_result got = client.send_and_wait({.url = url_of(server)});
+    REQUIRE(got.how == delivery::answered);
+    const auto problem = problem_of(got.response);
+    REQUIRE(problem);
+    CHECK(problem->result == outcome::unknown);
+}
+
+TEST_CASE("bodies beyond the bound are refused")
+{
+    const http_server server({.most_body_bytes = 1000},
+                             [](const http_request&, http_responder to)
+                             { to.respond({.status = 200}); });
+    http_client client;
+    const http_result got = client.send_and_wait(
+        {.url = url_of(server), .body = make_body(std::string(5000, 'x'))});
+    const bool refused =
+        got.how != delivery::answered || got.response.status == 413;
+    CHECK(refused);
+}
+
+TEST_CASE("problems pass the wire and say when to come back")
+{
+    const problem_report what{.result = outcome::not_run,
+                              .reason = refusal::queue_full,
+                              .retry_after = std::chrono::milliseconds(1200),
+                              .detail = "d"};
+    const http_response response = to_response(what);
+    CHECK(response.headers.at("retry-after") == "2");
+    CHECK(problem_of(response) == what);
+    CHECK(!problem_of({.status = 503, .body = make_body("{}")}));
+    for (int index = 0;; ++index)
+    {
+        const auto reason = static_cast<refusal>(index);
+        if (to_string(reason).empty())
+        {
+            break;
+        }
+        CHECK(from_string<refusal>(to_string(reason)) == reason);
+    }
+}
+
+TEST_CASE("JSON-RPC: results, errors and rubbish")
+{
+    rpc_dispatcher dispatcher;
+    dispatcher.add("twice",
+                   [](const json& in) -> json {
+                       return {{"n", 2 * in.at("n").get<int>()}};
+                   });
+    const auto call = [&](const std::string& method, const json& message)
+    {
+        return rpc_result(dispatcher.handle(rpc_request(method, message)));
+    };
+    CHECK(call("twice", {{"n", 21}}) == json{{"n", 42}});
+    CHECK_THROWS_AS(call("twice", {{"m", 1}}), rpc_error);
+    CHECK_THROWS_AS(call("thrice", {{"n", 1}}), rpc_error);
+    CHECK_THROWS_AS(rpc_result("rubbish"), rpc_error);
+    CHECK_THROWS_AS(rpc_result(dispatcher.handle("rubbish")), rpc_error);
+}
+
+TEST_CASE("the store's gateway: what is written and what is read")
+{
+    struct written
+    {
+        kv_operation operation;
+        const char* path;
+        json body;
+    };
+    const std::vector<written> cases{
+        {kv_range{.key = "a", .min_mod_revision = 5},
+         "/v3/kv/range",
+         {{"key", "YQ=="}, {"min_mod_revision", "5"}}},
+        {kv_range{.key = "a/", .prefix = true},
+         "/v3/kv/range",
+         {{"key", "YS8="}, {"range_end", "YTA="}}},
+        {kv_grant{.ttl_seconds = 9}, "/v3/lease/grant", {{"TTL", "9"}}},
+        {kv_keep_alive{.lease = 7}, "/v3/lease/keepalive", {{"ID", "7"}}},
+        {kv_transaction{.compares = {{.key = "a",
+                                      .of = kv_compare::number::create_revision,
+                                      .equals = 3}},
+                        .puts = {{.key = "a", .value = "v", .lease = 4}},
+                        .deletes = {{.key = "b"}}},
+         "/v3/kv/txn",
+         {{"compare",
+           {{{"key", "YQ=="},
+             {"result", "EQUAL"},
+             {"target", "CREATE"},
+             {"create_revision", "3"}}}},
+          {"success",
+           {{{"request_put",
+              {{"key", "YQ=="}, {"value", "dg=="}, {"lease", "4"}}}},
+            {{"request_delete_range", {{"key", "Yg=="}}}}}}}},
+    };
+    for (const written& one : cases)
+    {
+        const gateway_call call = to_gateway(one.operation);
+        CHECK(call.path == one.path);
+        CHECK(call.body == one.body);
+    }
+    const kv_answer answer = from_gateway(
+        kv_range{.key = "a"},
+        {{"header", {{"revision", "12"}}},
+         {"kvs",
+          {{{"key", "YQ=="}, {"value", "dg=="}, {"mod_revision", "11"}}}}});
+    REQUIRE(answer.items.size() == 1);
+    CHECK(answer.items.front().value == "v");
+    CHECK(answer.items.front().mod_revision == 11);
+    CHECK(answer.revision == 12);
+    const kv_answer lapsed =
+        from_gateway(kv_keep_alive{.lease = 7}, {{"result", {{"ID", "7"}}}});
+    CHECK(lapsed.ttl_seconds == 0);
+    CHECK_THROWS(from_gateway(kv_keep_alive{}, json::object()));
+    for (const std::string text : {"", "a", "ab", "abc", "\xff\x00"})
+    {
+        CHECK(from_base64(to_base64(text)) == text);
+    }
+}
+
+TEST_CASE("an answer that is lost is unknown, a refusal is not_done")
+{
+    int status = 200;
+    const http_server server(
+        {}, [&](const http_request&, http_responder to)
+        { to.respond({.status = status, .body = make_body("half of {")}); });
+    http_client client;
+    etcd_client store(
+        client, {.endpoints = {"127.0.0.1:" + std::to_string(server.port())}});
+    const auto ask = [&]
+    {
+        kv_answer got;
+        absl::Notification done;
+        store.send(kv_range{.key = "a"},
+                   [&](kv_answer answer)
+                   {
+                       got = std::move(answer);
+                       done.Notify();
+                   });
+        done.WaitForNotification();
+        return got.how;
+    };
+    CHECK(ask() == kv_answer::state::unknown);
+    status = 503;
+    CHECK(ask() == kv_answer::state::unknown);
+    status = 400;
+    CHECK(ask() == kv_answer::state::not_done);
+}
+
+TEST_CASE("messages pass the wire unchanged")
+{
+    const guard_report report{.guard = {"g"},
+                              .incarnation = "i",
+                              .ready = true,
+                              .load = {1, 2, 3, 4, 5, 6, 7},
+                              .entries_heard = {"e"},
+                              .capacity = {1, 2, 3},
+                              .attempts = {{"t1-a", 2, "running", "d"}}};
+    CHECK(json(report).get<guard_report>() == report);
+    CHECK(load_of_header(to_header(report.load)) == report.load);
+    CHECK(!load_of_header("1 2 x"));
+    const entry_summary summary{.entry = {"e"},
+                                .wants = {{"a", 1}},
+                                .holds = {{"a", 2}},
+                                .shards = {1, 2},
+                                .task_usage = {{"a", {1, 2, 3}}}};
+    CHECK(json(summary).get<entry_summary>() == summary);
+    const start_task start{
+        .spec = {.id = "t1-a", .urgent = true}, .attempt = 3, .epoch = 9};
+    CHECK(json(start).get<start_task>() == start);
+    CHECK(shard_of("t12-abc") == 12);
+    for (const char* const bad : {"", "t-", "x1-a", "t1", "t1x-a", "t-1-a"})
+    {
+        CHECK(!shard_of(bad));
+    }
+}
+
+TEST_CASE("each step follows from the state, or is passed over")
+{
+    using what = task_transition::step;
+    task_book book;
+    const auto apply = [&](what step, std::int64_t attempt)
+    {
+        task_transition one;
+        one.what = step;
+        one.task = "t1-a";
+        one.attempt = attempt;
+        one.guard = "g";
+        one.spec = task_spec{.id = "t1-a"};
+        return book.apply(one);
+    };
+    CHECK(apply(what::accept, 0));
+    CHECK(!apply(what::accept, 0));
+    CHECK(!apply(what::finish, 1)); // never placed
+    CHECK(!apply(what::place, 2));  // out of turn
+    CHECK(apply(what::place, 1));
+    CHECK(!apply(what::place, 2)); // one at a time
+    CHECK(!apply(what::finish, 2));
+    CHECK(apply(what::evict, 1));
+    CHECK(!apply(what::evict, 1));  // resumed once
+    CHECK(!apply(what::finish, 1)); // the evicted attempt counts no more
+    CHECK(apply(what::place, 2));
+    CHECK(apply(what::finish, 2));
+    CHECK(!apply(what::cancel, 0)); // ended already
+    CHECK(task_book::parse(book.to_document()) == book);
+}
+
+TEST_CASE("settings: every finding, with its place")
+{
+    const json bad{{"role", "guard"},
+                   {"name", ""},
+                   {"port", 70000},
+                   {"address", "here"},
+                   {"fleet_key", "short"},
+                   {"entries", {"10.0.0.1:1", "nowhere"}},
+                   {"colour", 1},
+                   {"guard", {{"slots", 0}, {"executor", "10.0.0.1"}}}};
+    try
+    {
+        parse_settings(bad);
+        FAIL("it was accepted");
+    }
+    catch (const document_error& error)
+    {
+        std::set<std::string> places;
+        for (const finding& one : error.all())
+        {
+            places.insert(one.place);
+        }
+        CHECK(places == std::set<std::string>{
+                            "/name", "/port", "/address", "/fleet_key",
+                            "/entries", "/colour", "/data_centre",
+                            "/guard/slots", "/guard/executor", "/guard/worker",
+                            "/guard/cpu_millis", "/guard/memory_mb"});
+        CHECK(error.id() == 101);
+    }
+    CHECK_THROWS_AS(read_settings("/no/such/file"), document_error);
+}
+
+TEST_CASE("secrets")
+{
+    CHECK(sha256_hex("abc") ==
+          "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(equal_in_constant_time("key", "key"));
+    CHECK(!equal_in_constant_time("key", "keY"));
+    CHECK(!equal_in_constant_time("key", "longer key"));
+    CHECK(random_hex(8) != random_hex(8));
+}
+
+TEST_CASE("the supervisor restarts a part, and gives up on a hopeless one")
+{
+    supervisor parts({.most_restarts = 3});
+    int runs = 0;
+    bool other_stopped = false;
+    parts.add("failing",
+              [&]
+              {
+                  ++runs;
+                  throw std::runtime_error("no");
+              });
+    parts.add("other",
+              [&]
+              {
+                  while (!parts.stopping())
+                  {
+                      std::this_thread::yield();
+                  }
+                  other_stopped = true;
+              });
+    CHECK_THROWS(parts.run());
+    CHECK(runs == 4);
+    CHECK(other_stopped);
+}
+
+TEST_CASE("classes beyond the bound share a label")
+{
+    metrics numbers;
+    for (std::size_t index = 0; index < metrics::most_classes + 10; ++index)
+    {
+        numbers.count("refused", {"w", "c" + std::to_string(index)}, "r");
+    }
+    const std::string text = numbers.text();
+    CHECK(text.find("class=\"other\"") != std::string::npos);
+    CHECK(text.find("class=\"c0\"") != std::string::npos);
+}
+
+TEST_CASE("docs/EVENTS.md is the catalogue of the code")
+{
+    const std::ifstream file(std::string(SPRINGSTAIR_DOCS) + "/EVENTS.md");
+    REQUIRE(file);
+    std::stringstream text;
+    text << file.rdbuf();
+    const std::string page = text.str();
+    std::size_t rows = 0;
+    for (const event_description& one : event_catalogue())
+    {
+        const std::string row = "| " +
+                                std::to_string(static_cast<int>(one.id)) +
+                                " | `" + std::string(one.name) + "` | " +
+                                (one.level == severity::info      ? "info"
+                                 : one.level == severity::warning ? "warning"
+                                                                  : "error") +
+                                " | " + std::string(one.meaning) + " |";
+        CAPTURE(row);
+        CHECK(page.find(row) != std::string::npos);
+        ++rows;
+    }
+    std::size_t found = 0;
+    for (std::size_t at = page.find("\n| 1"); at != std::string::npos;
+         at = page.find("\n| 1", at + 1))
+    {
+        ++found;
+    }
+    CHECK(found == rows);
+}
--- a/tests/unit/request_world_tests.cpp
+++ b/tests/unit/request_world_tests.cpp
@@ -313,7 +313,7 @@
                            .of = asked_.at(send.number).request.of,
                            .incarnation = send.incarnation,
                            .remaining = send.remaining,
-             .may_wait = send.may_wait});
+                           .may_wait = send.may_wait});
         if (copy)
         {
             return; // the copy's own connection got the answer
