Roles: tables of single steps, each ending of an attempt, each absence of a guard

Cause: the worlds check promises over many steps; a change that only makes one step wasteful or a table go back would not show in them. Ruled out: more worlds (an older table needs a lying peer, which they do not have). Conclusion: these hold the decisions one by one, the worlds hold the promises.

--- /dev/null
+++ b/tests/unit/role_tests.cpp
@@ -0,0 +1,256 @@
+// Single steps of the roles that the worlds do not single out.
+
+#include <doctest/doctest.h>
+
+#include <springstair/entry.hpp>
+#include <springstair/guard.hpp>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+table rows(std::int64_t revision)
+{
+    return table::parse(
+        {{"revision", revision},
+         {"rows",
+          {{"a", json::object()},
+           {"a/fast", {{"kind", "latency-critical"}, {"repeatable", true}}},
+           {"a/once", {{"kind", "heavy"}}}}}});
+}
+
+guard_report ready_guard(const std::string& name)
+{
+    return {.guard = {name},
+            .incarnation = "1",
+            .data_centre = "dc-1",
+            .address = name,
+            .ready = true,
+            .load = {.slots = 8}};
+}
+
+struct single_entry
+{
+    explicit single_entry(int guards)
+    {
+        core.on_table(rows(1));
+        for (int index = 0; index < guards; ++index)
+        {
+            core.on_heartbeat(clock.now(),
+                              ready_guard("g" + std::to_string(index)));
+        }
+    }
+
+    request_actions ask(const std::string& work_class,
+                        duration deadline = seconds(1))
+    {
+        return core.on_request(clock.now(),
+                               {.number = ++number,
+                                .of = {"a", work_class},
+                                .deadline = clock.now() + deadline});
+    }
+
+    request_actions end(const request_actions& sent, attempt_result::ending how,
+                        const problem_report& why = {})
+    {
+        return core.on_attempt(
+            clock.now(),
+            {.attempt = std::get<send_attempt>(sent.back()).attempt,
+             .how = how,
+             .refused_with = why});
+    }
+
+    request_core core{request_options{
+        .name = {"e"}, .incarnation = "1", .data_centre = "dc-1"}};
+    manual_clock clock;
+    request_number number = 0;
+};
+
+const problem_report& problem_in(const request_actions& actions)
+{
+    return std::get<answer_problem>(actions.back()).what;
+}
+
+bool sends_again(const request_actions& actions)
+{
+    return !actions.empty() &&
+           std::holds_alternative<send_attempt>(actions.back());
+}
+
+} // namespace
+
+TEST_CASE("an older table is passed over, at entry and guard")
+{
+    request_core entry(request_options{.name = {"e"}});
+    CHECK(entry.on_table(rows(5)));
+    CHECK(!entry.on_table(rows(4)));
+    CHECK(!entry.on_table(rows(5)));
+    CHECK(entry.rows().revision() == 5);
+    guard_core guard({.name = {"g"}}, manual_clock().now());
+    CHECK(guard.on_table(rows(5)));
+    CHECK(!guard.on_table(rows(4)));
+    CHECK(guard.rows().revision() == 5);
+}
+
+TEST_CASE("what an ending of an attempt leads to")
+{
+    using ending = attempt_result::ending;
+    struct ending_case
+    {
+        const char* name;
+        const char* work_class;
+        ending how;
+        problem_report why;
+        bool again;
+        outcome told; ///< if not sent again
+    };
+    const auto refused = [](outcome result, refusal reason)
+    {
+        return problem_report{.result = result, .reason = reason};
+    };
+    const std::vector<ending_case> cases{
+        {"no connection", "once", ending::not_sent, {}, true, {}},
+        {"lost, repeatable", "fast", ending::unknown, {}, true, {}},
+        {"lost, once", "once", ending::unknown, {}, false, outcome::unknown},
+        {"queue full",
+         "once",
+         ending::refused,
+         refused(outcome::not_run, refusal::queue_full),
+         true,
+         {}},
+        {"draining",
+         "once",
+         ending::refused,
+         refused(outcome::not_run, refusal::draining),
+         true,
+         {}},
+        {"new process, once",
+         "once",
+         ending::refused,
+         refused(outcome::unknown, refusal::wrong_incarnation),
+         true,
+         {}},
+        {"may run, once", "once", ending::refused,
+         refused(outcome::unknown, refusal::connection_lost), false,
+         outcome::unknown},
+        {"may run, repeatable",
+         "fast",
+         ending::refused,
+         refused(outcome::unknown, refusal::duplicate),
+         true,
+         {}},
+    };
+    for (const ending_case& one : cases)
+    {
+        CAPTURE(one.name);
+        single_entry entry(3);
+        const request_actions then =
+            entry.end(entry.ask(one.work_class), one.how, one.why);
+        REQUIRE(!then.empty());
+        CHECK(sends_again(then) == one.again);
+        if (!one.again)
+        {
+            CHECK(problem_in(then).result == one.told);
+        }
+    }
+}
+
+TEST_CASE("once it may have run, no later refusal is called not_run")
+{
+    single_entry entry(2);
+    const auto first = entry.ask("fast");
+    const auto second = entry.end(first, attempt_result::ending::unknown);
+    REQUIRE(sends_again(second));
+    const auto last = entry.end(second, attempt_result::ending::refused,
+                                {.result = outcome::not_run,
+                                 .reason = refusal::queue_full,
+                                 .retry_after = milliseconds(100)});
+    CHECK(problem_in(last).result == outcome::unknown);
+}
+
+TEST_CASE("a request without an executor is refused at once")
+{
+    single_entry entry(0);
+    const auto refused = entry.ask("fast");
+    CHECK(problem_in(refused).result == outcome::not_run);
+    CHECK(problem_in(refused).reason == refusal::no_executor);
+    CHECK(problem_in(refused).retry_after > duration{0});
+    CHECK(entry.core.open() == 0);
+}
+
+TEST_CASE("at its deadline a request is given up, as what is known of it")
+{
+    single_entry entry(1);
+    const auto sent = entry.ask("once", milliseconds(100));
+    entry.clock.advance(milliseconds(101));
+    const auto given_up = entry.core.on_tick(entry.clock.now());
+    CHECK(problem_in(given_up).result == outcome::unknown);
+    // The late answer belongs to nobody now.
+    CHECK(entry.end(sent, attempt_result::ending::answered).empty());
+}
+
+TEST_CASE("guards that leave, fall silent or refuse connections get nothing")
+{
+    struct absence
+    {
+        const char* name;
+        std::function<void(single_entry&)> cause;
+    };
+    const std::vector<absence> cases{
+        {"its own word",
+         [](single_entry& entry)
+         {
+             guard_report report = ready_guard("g0");
+             report.leaving = true;
+             entry.core.on_heartbeat(entry.clock.now(), report);
+         }},
+        {"the platform's list",
+         [](single_entry& entry)
+         {
+             entry.core.on_leaving_list({"g0"});
+         }},
+        {"silence",
+         [](single_entry& entry)
+         {
+             entry.clock.advance(milliseconds(1501));
+         }},
+        {"not ready",
+         [](single_entry& entry)
+         {
+             guard_report report = ready_guard("g0");
+             report.ready = false;
+             entry.core.on_heartbeat(entry.clock.now(), report);
+         }},
+        {"no connection",
+         [](single_entry& entry)
+         {
+             entry.end(entry.ask("once"), attempt_result::ending::not_sent);
+         }},
+    };
+    for (const absence& one : cases)
+    {
+        CAPTURE(one.name);
+        single_entry entry(1);
+        REQUIRE(sends_again(entry.ask("once")));
+        one.cause(entry);
+        CHECK(!sends_again(entry.ask("once")));
+    }
+}
+
+TEST_CASE("a repeatable request is taken from a guard that falls silent")
+{
+    single_entry entry(1);
+    const auto repeatable = entry.ask("fast", seconds(10));
+    const auto once = entry.ask("once", seconds(10));
+    entry.clock.advance(seconds(1));
+    entry.core.on_heartbeat(entry.clock.now(), ready_guard("g1"));
+    entry.clock.advance(milliseconds(600));
+    const auto then = entry.core.on_tick(entry.clock.now());
+    REQUIRE(sends_again(then));
+    CHECK(std::get<send_attempt>(then.back()).number == 1);
+    CHECK(entry.core.open() == 2); // the other waits for its answer
+}
