--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -141,7 +141,7 @@
                   [&](int index)
                   {
                       const auto number =
-                          static_cast<request_number>(index + 1);
+                          static_cast<request_number>(index) + 1;
                       const auto sent = core.on_request(
                           now, {.number = number,
                                 .of = {"team-1", "fast"},
--- a/packages/entry/src/task_placement.cpp
+++ b/packages/entry/src/task_placement.cpp
@@ -38,8 +38,10 @@
 // What became of it otherwise (another holder, another guard) frees it.
 void task_core::forget_promises()
 {
-    for (auto& [guard, tasks] : promised_)
+    for (auto& promised : promised_)
     {
+        const std::string& guard = promised.first.value;
+        auto& tasks = promised.second;
         std::erase_if(tasks,
                       [&](const auto& item)
                       {
@@ -48,7 +50,7 @@
                           const bool placed_there =
                               record != nullptr &&
                               record->state == task_state::placed &&
-                              record->guard == guard.value;
+                              record->guard == guard;
                           const bool on_its_way =
                               of != nullptr && of->busy.contains(item.first);
                           return !placed_there && !on_its_way;
--- a/tests/unit/policy_tests.cpp
+++ b/tests/unit/policy_tests.cpp
@@ -235,6 +235,7 @@
 {
     random_source random(1);
     std::vector<route_candidate> from;
+    from.reserve(6);
     for (int index = 0; index < 6; ++index)
     {
         from.push_back({.guard = {std::to_string(index)},
--- a/tests/unit/role_tests.cpp
+++ b/tests/unit/role_tests.cpp
@@ -254,3 +254,120 @@
     CHECK(std::get<send_attempt>(then.back()).number == 1);
     CHECK(entry.core.open() == 2); // the other waits for its answer
 }
+
+TEST_CASE("a guard's new process does not speak for the old one")
+{
+    manual_clock clock;
+    guard_core guard({.name = {"g"}, .incarnation = "2"}, clock.now());
+    guard.on_table(rows(1));
+    clock.advance(seconds(1));
+    guard.on_executor_list(clock.now(), clock.now(), {});
+    REQUIRE(guard.ready());
+    const guard_actions actions =
+        guard.on_attempt(clock.now(), {.attempt = {"a"},
+                                       .of = {"a", "once"},
+                                       .incarnation = "1",
+                                       .remaining = seconds(1)});
+    CHECK(std::get<reply_problem>(actions.front()).what.result ==
+          outcome::unknown);
+}
+
+namespace
+{
+
+start_task start_of(std::int64_t attempt, std::int64_t epoch)
+{
+    return {.spec = {.id = "t1-a", .needs = {.cpu_millis = 100}},
+            .attempt = attempt,
+            .incarnation = "1",
+            .shard = 1,
+            .epoch = epoch};
+}
+
+struct single_keeper
+{
+    single_keeper()
+    {
+        list({});
+        list({}, seconds(4));
+    }
+
+    void list(const std::vector<listed_task>& tasks, duration step = {})
+    {
+        clock.advance(step);
+        actions.clear();
+        keeper.on_worker_list(clock.now(), clock.now().time_since_epoch(),
+                              tasks, actions);
+    }
+
+    task_keeper keeper{
+        {.incarnation = "1", .capacity = {.cpu_millis = 150, .memory_mb = 1}}};
+    manual_clock clock;
+    worker_actions actions;
+};
+
+} // namespace
+
+TEST_CASE("a guard starts tasks only when its predecessor's cannot start")
+{
+    task_keeper keeper({.incarnation = "1"});
+    manual_clock clock;
+    worker_actions actions;
+    const auto list = [&]
+    {
+        keeper.on_worker_list(clock.now(), clock.now().time_since_epoch(), {},
+                              actions);
+    };
+    list();
+    clock.advance(milliseconds(2900));
+    list();
+    CHECK(!keeper.ready());
+    CHECK(keeper.on_start(clock.now(), start_of(1, 1), actions).reason ==
+          "starting");
+    clock.advance(milliseconds(200));
+    list();
+    CHECK(keeper.ready());
+}
+
+TEST_CASE("a holder that was overtaken can start, stop and settle nothing")
+{
+    single_keeper of;
+    CHECK(of.keeper.on_start(of.clock.now(), start_of(1, 5), of.actions)
+              .accepted);
+    CHECK(
+        of.keeper.on_start(of.clock.now(), start_of(2, 4), of.actions).reason ==
+        "stale_epoch");
+    const stop_task stop{.task = "t1-a", .attempt = 1, .shard = 1, .epoch = 4};
+    CHECK(of.keeper.on_stop(of.clock.now(), stop, of.actions).reason ==
+          "stale_epoch");
+    of.list({{.name = {"t1-a", 1},
+              .how = listed_task::state::finished,
+              .needs = {.cpu_millis = 100}}});
+    const auto settle = [&](std::int64_t epoch)
+    {
+        of.keeper.on_acked(of.clock.now(), {{"t1-a", 1, 1, epoch}}, of.actions);
+        return of.keeper.reports().empty();
+    };
+    CHECK(!settle(4));
+    CHECK(settle(5));
+}
+
+TEST_CASE("a start that is refused or given up stays so")
+{
+    single_keeper of;
+    start_task large = start_of(1, 1);
+    large.spec.needs.cpu_millis = 200;
+    CHECK(of.keeper.on_start(of.clock.now(), large, of.actions).reason ==
+          "no_room");
+    CHECK(
+        of.keeper.on_start(of.clock.now(), start_of(1, 1), of.actions).reason ==
+        "closed");
+    CHECK(of.keeper.on_start(of.clock.now(), start_of(2, 1), of.actions)
+              .accepted);
+    CHECK(of.keeper.free().cpu_millis == 50);
+    of.list({}, seconds(2)); // it may still start
+    CHECK(of.keeper.free().cpu_millis == 50);
+    of.list({}, seconds(2)); // not any more, by the worker's own clock
+    CHECK(of.keeper.free().cpu_millis == 150);
+    CHECK(of.keeper.reports().front().state == "lost");
+}
