--- a/tests/drills/drills.py
+++ b/tests/drills/drills.py
@@ -128,7 +128,7 @@
 
     def test_rolling_replacement_cuts_nothing(self):
         fleet = self.fleet(guards=4)
-        load = fleet.load(mixed_plan(14000, rate=40))
+        load = fleet.load(mixed_plan(24000, rate=40))
         for name in list(fleet.guards) + list(fleet.entries):
             self.assertEqual(fleet.restart(name), 0, name)
             other = "entry-2" if name == "entry-1" else "entry-1"
