--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -1,4 +1,5 @@
 #include "commands.hpp"
+#include "session.hpp"
 
 #include <fstream>
 #include <functional>
@@ -14,148 +15,14 @@
 namespace
 {
 
-constexpr duration call_timeout = std::chrono::seconds(12);
 constexpr duration in_force_within = std::chrono::seconds(6);
 constexpr duration look_again = std::chrono::milliseconds(100);
-constexpr int server_error = 500;
-
-struct answer
-{
-    int status = 0; ///< 0: no entry answered
-    json body;
-    bool may_have_run = false;
-};
 
 struct usage_error
 {
     std::string message;
 };
 
-// ---------------------------------------------------------------------------
-// Asking entries
-// ---------------------------------------------------------------------------
-
-std::string url_of(const std::string& entry, const std::string& path)
-{
-    std::string url = "http://";
-    url += entry;
-    url += path;
-    return url;
-}
-
-class session
-{
-public:
-    explicit session(const invocation& call) : call_(call) {}
-
-    // Asks one entry after another until one answers; a call that may have
-    // reached one is not made again, unless it only reads.
-    answer ask(const std::string& method, const std::string& path,
-               const std::optional<json>& body = std::nullopt)
-    {
-        answer last;
-        for (const std::string& entry : call_.entries)
-        {
-            const http_result result = client_.send_and_wait(
-                {.method = method,
-                 .url = url_of(entry, path),
-                 .headers = {{"springstair-operator", call_.credential},
-                             {"springstair-credential", call_.credential},
-                             {"content-type", "application/json"}},
-                 .body = body ? make_body(body->dump()) : shared_body{},
-                 .timeout = call_timeout,
-                 .exactly_one_connection = true});
-            if (result.how == delivery::answered)
-            {
-                return {.status = result.response.status,
-                        .body =
-                            json::parse(*result.response.body, nullptr, false)};
-            }
-            const bool reads = method == "GET";
-            if (result.how == delivery::unknown && !reads)
-            {
-                last.may_have_run = true;
-                return last;
-            }
-        }
-        return last;
-    }
-
-    [[nodiscard]] const invocation& call() const
-    {
-        return call_;
-    }
-
-private:
-    const invocation& call_;
-    http_client client_;
-};
-
-int code_of(const answer& got)
-{
-    if (got.status == 0)
-    {
-        return got.may_have_run ? exit_unknown : exit_away;
-    }
-    if (got.status < 300)
-    {
-        return exit_good;
-    }
-    if (got.body.is_object() && got.body.contains("conflicts"))
-    {
-        return exit_conflict;
-    }
-    if (got.body.is_object() && got.body.contains("findings"))
-    {
-        return exit_unfit;
-    }
-    if (got.body.is_object() &&
-        got.body.value("outcome", std::string()) == "unknown")
-    {
-        return exit_unknown;
-    }
-    return got.status >= server_error ? exit_away : exit_failed;
-}
-
-// Says on the error stream what went wrong.
-int complain(const answer& got)
-{
-    const int code = code_of(got);
-    if (got.status == 0)
-    {
-        std::cerr << (got.may_have_run
-                          ? "no answer came; it may have taken effect\n"
-                          : "no entry answers\n");
-        return code;
-    }
-    if (!got.body.is_object())
-    {
-        std::cerr << "answered " << got.status << "\n";
-        return code;
-    }
-    for (const json& one : got.body.value("conflicts", json::array()))
-    {
-        std::cerr << "conflict at " << one.at("row").get<std::string>() << " "
-                  << one.at("column").get<std::string>() << ": you expected "
-                  << one.at("expected") << ", it is now " << one.at("present")
-                  << "\n";
-    }
-    for (const json& one : got.body.value("findings", json::array()))
-    {
-        std::cerr << one.at("place").get<std::string>() << ": "
-                  << one.at("message").get<std::string>() << "\n";
-    }
-    if (code == exit_conflict || code == exit_unfit)
-    {
-        return code;
-    }
-    std::cerr << got.body.value("title", std::string("refused")) << " ("
-              << got.body.value("reason",
-                                got.body.value("outcome", std::string("?")))
-              << ") " << got.body.value("detail", std::string()) << "\n";
-    return code;
-}
-
 // ---------------------------------------------------------------------------
 // Printing
 // ---------------------------------------------------------------------------
--- a/packages/core/include/springstair/detail/core/names.hpp
+++ b/packages/core/include/springstair/detail/core/names.hpp
@@ -18,6 +18,20 @@
     auto operator<=>(const named&) const = default; // NOLINT: no pointer
 };
 
+/// @brief A name is its text on the wire.
+template <class Json, class Tag>
+void to_json(Json& to, const named<Tag>& from)
+{
+    to = from.value;
+}
+
+/// @copydoc to_json
+template <class Json, class Tag>
+void from_json(const Json& from, named<Tag>& to)
+{
+    from.get_to(to.value);
+}
+
 /// @brief Names one entry process, from its settings.
 using entry_name = named<struct entry_tag>;
 /// @brief Names one guard, from its settings.
--- a/packages/core/include/springstair/detail/core/problem_report.hpp
+++ b/packages/core/include/springstair/detail/core/problem_report.hpp
@@ -4,6 +4,7 @@
 #include <springstair/detail/core/time.hpp>
 
 #include <string>
+#include <utility>
 
 namespace springstair
 {
@@ -19,4 +20,16 @@
     bool operator==(const problem_report&) const = default;
 };
 
+/// @brief A refusal of what did not run.
+/// @param reason why @param retry_after when to come back; zero: never
+/// @param detail for the caller to read
+inline problem_report not_run(refusal reason, duration retry_after,
+                              std::string detail = {})
+{
+    return {.result = outcome::not_run,
+            .reason = reason,
+            .retry_after = retry_after,
+            .detail = std::move(detail)};
+}
+
 } // namespace springstair
--- a/packages/daemon/src/entry_control.hpp
+++ b/packages/daemon/src/entry_control.hpp
@@ -71,7 +71,7 @@
 
     // The table.
     void on_edit(http_arrival& arrival);
-    void carry_out(table_actions actions);
+    void carry_out(const table_actions& actions);
     void act(const store_call& call, store_user user);
     void act(const edit_ended& ended);
     void act(const table_found& found);
@@ -82,6 +82,29 @@
     void finish_edits(time_point now);
     void on(store_answered& answered);
 
+    // Carries out actions of which some are calls to the store.
+    template <class Actions>
+    void carry_out_for(store_user user, const Actions& actions)
+    {
+        for (const auto& action : actions)
+        {
+            std::visit(
+                [this, user](const auto& one)
+                {
+                    using kind = std::decay_t<decltype(one)>;
+                    if constexpr (std::is_same_v<kind, store_call>)
+                    {
+                        this->act(one, user);
+                    }
+                    else
+                    {
+                        this->act(one);
+                    }
+                },
+                action);
+        }
+    }
+
     // Other processes.
     json on_heartbeat(const json& message);
     json on_exchange(const json& message);
--- a/packages/daemon/src/entry_table.cpp
+++ b/packages/daemon/src/entry_table.cpp
@@ -62,26 +62,9 @@
     }
 }
 
-void entry_control::carry_out(table_actions actions)
+void entry_control::carry_out(const table_actions& actions)
 {
-    for (table_action& action : actions)
-    {
-        if (const auto* call = std::get_if<store_call>(&action))
-        {
-            act(*call, store_user::table);
-            continue;
-        }
-        std::visit(
-            [this](const auto& one)
-            {
-                if constexpr (!std::is_same_v<std::decay_t<decltype(one)>,
-                                              store_call>)
-                {
-                    act(one);
-                }
-            },
-            action);
-    }
+    carry_out_for(store_user::table, actions);
 }
 
 void entry_control::act(const store_call& call, store_user user)
--- a/packages/daemon/src/entry_tasks.cpp
+++ b/packages/daemon/src/entry_tasks.cpp
@@ -278,24 +278,7 @@
 
 void entry_control::carry_out(const task_actions& actions)
 {
-    for (const task_action& action : actions)
-    {
-        if (const auto* call = std::get_if<store_call>(&action))
-        {
-            act(*call, store_user::tasks);
-            continue;
-        }
-        std::visit(
-            [this](const auto& one)
-            {
-                if constexpr (!std::is_same_v<std::decay_t<decltype(one)>,
-                                              store_call>)
-                {
-                    act(one);
-                }
-            },
-            action);
-    }
+    carry_out_for(store_user::tasks, actions);
 }
 
 void entry_control::act(const task_answer& answer)
--- /dev/null
+++ b/packages/daemon/src/guard_control.hpp
@@ -0,0 +1,129 @@
+#pragma once
+// The control part of a guard: binds its state machines to the network.
+
+#include "role_support.hpp"
+
+#include <springstair/guard.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace springstair
+{
+
+/// The executor is done with an attempt.
+struct executor_ended
+{
+    attempt_name attempt;
+    http_result result;
+};
+
+/// The worker's list came, or not.
+struct worker_listed
+{
+    time_point asked;
+    std::optional<worker_list> list;
+};
+
+/// An entry answered a heartbeat, or not.
+struct heartbeat_ended
+{
+    std::string address;
+    http_result result;
+};
+
+using guard_event =
+    std::variant<http_arrival, executor_ended, worker_listed, heartbeat_ended>;
+
+/// What the parts of a guard share.
+struct guard_process
+{
+    const settings& from;
+    const std::atomic<bool>& drain;
+    supervisor parts;
+    mailbox<guard_event> events;
+    metrics numbers;
+    http_client client;
+
+    guard_process(const settings& all, const std::atomic<bool>& drain_flag)
+        : from(all), drain(drain_flag)
+    {
+    }
+};
+
+class guard_control
+{
+public:
+    explicit guard_control(guard_process& process);
+
+    /// Serves events until the parts are to return.
+    void run();
+
+private:
+    struct open_attempt
+    {
+        http_request request;
+        std::shared_ptr<http_responder> responder;
+        class_name of;
+        time_point arrived;
+    };
+
+    struct known_entry
+    {
+        bool asked = false; ///< a heartbeat is on its way
+        std::string name;
+        time_point answered{};
+    };
+
+    guard_options core_options() const;
+
+    // Requests.
+    void on(http_arrival& arrival);
+    void on_execute(http_arrival& arrival);
+    void on(executor_ended& ended);
+    void carry_out(const guard_actions& actions);
+    void act(const run_attempt& run);
+    void act(const reply_answer& reply);
+    void act(const reply_problem& problem);
+    void reply(http_responder& responder, const http_request& to,
+               const attempt_name& attempt, const problem_report& what);
+    void mark(http_response& response, const http_request& to,
+              const attempt_name& attempt, const char* ending);
+
+    // Tasks.
+    json start_task_rpc(const json& message);
+    json stop_task_rpc(const json& message);
+    void carry_out(const worker_actions& actions);
+    void on(worker_listed& listed);
+    void poll_worker(time_point now);
+
+    // Heartbeats.
+    guard_report report(time_point now, const std::string& entry) const;
+    void send_heartbeats(time_point now);
+    void on(heartbeat_ended& ended);
+    void take_table(const json& document);
+
+    // Time.
+    void begin_drain();
+    void tick();
+
+    guard_process& process_;
+    daemon_clock clock_;
+    std::string incarnation_;
+    guard_core core_;
+    task_keeper keeper_;
+    worker_client worker_;
+    rpc_dispatcher rpc_;
+    std::map<attempt_name, open_attempt> open_;
+    const http_result* answer_ = nullptr;
+    std::map<std::string, known_entry> entries_;
+    time_point next_heartbeat_{};
+    time_point next_poll_{};
+    bool polling_ = false;
+    bool told_ = false; ///< an entry has heard that this guard leaves
+    std::optional<time_point> stop_since_;
+};
+
+} // namespace springstair
--- a/packages/entry/include/springstair/detail/entry/request_core.hpp
+++ b/packages/entry/include/springstair/detail/entry/request_core.hpp
@@ -212,7 +212,6 @@
                                 request_actions& actions);
     void close(request_number number);
     void detach(open_request& of);
-    duration jittered(duration wait);
 
     request_options options_;
     table table_;
--- a/packages/entry/src/request_core.cpp
+++ b/packages/entry/src/request_core.cpp
@@ -11,15 +11,6 @@
 
 constexpr duration retry_soon = std::chrono::milliseconds(200);
 constexpr duration retry_later = std::chrono::seconds(1);
-constexpr double most_jitter = 0.5;
-
-problem_report not_run(refusal reason, duration retry_after)
-{
-    return {.result = outcome::not_run,
-            .reason = reason,
-            .retry_after = retry_after,
-            .detail = {}};
-}
 
 problem_report unknown(refusal reason)
 {
@@ -47,12 +38,6 @@
 {
 }
 
-duration request_core::jittered(duration wait)
-{
-    std::uniform_real_distribution<double> share(0, most_jitter);
-    return wait + from_seconds(to_seconds(wait) * share(random_));
-}
-
 // ---------------------------------------------------------------------------
 // A caller's request
 // ---------------------------------------------------------------------------
@@ -66,7 +51,7 @@
         actions.emplace_back(
             answer_problem{.number = request.number,
                            .of = request.of,
-                           .what = not_run(reason, jittered(wait))});
+                           .what = not_run(reason, jittered(wait, random_))});
     };
     const class_row* const row = table_.find(request.of);
     if (row == nullptr)
@@ -147,7 +132,7 @@
     }
     if (why.retry_after.count() > 0)
     {
-        why.retry_after = jittered(why.retry_after);
+        why.retry_after = jittered(why.retry_after, random_);
     }
     actions.emplace_back(answer_problem{
         .number = number, .of = of.request.of, .what = std::move(why)});
--- a/packages/entry/src/task_core.cpp
+++ b/packages/entry/src/task_core.cpp
@@ -17,15 +17,6 @@
 constexpr std::size_t most_payload = 4096;
 constexpr duration retry_soon = std::chrono::seconds(1);
 
-problem_report not_run(refusal reason, duration retry_after,
-                       std::string detail = {})
-{
-    return {.result = outcome::not_run,
-            .reason = reason,
-            .retry_after = retry_after,
-            .detail = std::move(detail)};
-}
-
 std::string bounded(std::string text)
 {
     text.resize(std::min(text.size(), most_detail));
--- a/packages/guard/include/springstair/detail/guard/guard_core.hpp
+++ b/packages/guard/include/springstair/detail/guard/guard_core.hpp
@@ -152,7 +152,6 @@
                          problem_report why);
     guard_actions answer_copy(const attempt_name& attempt);
     void start_ready(time_point now, guard_actions& actions);
-    duration jittered(duration wait);
     void update_foreign();
 
     guard_options options_;
--- a/packages/guard/src/guard_core.cpp
+++ b/packages/guard/src/guard_core.cpp
@@ -9,15 +9,6 @@
 {
 
 constexpr duration retry_soon = std::chrono::milliseconds(200);
-constexpr double most_jitter = 0.5;
-
-problem_report not_run(refusal reason, duration retry_after)
-{
-    return {.result = outcome::not_run,
-            .reason = reason,
-            .retry_after = retry_after,
-            .detail = {}};
-}
 
 } // namespace
 
@@ -27,12 +18,6 @@
 {
 }
 
-duration guard_core::jittered(duration wait)
-{
-    std::uniform_real_distribution<double> share(0, most_jitter);
-    return wait + from_seconds(to_seconds(wait) * share(random_));
-}
-
 std::optional<problem_report>
 guard_core::refuse_outright(const attempt_request& request)
 {
@@ -98,8 +83,9 @@
                                .may_wait = request.may_wait});
     if (refused)
     {
-        return refuse(now, request.attempt,
-                      not_run(refused->reason, jittered(refused->retry_after)));
+        return refuse(
+            now, request.attempt,
+            not_run(refused->reason, jittered(refused->retry_after, random_)));
     }
     remember(now, request.attempt, std::nullopt);
     admit(request);
@@ -231,7 +217,8 @@
     {
         actions.emplace_back(reply_problem{
             .attempt = refused.request.attempt,
-            .what = not_run(refused.reason, jittered(refused.retry_after))});
+            .what = not_run(refused.reason,
+                            jittered(refused.retry_after, random_))});
     }
     while (!forget_at_.empty() && forget_at_.begin()->first <= now)
     {
--- a/packages/membership/include/springstair/detail/membership/messages.hpp
+++ b/packages/membership/include/springstair/detail/membership/messages.hpp
@@ -131,21 +131,26 @@
 };
 
 // ---------------------------------------------------------------------------
-// Wire form; from_json throws nlohmann's exceptions on a bad message
+// Wire form; reading throws nlohmann's exceptions on a bad message
 // ---------------------------------------------------------------------------
 
-void to_json(json& to, const resources& from);
-void from_json(const json& from, resources& to);
-void to_json(json& to, const attempt_report& from);
-void from_json(const json& from, attempt_report& to);
-void to_json(json& to, const attempt_ack& from);
-void from_json(const json& from, attempt_ack& to);
-void to_json(json& to, const guard_report& from);
-void from_json(const json& from, guard_report& to);
-void to_json(json& to, const heartbeat_answer& from);
-void from_json(const json& from, heartbeat_answer& to);
-void to_json(json& to, const entry_summary& from);
-void from_json(const json& from, entry_summary& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(resources, cpu_millis, memory_mb,
+                                   accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(load_report, slots, running_critical,
+                                   running_other, queued_critical, queued_other,
+                                   own_critical, own_other)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_report, task, attempt, state, detail)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(attempt_ack, task, attempt, shard, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(guard_report, guard, incarnation,
+                                   data_centre, rack, address, leaving, ready,
+                                   tasks_ready, load, table_revision,
+                                   entries_heard, capacity, free, attempts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(heartbeat_answer, entry, table, entries,
+                                   acked)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(entry_summary, entry, incarnation, address,
+                                   data_centre, leaving, table_revision, table,
+                                   entries, wants, lends, holds, shards,
+                                   task_usage)
 
 /// @brief A load report as the value of one header field.
 std::string to_header(const load_report& load);
--- a/packages/platform/src/platform_client.cpp
+++ b/packages/platform/src/platform_client.cpp
@@ -43,6 +43,36 @@
     return task;
 }
 
+// Gets a document and reads it; gives nothing if there is none to read.
+template <class Value>
+void fetch(http_client& client, const std::string& where,
+           Value (*parse)(const json&),
+           std::function<void(std::optional<Value>)> done)
+{
+    client.send({.method = "GET",
+                 .url = "http://" + where,
+                 .headers = {},
+                 .body = {},
+                 .timeout = call_timeout},
+                [parse, done = std::move(done)](const http_result& result)
+                {
+                    std::optional<Value> value;
+                    try
+                    {
+                        if (result.how == delivery::answered &&
+                            result.response.status == good)
+                        {
+                            value = parse(parse_body(result.response.body));
+                        }
+                    }
+                    catch (const std::exception&)
+                    {
+                        value.reset(); // not the shape that was agreed
+                    }
+                    done(std::move(value));
+                });
+}
+
 } // namespace
 
 std::string_view to_string(listed_task::state value) noexcept
@@ -73,29 +103,7 @@
 
 void worker_client::list(list_completion done)
 {
-    client_.send(
-        {.method = "GET",
-         .url = "http://" + address_ + "/v1/worker",
-         .headers = {},
-         .body = {},
-         .timeout = call_timeout},
-        [done = std::move(done)](const http_result& result)
-        {
-            if (result.how != delivery::answered ||
-                result.response.status != good)
-            {
-                done(std::nullopt);
-                return;
-            }
-            try
-            {
-                done(parse_worker_list(parse_body(result.response.body)));
-            }
-            catch (const std::exception&)
-            {
-                done(std::nullopt);
-            }
-        });
+    fetch(client_, address_ + "/v1/worker", parse_worker_list, std::move(done));
 }
 
 void worker_client::post(const std::string& path, const json& body)
@@ -157,28 +165,7 @@
 void fetch_vms(http_client& client, const std::string& address,
                vm_completion done)
 {
-    client.send({.method = "GET",
-                 .url = "http://" + address + "/v1/vms",
-                 .headers = {},
-                 .body = {},
-                 .timeout = call_timeout},
-                [done = std::move(done)](const http_result& result)
-                {
-                    if (result.how != delivery::answered ||
-                        result.response.status != good)
-                    {
-                        done(std::nullopt);
-                        return;
-                    }
-                    try
-                    {
-                        done(parse_vms(parse_body(result.response.body)));
-                    }
-                    catch (const std::exception&)
-                    {
-                        done(std::nullopt);
-                    }
-                });
+    fetch(client, address + "/v1/vms", parse_vms, std::move(done));
 }
 
 } // namespace springstair
--- a/packages/policy/include/springstair/detail/policy/retry_budget.hpp
+++ b/packages/policy/include/springstair/detail/policy/retry_budget.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <springstair/core.hpp>
+
 #include <algorithm>
+#include <random>
 
 namespace springstair
 {
@@ -45,4 +48,14 @@
     double saved_;
 };
 
+/// @brief A wait that is told to a caller, longer by up to half, so that
+/// those refused together do not come back together.
+template <class Random>
+duration jittered(duration wait, Random& random)
+{
+    constexpr double most_jitter = 0.5;
+    std::uniform_real_distribution<double> share(0, most_jitter);
+    return wait + from_seconds(to_seconds(wait) * share(random));
+}
+
 } // namespace springstair
--- a/packages/tasks/include/springstair/detail/tasks/task_messages.hpp
+++ b/packages/tasks/include/springstair/detail/tasks/task_messages.hpp
@@ -41,11 +41,10 @@
     bool operator==(const task_reply&) const = default;
 };
 
-void to_json(json& to, const start_task& from);
-void from_json(const json& from, start_task& to);
-void to_json(json& to, const stop_task& from);
-void from_json(const json& from, stop_task& to);
-void to_json(json& to, const task_reply& from);
-void from_json(const json& from, task_reply& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(start_task, spec, attempt, incarnation,
+                                   checkpoint, shard, epoch)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(stop_task, task, attempt, shard, epoch,
+                                   keep_checkpoint)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_reply, accepted, reason)
 
 } // namespace springstair
