Metrics of retries and ejected guards; a drill that asked before it could know

Ruled out: a leak (503 is told to any caller for any id of that shard). The drill now waits until the owner finds the task at every entry, and then wants 404 as before. Also: springstair_retries_total and springstair_guards_ejected, which operators had only as events.

--- a/packages/daemon/src/entry_control.hpp
+++ b/packages/daemon/src/entry_control.hpp
@@ -25,6 +25,7 @@
         std::shared_ptr<http_responder> responder;
         class_name of;
         time_point arrived;
+        int sent = 0; ///< attempts so far
     };
 
     struct peer
--- a/packages/daemon/src/entry_requests.cpp
+++ b/packages/daemon/src/entry_requests.cpp
@@ -139,7 +139,12 @@
 
 void entry_control::act(const send_attempt& send)
 {
-    const open_request& open = open_.at(send.number);
+    open_request& open = open_.at(send.number);
+    if (++open.sent > 1)
+    {
+        process_.numbers.count("retries", open.of,
+                               send.may_wait ? "retry" : "busy");
+    }
     header_map headers = end_to_end_headers(open.request.headers);
     headers[wire::fleet_key] = process_.from.common.fleet_key;
     headers[wire::attempt] = send.attempt.value;
@@ -191,6 +196,8 @@
 void entry_control::act(const note_guard& note)
 {
     log_event(note.event, {{"guard", note.guard.value}});
+    process_.numbers.set("guards_ejected",
+                         static_cast<double>(requests_.ejected().size()));
 }
 
 } // namespace springstair
--- a/tests/drills/drills.py
+++ b/tests/drills/drills.py
@@ -286,6 +286,11 @@
         record = self.submit(fleet, {"run_ms": 10})
         rival = {"springstair-credential": "ramdeen-secret"}
         path = "/v1/tasks/" + record["id"]
+        # Its owner finds it at every entry, so what the rival is told is
+        # not for want of knowing who holds its shard.
+        wait_for("every entry finds it", lambda: all(
+            call(address, "GET", path, headers=SECRET)[0] == 200
+            for address in fleet.entries.values()))
         for method in ("GET", "DELETE"):
             for address in fleet.entries.values():
                 self.assertEqual(call(address, method, path,
