Daemon: one answer to JSON-RPC and to a scrape for both roles

Cause: the guard and the entry each wrote the same answers. Ruled out: sharing the routing of paths, which differs in who may call what. Behaviour is unchanged. Conclusion: both call role_support.

--- a/packages/daemon/src/entry_control.cpp
+++ b/packages/daemon/src/entry_control.cpp
@@ -129,10 +129,7 @@
             answer_not_found(*arrival.responder);
             return;
         }
-        arrival.responder->respond(
-            {.status = good,
-             .headers = {{"content-type", "application/json"}},
-             .body = make_body(rpc_.handle(*arrival.request.body))});
+        answer_rpc(arrival, rpc_);
     }
     else if (path == "/healthz")
     {
@@ -211,10 +208,7 @@
     }
     else if (request.path == "/metrics")
     {
-        arrival.responder->respond(
-            {.status = good,
-             .headers = {{"content-type", "text/plain"}},
-             .body = make_body(process_.numbers.text())});
+        answer_metrics(*arrival.responder, process_.numbers);
     }
     else
     {
--- a/packages/daemon/src/guard_control.cpp
+++ b/packages/daemon/src/guard_control.cpp
@@ -11,7 +11,6 @@
 {
 
 constexpr int server_error = 500;
-constexpr int good = 200;
 constexpr duration busy_poll = std::chrono::milliseconds(200);
 constexpr duration idle_poll = std::chrono::seconds(1);
 constexpr duration entry_silence = std::chrono::milliseconds(1500);
@@ -92,18 +91,11 @@
     }
     else if (path == wire::rpc_path)
     {
-        const std::string answer = rpc_.handle(*arrival.request.body);
-        arrival.responder->respond(
-            {.status = good,
-             .headers = {{"content-type", "application/json"}},
-             .body = make_body(answer)});
+        answer_rpc(arrival, rpc_);
     }
     else if (path == "/metrics")
     {
-        arrival.responder->respond(
-            {.status = good,
-             .headers = {{"content-type", "text/plain"}},
-             .body = make_body(process_.numbers.text())});
+        answer_metrics(*arrival.responder, process_.numbers);
     }
     else
     {
--- a/packages/daemon/src/role_support.cpp
+++ b/packages/daemon/src/role_support.cpp
@@ -90,6 +90,21 @@
     return kept;
 }
 
+void answer_rpc(http_arrival& arrival, rpc_dispatcher& methods)
+{
+    arrival.responder->respond(
+        {.status = good,
+         .headers = {{"content-type", "application/json"}},
+         .body = make_body(methods.handle(*arrival.request.body))});
+}
+
+void answer_metrics(http_responder& responder, const metrics& numbers)
+{
+    responder.respond({.status = good,
+                       .headers = {{"content-type", "text/plain"}},
+                       .body = make_body(numbers.text())});
+}
+
 void answer_not_found(http_responder& responder)
 {
     responder.respond(
--- a/packages/daemon/src/role_support.hpp
+++ b/packages/daemon/src/role_support.hpp
@@ -58,6 +58,12 @@
 /// not to a connection or to us.
 header_map end_to_end_headers(const header_map& all);
 
+/// Runs a JSON-RPC request and answers it.
+void answer_rpc(http_arrival& arrival, rpc_dispatcher& methods);
+
+/// Answers with the metrics of the process.
+void answer_metrics(http_responder& responder, const metrics& numbers);
+
 /// Answers 404 without a word about what exists.
 void answer_not_found(http_responder& responder);
 
