Tests: the supervisor's other part has begun before the failing one fails

Cause: on a busy machine the failing part could use up its restarts before the other part's thread began; a part that never begins is rightly not run, and the test wanted it to have stopped. Ruled out: the supervisor (nothing stops early). The failing part now waits for the other to begin; the assertions are the same, four runs and a clean stop.

--- a/tests/unit/edge_tests.cpp
+++ b/tests/unit/edge_tests.cpp
@@ -328,16 +328,22 @@
 {
     supervisor parts({.most_restarts = 3});
     int runs = 0;
+    std::atomic<bool> other_began = false;
     bool other_stopped = false;
     parts.add("failing",
               [&]
               {
+                  while (!other_began)
+                  {
+                      std::this_thread::yield();
+                  }
                   ++runs;
                   throw std::runtime_error("no");
               });
     parts.add("other",
               [&]
               {
+                  other_began = true;
                   while (!parts.stopping())
                   {
                       std::this_thread::yield();
