--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -30,7 +30,31 @@
     stranger_refused = 1401,
     shard_taken = 1501,
     shard_lost = 1502,
-    task_ended = 1503
+    task_ended = 1503,
+    office_taken = 1601,
+    office_lost = 1602,
+    entry_ready = 1603,
+    entry_unready = 1604,
+    configuration_in_force = 1611,
+    configuration_refused = 1612,
+    job_accepted = 1621,
+    job_not_taken = 1622,
+    job_known = 1623,
+    job_ended = 1624,
+    job_cancelled = 1625,
+    run_placed = 1631,
+    run_ended = 1632,
+    run_refused = 1633,
+    run_stuck = 1634,
+    order_failed = 1635,
+    worker_known = 1641,
+    worker_lost = 1642,
+    worker_ejected = 1643,
+    worker_unreadable = 1644,
+    worker_paced = 1645,
+    holder_lost = 1651,
+    holder_found = 1652,
+    commit_uncertain = 1661
 };
 
 /// @brief How much an event matters.
@@ -65,6 +89,9 @@
 /// Safe from any thread.
 void log_event(event_id id, std::initializer_list<event_field> fields = {});
 
+/// @copydoc log_event
+void log_event(event_id id, std::span<const event_field> fields);
+
 /// @brief Sends the log to standard error, one line an event.
 /// @param process name put into each line
 void start_log(const std::string& process);
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -18,7 +18,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 19> catalogue{{
+constexpr std::array<event_description, 43> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -57,6 +57,54 @@
      "Another entry holds a shard that this one held."},
     {event_id::task_ended, severity::info, "task_ended",
      "A task reached its last state."},
+    {event_id::office_taken, severity::info, "office_taken",
+     "This entry holds all jobs and has read what the store keeps of them."},
+    {event_id::office_lost, severity::warning, "office_lost",
+     "This entry no longer holds the jobs; why follows."},
+    {event_id::entry_ready, severity::info, "entry_ready",
+     "The entry takes callers' requests."},
+    {event_id::entry_unready, severity::warning, "entry_unready",
+     "The entry asks for no new connections; why follows."},
+    {event_id::configuration_in_force, severity::info, "configuration_in_force",
+     "A newer configuration is in force here."},
+    {event_id::configuration_refused, severity::error, "configuration_refused",
+     "A configuration cannot be read; the last stays."},
+    {event_id::job_accepted, severity::info, "job_accepted",
+     "A job is in the store and its caller was told so."},
+    {event_id::job_not_taken, severity::warning, "job_not_taken",
+     "A job was refused, or its acceptance is unknown; why follows."},
+    {event_id::job_known, severity::info, "job_known",
+     "The holder learnt of a job and will place its tasks."},
+    {event_id::job_ended, severity::info, "job_ended",
+     "A job reached its last state; what decided it follows."},
+    {event_id::job_cancelled, severity::info, "job_cancelled",
+     "A cancellation is in the store and its caller was told so."},
+    {event_id::run_placed, severity::info, "run_placed",
+     "A task is to run at a guard's worker; the start follows the write."},
+    {event_id::run_ended, severity::info, "run_ended",
+     "A worker lists the end of a run; how, and whether it counts."},
+    {event_id::run_refused, severity::warning, "run_refused",
+     "A worker or guard will never begin a run; the task waits again."},
+    {event_id::run_stuck, severity::warning, "run_stuck",
+     "A run made no progress for too long and is stopped."},
+    {event_id::order_failed, severity::warning, "order_failed",
+     "A worker's answer to an order, when it was not taken."},
+    {event_id::worker_known, severity::info, "worker_known",
+     "A guard's first report to this holder."},
+    {event_id::worker_lost, severity::warning, "worker_lost",
+     "A worker's runs are surely over; its tasks wait again."},
+    {event_id::worker_ejected, severity::warning, "worker_ejected",
+     "A worker failed different jobs in a row; it gets nothing for a while."},
+    {event_id::worker_unreadable, severity::error, "worker_unreadable",
+     "A worker's message cannot be read and is ignored."},
+    {event_id::worker_paced, severity::info, "worker_paced",
+     "Tasks that fill work at another share, for those that serve."},
+    {event_id::holder_lost, severity::warning, "holder_lost",
+     "A guard's reports reach no holder."},
+    {event_id::holder_found, severity::info, "holder_found",
+     "A guard reports to this holder from now on."},
+    {event_id::commit_uncertain, severity::warning, "commit_uncertain",
+     "A write to the store got no answer and is sent again."},
 }};
 
 const event_description& describe(event_id id)
@@ -95,6 +143,11 @@
 }
 
 void log_event(event_id id, std::initializer_list<event_field> fields)
+{
+    log_event(id, std::span<const event_field>(fields.begin(), fields.size()));
+}
+
+void log_event(event_id id, std::span<const event_field> fields)
 {
     const event_description& row = describe(id);
     nlohmann::ordered_json line;
--- /dev/null
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <springstair/core.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief What a process of the job system is.
+enum class job_role : std::uint8_t
+{
+    job_entry, ///< takes jobs; one of them at a time holds them all
+    job_guard  ///< beside an executor: the only one to give it orders
+};
+
+/// @brief Settings of a process of the job system, checked.
+struct job_settings
+{
+    job_role role = job_role::job_entry;
+    std::string name; ///< of its VM
+    std::string data_centre;
+    std::string address;              ///< an IP number
+    std::uint16_t internal_port = 0;  ///< between our own processes
+    std::string store;                ///< address of the platform's store
+    std::vector<std::string> entries; ///< internal addresses to begin with
+    duration longest_lease{0};        ///< that workers take
+    duration stop_time{0};            ///< that workers take to stop a run
+    duration grace{0};                ///< between SIGTERM and SIGKILL
+    std::string callers;              ///< an entry's address for callers
+    std::string readiness;            ///< an entry's address for the balancer
+    std::string executors; ///< where an executor sends its heartbeats
+    std::string executor;  ///< the executor beside a guard
+
+    bool operator==(const job_settings&) const = default;
+};
+
+/// @brief Whether a settings document is for the job system.
+bool is_job_settings(const json& document);
+
+/// @brief Checks a settings document of the job system.
+/// @throw document_error 101 with every finding and its JSON pointer
+job_settings parse_job_settings(const json& document);
+
+/// @brief The settings with every default filled in.
+json to_document(const job_settings& from);
+
+} // namespace springstair
--- a/packages/daemon/include/springstair/detail/daemon/roles.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/roles.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/daemon/job_settings.hpp>
 #include <springstair/detail/daemon/settings.hpp>
 #include <springstair/detail/daemon/supervisor.hpp>
 
@@ -18,4 +19,12 @@
 /// The same for a guard.
 void run_guard(const settings& from, const std::atomic<bool>& drain);
 
+/// @copydoc run_entry
+/// The same for an entry of the job system.
+void run_job_entry(const job_settings& from, const std::atomic<bool>& drain);
+
+/// @copydoc run_entry
+/// The same for a guard of the job system.
+void run_job_guard(const job_settings& from, const std::atomic<bool>& drain);
+
 } // namespace springstair
--- a/packages/daemon/include/springstair/detail/daemon/settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/settings.hpp
@@ -69,6 +69,10 @@
 /// @throw document_error 101 with every finding and its JSON pointer
 settings parse_settings(const json& document);
 
+/// @brief Reads a file of JSON.
+/// @throw document_error 102 if it cannot be read
+json read_document(const std::string& path);
+
 /// @brief Reads and checks a settings file.
 /// @throw document_error 101, or 102 if the file cannot be read
 settings read_settings(const std::string& path);
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -17,6 +17,7 @@
 constexpr int exit_usage = 2;
 constexpr int exit_settings = 78;
 constexpr int exit_failed = 70;
+constexpr const char* settings_variable = "SPRINGSTAIR_CONFIG";
 
 struct command_line
 {
@@ -72,7 +73,9 @@
     drain = true;
 }
 
-int run(const springstair::settings& all)
+// Runs a role until it has stopped, by itself or by a signal.
+template <class Role>
+int run(const std::string& name, Role role)
 {
     sigset_t signals;
     sigemptyset(&signals);
@@ -80,19 +83,13 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
     static std::atomic<bool> drain = false;
     std::thread(await_stop_signal, signals, std::ref(drain)).detach();
-    springstair::start_log(all.common.name);
+    springstair::start_log(name);
     try
     {
-        if (all.common.role == springstair::process_role::entry)
-        {
-            springstair::run_entry(all, drain);
-        }
-        else
-        {
-            springstair::run_guard(all, drain);
-        }
+        role(drain);
     }
     catch (const std::exception& error)
     {
@@ -102,6 +99,39 @@
     return EXIT_SUCCESS;
 }
 
+int run_request_role(const springstair::settings& all)
+{
+    const bool entry = all.common.role == springstair::process_role::entry;
+    return run(all.common.name,
+               [&](const std::atomic<bool>& drain)
+               {
+                   entry ? springstair::run_entry(all, drain)
+                         : springstair::run_guard(all, drain);
+               });
+}
+
+int run_job_role(const springstair::job_settings& all)
+{
+    const bool entry = all.role == springstair::job_role::job_entry;
+    return run(all.name,
+               [&](const std::atomic<bool>& drain)
+               {
+                   entry ? springstair::run_job_entry(all, drain)
+                         : springstair::run_job_guard(all, drain);
+               });
+}
+
+// Checks the settings, and prints or runs them as the command line says.
+template <class Settings, class Run>
+int use(const command_line& line, const Settings& all, Run run_all)
+{
+    if (line.print != 0)
+    {
+        std::cout << to_document(all).dump(4) << "\n";
+    }
+    return line.check != 0 || line.print != 0 ? EXIT_SUCCESS : run_all(all);
+}
+
 } // namespace
 
 int main(int count, const char** arguments)
@@ -116,19 +146,24 @@
         std::cout << "springstaird " << springstair::version() << "\n";
         return EXIT_SUCCESS;
     }
-    if (line.settings_path == nullptr)
+    const char* const path = line.settings_path != nullptr
+                                 ? line.settings_path
+                                 : std::getenv(settings_variable);
+    if (path == nullptr)
     {
-        std::cerr << "--settings is required\n";
+        std::cerr << "--settings or " << settings_variable << " is required\n";
         return exit_usage;
     }
     try
     {
-        const auto all = springstair::read_settings(line.settings_path);
-        if (line.print != 0)
+        const auto document = springstair::read_document(path);
+        if (springstair::is_job_settings(document))
         {
-            std::cout << to_document(all).dump(4) << "\n";
+            return use(line, springstair::parse_job_settings(document),
+                       run_job_role);
         }
-        return line.check != 0 || line.print != 0 ? EXIT_SUCCESS : run(all);
+        return use(line, springstair::parse_settings(document),
+                   run_request_role);
     }
     catch (const springstair::document_error& error)
     {
--- /dev/null
+++ b/packages/daemon/src/holder_watch.cpp
@@ -0,0 +1,92 @@
+#include "holder_watch.hpp"
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+using platform::store_result;
+using platform::store_status;
+
+constexpr duration pause = std::chrono::milliseconds(200);
+
+} // namespace
+
+holder_watch::holder_watch(job_process& process, platform::store_client& store,
+                           duration wait, on_change changed)
+    : process_(process), store_(store), wait_(wait),
+      changed_(std::move(changed))
+{
+}
+
+void holder_watch::tick(time_point now)
+{
+    if (busy_ || now < next_)
+    {
+        return;
+    }
+    watched_ == 0 ? look() : watch();
+}
+
+void holder_watch::refresh()
+{
+    watched_ = 0;
+}
+
+void holder_watch::look()
+{
+    busy_ = true;
+    store_.range(holder_key, {}, timeout_.value(),
+                 process_.on_control<store_result>(
+                     [this](const store_result& result) { on_look(result); }));
+}
+
+void holder_watch::on_look(const store_result& result)
+{
+    busy_ = false;
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        next_ = boot_clock::now() + pause;
+        return;
+    }
+    timeout_.answered(result.took);
+    store_answered_ = boot_clock::now();
+    watched_ = result.revision;
+    changed_(result.items.empty() ? std::nullopt
+                                  : std::optional(result.items.front()));
+}
+
+void holder_watch::watch()
+{
+    busy_ = true;
+    const time_point sent = boot_clock::now();
+    store_.watch(holder_key, watched_, wait_,
+                 process_.on_control<store_result>(
+                     [this, sent](const store_result& result)
+                     { on_watch(result, sent); }));
+}
+
+void holder_watch::on_watch(const store_result& result, time_point sent)
+{
+    busy_ = false;
+    if (result.status != store_status::done)
+    {
+        // Cut, compacted or not reached: what was missed is read anew.
+        watched_ = 0;
+        const bool at_once = boot_clock::now() - sent > pause;
+        next_ = boot_clock::now() + (at_once ? duration{0} : pause);
+        return;
+    }
+    store_answered_ = boot_clock::now();
+    for (const platform::store_item& item : result.items)
+    {
+        watched_ = std::max(watched_, item.revision);
+        changed_(item.gone ? std::nullopt : std::optional(item));
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/holder_watch.hpp
@@ -0,0 +1,57 @@
+#pragma once
+// Who holds the jobs, as the store tells it.
+
+#include "job_process.hpp"
+
+#include "platform.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace springstair
+{
+
+/// The store's key of the holder; it goes with the holder's lease.
+inline constexpr const char* holder_key = "springstair/holder";
+
+/// Watches the holder's key.
+class holder_watch
+{
+public:
+    /// Called with the key as it stands, or nothing once it is gone.
+    using on_change =
+        std::function<void(const std::optional<platform::store_item>&)>;
+
+    /// @param wait how long a watch may wait; each one is a priced call
+    holder_watch(job_process& process, platform::store_client& store,
+                 duration wait, on_change changed);
+
+    void tick(time_point now);
+    /// Forgets what is known; the key is read anew.
+    void refresh();
+
+    /// When the store last answered here.
+    [[nodiscard]] time_point store_answered() const noexcept
+    {
+        return store_answered_;
+    }
+
+private:
+    void look();
+    void on_look(const platform::store_result& result);
+    void watch();
+    void on_watch(const platform::store_result& result, time_point sent);
+
+    job_process& process_;
+    platform::store_client& store_;
+    duration wait_;
+    on_change changed_;
+    adaptive_timeout timeout_;
+    std::int64_t watched_ = 0; ///< revision to watch from; 0: look first
+    bool busy_ = false;
+    time_point next_{};
+    time_point store_answered_{};
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_desk.cpp
@@ -0,0 +1,366 @@
+#include "job_desk.hpp"
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+using platform::store_result;
+using platform::store_status;
+
+// Before the caller's own time is over, so that the answer still arrives.
+constexpr duration answer_margin = std::chrono::milliseconds(250);
+constexpr duration retry_pause = std::chrono::milliseconds(40);
+constexpr duration come_back = std::chrono::seconds(1);
+// A store that refuses this often in a row is away: the caller is told.
+constexpr std::int64_t most_refusals = 3;
+constexpr duration holder_timeout = std::chrono::milliseconds(250);
+
+} // namespace
+
+job_desk::job_desk(job_process& process, platform::store_client& store,
+                   office_keeper& office, job_holder& holder)
+    : process_(process), store_(store), office_(office), holder_(holder)
+{
+}
+
+void job_desk::set_table(const queue_table& table)
+{
+    table_ = table;
+}
+
+void job_desk::on_request(http_arrival arrival)
+{
+    const time_point now = boot_clock::now();
+    auto request = std::make_shared<open_request>(
+        open_request{.responder = arrival.responder,
+                     .arrived = now,
+                     .give_up = now + platform::patience_of(arrival.request) -
+                                answer_margin});
+    ++open_;
+    const auto what = platform::decode_request(arrival.request, table_);
+    std::visit([&](const auto& one) { handle(one, request); }, what);
+}
+
+void job_desk::answer(const request_ptr& to, http_response with)
+{
+    --open_;
+    to->responder->respond(std::move(with));
+}
+
+duration job_desk::call_time(const request_ptr& to) const
+{
+    const duration left = to->give_up - boot_clock::now();
+    return std::clamp<duration>(left, std::chrono::milliseconds(20),
+                                timeout_.value());
+}
+
+void job_desk::again(const request_ptr& to, std::function<void()> what)
+{
+    const time_point at = boot_clock::now() + retry_pause;
+    if (at < to->give_up)
+    {
+        later_.emplace_back(at, std::move(what));
+        return;
+    }
+    answer(to,
+           to->may_be_done
+               ? platform::unknown_answer("the store gave no answer")
+               : platform::not_taken_answer(come_back, "the store is away"));
+}
+
+void job_desk::tick(time_point now)
+{
+    while (!later_.empty() && later_.front().first <= now)
+    {
+        const auto what = std::move(later_.front().second);
+        later_.pop_front();
+        what();
+    }
+}
+
+void job_desk::handle(const platform::refused_request& what,
+                      const request_ptr& to)
+{
+    answer(to, what.answer);
+}
+
+// ---------------------------------------------------------------------------
+// Submitting
+// ---------------------------------------------------------------------------
+
+void job_desk::handle(const platform::submit_request& what,
+                      const request_ptr& to)
+{
+    const queue_row* const queue = table_.queue(what.what.queue);
+    if (queue->advice)
+    {
+        answer(to, platform::not_taken_answer(
+                       come_back, "queues with advice are not served yet"));
+        return;
+    }
+    submit(what.what, to);
+}
+
+void job_desk::submit(const job& what, const request_ptr& to)
+{
+    ++to->tries;
+    store_.transact(acceptance_of(what), call_time(to),
+                    process_.on_control<store_result>(
+                        [this, what, to](const store_result& result)
+                        { on_submitted(what, to, result); }));
+}
+
+// The job is created if it is not there. A conflict shows that it is: this
+// request, or an earlier one for the same job, was done.
+void job_desk::on_submitted(const job& what, const request_ptr& to,
+                            const store_result& result)
+{
+    if (result.status == store_status::done ||
+        result.status == store_status::conflict)
+    {
+        timeout_.answered(result.took);
+        log_event(event_id::job_accepted,
+                  {{"job", what.id},
+                   {"queue", what.queue},
+                   {"table_version", std::to_string(table_.version)},
+                   {"revision", std::to_string(result.revision)},
+                   {"took_ms", std::to_string(to_milliseconds(
+                                   boot_clock::now() - to->arrived))}});
+        answer(to, platform::accepted_answer());
+        if (result.status == store_status::done)
+        {
+            holder_.job_was_accepted(what);
+        }
+        return;
+    }
+    if (result.status == store_status::unknown)
+    {
+        timeout_.unanswered();
+        to->may_be_done = true;
+    }
+    const bool surely_not = !to->may_be_done;
+    if (surely_not && to->tries >= most_refusals)
+    {
+        log_event(event_id::job_not_taken,
+                  {{"job", what.id}, {"why", "the store refuses"}});
+        answer(to, platform::not_taken_answer(come_back, "the store is away"));
+        return;
+    }
+    again(to, [this, what, to] { submit(what, to); });
+}
+
+// ---------------------------------------------------------------------------
+// Showing
+// ---------------------------------------------------------------------------
+
+void job_desk::handle(const platform::show_request& what, const request_ptr& to)
+{
+    const std::string id = what.id;
+    if (const auto state = holder_.core().shown(id))
+    {
+        answer(to, platform::state_answer(*state));
+        return;
+    }
+    ask_holder("show", {{"id", id}},
+               [this, id, to](const std::optional<json>& known)
+               {
+                   const auto state =
+                       known ? from_string<job_state>(known->value("state", ""))
+                             : std::nullopt;
+                   if (state)
+                   {
+                       answer(to, platform::state_answer(*state));
+                       return;
+                   }
+                   show_from_store(id, to);
+               });
+}
+
+json job_desk::show_for_peer(const json& message) const
+{
+    const auto state = holder_.core().shown(message.value("id", ""));
+    return state ? json{{"state", std::string(to_string(*state))}}
+                 : json::object();
+}
+
+void job_desk::ask_holder(const char* method, const json& message,
+                          std::function<void(std::optional<json>)> done)
+{
+    const std::string& address = office_.holder();
+    if (address.empty() || office_.holds())
+    {
+        done(std::nullopt);
+        return;
+    }
+    process_.client.send({.method = "POST",
+                          .url = "http://" + address + wire::rpc_path,
+                          .headers = {{"content-type", "application/json"}},
+                          .body = make_body(rpc_request(method, message)),
+                          .timeout = holder_timeout},
+                         process_.on_control<http_result>(
+                             [done = std::move(done)](const http_result& result)
+                             { done(rpc_result_of(result)); }));
+}
+
+void job_desk::show_from_store(const std::string& id, const request_ptr& to)
+{
+    store_.range(job_key(id), {}, call_time(to),
+                 process_.on_control<store_result>(
+                     [this, id, to](const store_result& result)
+                     { on_job_read(id, to, result); }));
+}
+
+void job_desk::on_job_read(const std::string& id, const request_ptr& to,
+                           const store_result& result)
+{
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        again(to, [this, id, to] { show_from_store(id, to); });
+        return;
+    }
+    timeout_.answered(result.took);
+    if (result.items.empty())
+    {
+        answer(to, platform::no_such_job_answer());
+        return;
+    }
+    const bool cancelled =
+        std::any_of(result.items.begin(), result.items.end(),
+                    [](const platform::store_item& item)
+                    { return parse_job_key(item.key).cancellation; });
+    show_progress(id, cancelled, to);
+}
+
+// A job that ended before its cancellation came keeps its state.
+void job_desk::show_progress(const std::string& id, bool cancelled,
+                             const request_ptr& to)
+{
+    store_.read(
+        progress_key(id), call_time(to),
+        process_.on_control<store_result>(
+            [this, id, cancelled, to](const store_result& result)
+            {
+                const bool absent = result.status == store_status::absent;
+                const bool read = result.status == store_status::done &&
+                                  !result.items.empty();
+                if (!absent && !read)
+                {
+                    again(to, [this, id, cancelled, to]
+                          { show_progress(id, cancelled, to); });
+                    return;
+                }
+                const job_state kept =
+                    absent ? job_state::pending
+                           : decode_progress(result.items.front().value).state;
+                const bool stopped = cancelled && !is_final(kept);
+                answer(to, platform::state_answer(stopped ? job_state::cancelled
+                                                          : kept));
+            }));
+}
+
+// ---------------------------------------------------------------------------
+// Cancelling
+// ---------------------------------------------------------------------------
+
+void job_desk::handle(const platform::cancel_request& what,
+                      const request_ptr& to)
+{
+    cancel(what.id, to);
+}
+
+void job_desk::cancel(const std::string& id, const request_ptr& to)
+{
+    if (holder_.core().find(id) != nullptr)
+    {
+        write_cancellation(id, to);
+        return;
+    }
+    store_.read(job_key(id), call_time(to),
+                process_.on_control<store_result>(
+                    [this, id, to](const store_result& result)
+                    { on_cancel_read(id, to, result); }));
+}
+
+void job_desk::on_cancel_read(const std::string& id, const request_ptr& to,
+                              const store_result& result)
+{
+    if (result.status == store_status::absent)
+    {
+        answer(to, platform::no_such_job_answer());
+        return;
+    }
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        again(to, [this, id, to] { cancel(id, to); });
+        return;
+    }
+    write_cancellation(id, to);
+}
+
+void job_desk::write_cancellation(const std::string& id, const request_ptr& to)
+{
+    store_.transact(cancellation_of(id), call_time(to),
+                    process_.on_control<store_result>(
+                        [this, id, to](const store_result& result)
+                        {
+                            if (result.status != store_status::done)
+                            {
+                                timeout_.unanswered();
+                                to->may_be_done = true;
+                                again(to, [this, id, to]
+                                      { write_cancellation(id, to); });
+                                return;
+                            }
+                            timeout_.answered(result.took);
+                            log_event(event_id::job_cancelled, {{"job", id}});
+                            holder_.job_was_cancelled(id);
+                            answer(to, platform::accepted_answer());
+                        }));
+}
+
+// ---------------------------------------------------------------------------
+// Counting
+// ---------------------------------------------------------------------------
+
+void job_desk::handle(const platform::count_request& what,
+                      const request_ptr& to)
+{
+    const std::string queue = what.queue;
+    if (holder_.ready())
+    {
+        answer(to, platform::count_answer(holder_.core().waiting(queue)));
+        return;
+    }
+    ask_holder("count", {{"queue", queue}},
+               [this, queue, to](const std::optional<json>& known)
+               {
+                   if (known && known->contains("waiting"))
+                   {
+                       last_counts_[queue] = known->at("waiting");
+                   }
+                   else if (!last_counts_.contains(queue))
+                   {
+                       answer(to, platform::not_taken_answer(
+                                      come_back, "the holder is not known"));
+                       return;
+                   }
+                   answer(to, platform::count_answer(last_counts_[queue]));
+               });
+}
+
+json job_desk::count_for_peer(const json& message) const
+{
+    if (!holder_.ready())
+    {
+        return json::object();
+    }
+    return {{"waiting", holder_.core().waiting(message.value("queue", ""))}};
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_desk.hpp
@@ -0,0 +1,87 @@
+#pragma once
+// Callers' requests at one entry.
+
+#include "job_holder.hpp"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace springstair
+{
+
+/// Takes callers' requests. Any entry accepts a job by writing it to the
+/// store; what became of it is asked of the holder, or read from the store.
+class job_desk
+{
+public:
+    job_desk(job_process& process, platform::store_client& store,
+             office_keeper& office, job_holder& holder);
+
+    void set_table(const queue_table& table);
+    void on_request(http_arrival arrival);
+    void tick(time_point now);
+
+    /// Requests without an answer yet.
+    [[nodiscard]] std::int64_t open() const noexcept
+    {
+        return open_;
+    }
+    [[nodiscard]] const queue_table& table() const noexcept
+    {
+        return table_;
+    }
+    /// What the holder knows of a job, for another entry.
+    [[nodiscard]] json show_for_peer(const json& message) const;
+    /// How many jobs of a queue wait, for another entry.
+    [[nodiscard]] json count_for_peer(const json& message) const;
+
+private:
+    struct open_request
+    {
+        std::shared_ptr<http_responder> responder;
+        time_point arrived;
+        time_point give_up;       ///< then the caller waits no longer
+        bool may_be_done = false; ///< some write got no answer
+        std::int64_t tries = 0;
+    };
+    using request_ptr = std::shared_ptr<open_request>;
+
+    void handle(const platform::submit_request& what, const request_ptr& to);
+    void handle(const platform::show_request& what, const request_ptr& to);
+    void handle(const platform::cancel_request& what, const request_ptr& to);
+    void handle(const platform::count_request& what, const request_ptr& to);
+    void handle(const platform::refused_request& what, const request_ptr& to);
+
+    void submit(const job& what, const request_ptr& to);
+    void on_submitted(const job& what, const request_ptr& to,
+                      const platform::store_result& result);
+    void show_from_store(const std::string& id, const request_ptr& to);
+    void on_job_read(const std::string& id, const request_ptr& to,
+                     const platform::store_result& result);
+    void show_progress(const std::string& id, bool cancelled,
+                       const request_ptr& to);
+    void cancel(const std::string& id, const request_ptr& to);
+    void on_cancel_read(const std::string& id, const request_ptr& to,
+                        const platform::store_result& result);
+    void write_cancellation(const std::string& id, const request_ptr& to);
+
+    /// Runs something later, or answers that the time is over.
+    void again(const request_ptr& to, std::function<void()> what);
+    void answer(const request_ptr& to, http_response with);
+    void ask_holder(const char* method, const json& message,
+                    std::function<void(std::optional<json>)> done);
+    [[nodiscard]] duration call_time(const request_ptr& to) const;
+
+    job_process& process_;
+    platform::store_client& store_;
+    office_keeper& office_;
+    job_holder& holder_;
+    queue_table table_;
+    adaptive_timeout timeout_;
+    std::int64_t open_ = 0;
+    std::deque<std::pair<time_point, std::function<void()>>> later_;
+    std::map<std::string, std::int64_t> last_counts_;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -0,0 +1,195 @@
+// The parts of an entry of the job system.
+
+#include "configuration_watch.hpp"
+#include "job_desk.hpp"
+#include "job_holder.hpp"
+#include "office_keeper.hpp"
+
+#include <thread>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr int ready_status = 200;
+constexpr int unready_status = 503;
+// Work arrives through the mailbox at once; this is for timers only.
+constexpr duration timer_step = std::chrono::milliseconds(10);
+// An entry that the store has not answered for so long sends callers to
+// others: two missed checks of the balancer come on top.
+constexpr duration store_patience = std::chrono::milliseconds(1500);
+// After a planned stop began, the balancer takes up to two checks, a second
+// apart, to send new connections elsewhere.
+constexpr duration balancer_notice = std::chrono::milliseconds(2600);
+// Before the grace ends, the process has to be gone.
+constexpr duration grace_margin = std::chrono::milliseconds(700);
+
+class job_entry_control
+{
+public:
+    explicit job_entry_control(job_process& process)
+        : process_(process), store_(process.client, process.from.store),
+          office_(
+              process, store_,
+              {.taken = [this](std::int64_t epoch) { holder_.begin(epoch); },
+               .lost =
+                   [this]
+               {
+                   holder_.end();
+               }}),
+          holder_(process, store_, office_),
+          desk_(process, store_, office_, holder_),
+          configuration_(process, store_,
+                         [this](const queue_table& table)
+                         {
+                             holder_.set_table(table);
+                             desk_.set_table(table);
+                         })
+    {
+        rpc_.add("report",
+                 [this](const json& message) {
+                     return json(holder_.report(message.get<worker_report>()));
+                 });
+        rpc_.add("show", [this](const json& message)
+                 { return desk_.show_for_peer(message); });
+        rpc_.add("count", [this](const json& message)
+                 { return desk_.count_for_peer(message); });
+    }
+
+    void run()
+    {
+        const http_server callers(server_at(process_.from.callers),
+                                  handler([this](http_arrival arrival)
+                                          { desk_.on_request(arrival); }));
+        const http_server readiness(
+            server_at(process_.from.readiness),
+            handler([this](const http_arrival& arrival)
+                    { answer_readiness(*arrival.responder); }));
+        const http_server internal(server_at(internal_address(process_.from)),
+                                   handler([this](http_arrival arrival)
+                                           { answer_internal(arrival); }));
+        log_event(event_id::process_started,
+                  {{"role", "job_entry"}, {"address", process_.from.callers}});
+        while (!process_.parts.stopping())
+        {
+            for (const control_work& work : process_.work.drain(timer_step))
+            {
+                work();
+            }
+            tick(boot_clock::now());
+        }
+    }
+
+private:
+    http_handler handler(std::function<void(http_arrival)> then)
+    {
+        return [this, then = std::move(then)](http_request request,
+                                              http_responder responder)
+        {
+            auto shared =
+                std::make_shared<http_responder>(std::move(responder));
+            process_.work.post(
+                [then, request = std::move(request), shared] {
+                    then({request, shared});
+                });
+        };
+    }
+
+    void tick(time_point now)
+    {
+        configuration_.tick(now);
+        office_.tick(now);
+        holder_.tick(now);
+        desk_.tick(now);
+        if (process_.drain && !stop_since_)
+        {
+            begin_stop(now);
+        }
+        if (stop_since_ && may_end(now))
+        {
+            process_.parts.stop();
+        }
+    }
+
+    void begin_stop(time_point now)
+    {
+        stop_since_ = now;
+        log_event(event_id::process_draining,
+                  {{"open", std::to_string(desk_.open())}});
+        office_.retire();
+    }
+
+    [[nodiscard]] bool may_end(time_point now) const
+    {
+        const duration since = now - *stop_since_;
+        const bool noticed = since > balancer_notice && desk_.open() == 0;
+        return noticed || since > process_.from.grace - grace_margin;
+    }
+
+    [[nodiscard]] bool is_ready(time_point now) const
+    {
+        return !stop_since_ && desk_.table().version > 0 &&
+               now - std::max(office_.store_answered(),
+                              configuration_.fresh_at()) <
+                   store_patience + std::chrono::seconds(5);
+    }
+
+    void answer_readiness(http_responder& responder)
+    {
+        const bool ready = is_ready(boot_clock::now());
+        if (ready != was_ready_)
+        {
+            was_ready_ = ready;
+            log_event(
+                ready ? event_id::entry_ready : event_id::entry_unready,
+                {{"stopping", stop_since_ ? "yes" : "no"},
+                 {"table_version", std::to_string(desk_.table().version)}});
+        }
+        responder.respond({.status = ready ? ready_status : unready_status});
+    }
+
+    void answer_internal(http_arrival& arrival)
+    {
+        if (arrival.request.path == "/metrics")
+        {
+            answer_metrics(*arrival.responder, process_.numbers);
+            return;
+        }
+        if (arrival.request.path != wire::rpc_path)
+        {
+            answer_not_found(*arrival.responder);
+            return;
+        }
+        answer_rpc(arrival, rpc_);
+    }
+
+    job_process& process_;
+    platform::store_client store_;
+    office_keeper office_;
+    job_holder holder_;
+    job_desk desk_;
+    configuration_watch configuration_;
+    rpc_dispatcher rpc_;
+    std::optional<time_point> stop_since_;
+    bool was_ready_ = false;
+};
+
+} // namespace
+
+void run_job_entry(const job_settings& from, const std::atomic<bool>& drain)
+{
+    job_process process(from, drain);
+    process.parts.add("control",
+                      [&]
+                      {
+                          job_entry_control control(process);
+                          control.run();
+                      });
+    process.parts.run();
+    log_event(event_id::process_stopped);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -0,0 +1,373 @@
+// The parts of a guard of the job system.
+
+#include "holder_watch.hpp"
+
+#include "platform.hpp"
+
+#include <springstair/guard.hpp>
+
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr duration timer_step = std::chrono::milliseconds(20);
+// Without news, the holder hears from a guard so often; its answer renews
+// the permit.
+constexpr duration report_every = std::chrono::milliseconds(500);
+constexpr duration report_timeout = std::chrono::milliseconds(700);
+constexpr duration report_retry = std::chrono::milliseconds(120);
+// Ends within this time travel in one report.
+constexpr duration report_gap = std::chrono::milliseconds(8);
+// Long, since each answer is a priced call of every guard.
+constexpr duration holder_watch_wait = std::chrono::seconds(20);
+constexpr int incarnation_bytes_of_guard = 6;
+
+run_keeper_options keeper_options(const job_settings& from)
+{
+    return {.longest_lease = from.longest_lease, .stop_time = from.stop_time};
+}
+
+class job_guard_control
+{
+public:
+    explicit job_guard_control(job_process& process)
+        : process_(process), store_(process.client, process.from.store),
+          holder_watch_(process, store_, holder_watch_wait,
+                        [this](const std::optional<platform::store_item>& item)
+                        { on_holder(item); }),
+          keeper_(keeper_options(process.from)),
+          executor_(process.from.executor),
+          incarnation_(random_hex(incarnation_bytes_of_guard))
+    {
+        rpc_.add("orders", [this](const json& message)
+                 { return take_orders(message.get<guard_orders>()); });
+    }
+
+    void run()
+    {
+        const http_server executors(server_at(process_.from.executors),
+                                    handler([this](const http_arrival& arrival)
+                                            { on_executor(arrival); }));
+        const http_server internal(
+            server_at(internal_address(process_.from)),
+            handler([this](http_arrival arrival) { on_internal(arrival); }));
+        log_event(
+            event_id::process_started,
+            {{"role", "job_guard"}, {"address", process_.from.executors}});
+        while (!process_.parts.stopping())
+        {
+            for (const control_work& work : process_.work.drain(timer_step))
+            {
+                work();
+            }
+            tick(boot_clock::now());
+        }
+    }
+
+private:
+    http_handler handler(std::function<void(http_arrival)> then)
+    {
+        return [this, then = std::move(then)](http_request request,
+                                              http_responder responder)
+        {
+            auto shared =
+                std::make_shared<http_responder>(std::move(responder));
+            process_.work.post(
+                [then, request = std::move(request), shared] {
+                    then({request, shared});
+                });
+        };
+    }
+
+    // The executor -----------------------------------------------------------
+
+    void on_executor(const http_arrival& arrival)
+    {
+        try
+        {
+            if (const auto beat = platform::decode_heartbeat(arrival.request))
+            {
+                on_heartbeat(*beat);
+            }
+            else if (const auto life = platform::decode_leave(arrival.request))
+            {
+                keeper_.on_leave(*life);
+            }
+            else
+            {
+                answer_not_found(*arrival.responder);
+                return;
+            }
+        }
+        catch (const document_error& error)
+        {
+            log_event(event_id::worker_unreadable, {{"why", error.what()}});
+        }
+        arrival.responder->respond(platform::heartbeat_answer());
+    }
+
+    void on_heartbeat(const platform::worker_heartbeat& beat)
+    {
+        const std::string& life = beat.worker.life;
+        const bool late =
+            past_lives_.contains(life) ||
+            (life == keeper_.worker().life && beat.sequence <= sequence_);
+        if (late)
+        {
+            return;
+        }
+        if (life != keeper_.worker().life && !keeper_.worker().life.empty())
+        {
+            past_lives_.insert(keeper_.worker().life);
+            log_event(event_id::worker_lost,
+                      {{"life", keeper_.worker().life},
+                       {"why", "its executor began another life"}});
+        }
+        sequence_ = beat.sequence;
+        if (!beat.address.empty())
+        {
+            executor_ = beat.address;
+        }
+        keeper_.on_worker(beat.worker, beat.clock_ms, boot_clock::now());
+    }
+
+    void carry_out(const keeper_action& action)
+    {
+        std::visit([this](const auto& what) { send(what); }, action);
+    }
+
+    template <class Order, class Done>
+    void call_executor(const Order& what, Done done)
+    {
+        process_.client.send(platform::encode(what, executor_),
+                             process_.on_control<http_result>(std::move(done)));
+    }
+
+    static void note_order(const char* order, const std::string& task,
+                           std::int64_t run, order_result result)
+    {
+        if (result != order_result::accepted)
+        {
+            log_event(event_id::order_failed,
+                      {{"order", order},
+                       {"task", task},
+                       {"run", std::to_string(run)},
+                       {"result", std::string(to_string(result))}});
+        }
+    }
+
+    void send(const start_run& what)
+    {
+        call_executor(what,
+                      [this, task = what.order.task,
+                       run = what.order.run](const http_result& result)
+                      {
+                          const auto how = platform::decode_result(result);
+                          note_order("start", task, run, how);
+                          keeper_.on_started(task, run, how, boot_clock::now());
+                      });
+    }
+
+    void send(const stop_run& what)
+    {
+        call_executor(what,
+                      [this, task = what.order.task,
+                       run = what.order.run](const http_result& result)
+                      {
+                          const auto how = platform::decode_result(result);
+                          note_order("stop", task, run, how);
+                          keeper_.on_stopped(task, run, how, boot_clock::now());
+                      });
+    }
+
+    void send(const pace_run& what)
+    {
+        call_executor(
+            what, [this, what](const http_result& result)
+            { keeper_.on_paced(what, platform::decode_result(result)); });
+    }
+
+    void send(const look_at_worker& what)
+    {
+        const time_point sent = boot_clock::now();
+        call_executor(what,
+                      [this, sent, life = what.life](const http_result& result)
+                      {
+                          keeper_.on_looked(life,
+                                            platform::decode_result(result),
+                                            platform::decode_look(result), sent,
+                                            boot_clock::now());
+                      });
+    }
+
+    // The holder -------------------------------------------------------------
+
+    void on_holder(const std::optional<platform::store_item>& item)
+    {
+        const json value =
+            item ? json::parse(item->value, nullptr, false) : json();
+        const std::string address =
+            value.is_object() ? value.value("address", "") : "";
+        if (!address.empty())
+        {
+            follow(address);
+        }
+    }
+
+    void follow(const std::string& address)
+    {
+        if (address == holder_)
+        {
+            return;
+        }
+        log_event(event_id::holder_found, {{"holder", address}});
+        holder_ = address;
+        next_report_ = {};
+        failures_ = 0;
+    }
+
+    json take_orders(const guard_orders& orders)
+    {
+        const bool taken = keeper_.on_orders(orders, boot_clock::now());
+        return {{"taken", taken}};
+    }
+
+    void on_internal(http_arrival& arrival)
+    {
+        if (arrival.request.path == "/metrics")
+        {
+            answer_metrics(*arrival.responder, process_.numbers);
+            return;
+        }
+        if (arrival.request.path != wire::rpc_path)
+        {
+            answer_not_found(*arrival.responder);
+            return;
+        }
+        answer_rpc(arrival, rpc_);
+    }
+
+    // Without a holder that answers, the entries of the settings are asked in
+    // turn; each one names the holder that it knows.
+    std::string report_target()
+    {
+        const auto& entries = process_.from.entries;
+        const bool ask_others = holder_.empty() || failures_ > 1;
+        if (!ask_others || entries.empty())
+        {
+            return holder_;
+        }
+        return entries[static_cast<std::size_t>(asked_++) % entries.size()];
+    }
+
+    void send_report(time_point now)
+    {
+        const std::string target = report_target();
+        if (target.empty())
+        {
+            return;
+        }
+        reporting_ = true;
+        worker_report report = keeper_.report();
+        report.guard = process_.from.name;
+        report.address = internal_address(process_.from);
+        report.incarnation = incarnation_;
+        report.sequence = ++report_sequence_;
+        process_.client.send(
+            {.method = "POST",
+             .url = "http://" + target + wire::rpc_path,
+             .headers = {{"content-type", "application/json"}},
+             .body = make_body(rpc_request("report", report)),
+             .timeout = report_timeout},
+            process_.on_control<http_result>(
+                [this, report, target, now](const http_result& result)
+                { on_answer(report, target, now, result); }));
+    }
+
+    void on_answer(const worker_report& report, const std::string& target,
+                   time_point sent, const http_result& result)
+    {
+        reporting_ = false;
+        const time_point now = boot_clock::now();
+        const auto answer = rpc_answer_of<report_answer>(result);
+        if (answer && answer->holds)
+        {
+            failures_ = 0;
+            next_report_ = sent + report_every;
+            follow(target);
+            keeper_.on_answer(*answer, report, sent, now);
+            return;
+        }
+        next_report_ = now + report_retry;
+        if (++failures_ == 2)
+        {
+            log_event(event_id::holder_lost,
+                      {{"target", target}, {"why", result.error}});
+        }
+        if (answer && !answer->holder.empty() && answer->holder != holder_)
+        {
+            follow(answer->holder);
+        }
+    }
+
+    void tick(time_point now)
+    {
+        holder_watch_.tick(now);
+        for (const keeper_action& action : keeper_.due(now))
+        {
+            carry_out(action);
+        }
+        if (keeper_.take_news() && failures_ == 0)
+        {
+            next_report_ = std::min(next_report_, now + report_gap);
+        }
+        if (!reporting_ && now >= next_report_)
+        {
+            send_report(now);
+        }
+        if (process_.drain)
+        {
+            log_event(event_id::process_draining);
+            process_.parts.stop();
+        }
+    }
+
+    job_process& process_;
+    platform::store_client store_;
+    holder_watch holder_watch_;
+    run_keeper keeper_;
+    rpc_dispatcher rpc_;
+    std::string executor_; ///< address of the present incarnation
+    std::set<std::string> past_lives_;
+    std::int64_t sequence_ = 0;
+    std::string incarnation_;
+    std::int64_t report_sequence_ = 0;
+    std::string holder_;
+    std::int64_t failures_ = 0;
+    std::int64_t asked_ = 0;
+    bool reporting_ = false;
+    time_point next_report_{};
+};
+
+} // namespace
+
+void run_job_guard(const job_settings& from, const std::atomic<bool>& drain)
+{
+    job_process process(from, drain);
+    process.parts.add("control",
+                      [&]
+                      {
+                          job_guard_control control(process);
+                          control.run();
+                      });
+    process.parts.run();
+    log_event(event_id::process_stopped);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_holder.cpp
@@ -0,0 +1,458 @@
+#include "job_holder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+using platform::store_item;
+using platform::store_result;
+using platform::store_status;
+
+// Waiting costs nothing; each answer is a priced call.
+constexpr duration watch_wait = std::chrono::seconds(5);
+constexpr duration pause = std::chrono::milliseconds(100);
+// An order is repeated by the next reports; waiting longer helps nobody.
+constexpr duration order_timeout = std::chrono::milliseconds(600);
+
+std::int64_t day_milliseconds()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+} // namespace
+
+job_holder::job_holder(job_process& process, platform::store_client& store,
+                       office_keeper& office)
+    : process_(process), store_(store), office_(office)
+{
+}
+
+// ---------------------------------------------------------------------------
+// Taking over
+// ---------------------------------------------------------------------------
+
+void job_holder::begin(std::int64_t epoch)
+{
+    ++term_;
+    core_.take_office(epoch, boot_clock::now());
+    at_ = stage::reading_jobs;
+    reading_ = false;
+    watching_ = false;
+    writing_ = false;
+    next_read_ = {};
+    page_after_.clear();
+    batch_.reset();
+    kept_jobs_.clear();
+    kept_cancellations_.clear();
+    kept_progress_.clear();
+    jobs_since_ = 0;
+}
+
+void job_holder::end()
+{
+    ++term_;
+    at_ = stage::idle;
+    core_.take_office(0, boot_clock::now());
+}
+
+void job_holder::read_page()
+{
+    reading_ = true;
+    const char* const prefix =
+        at_ == stage::reading_jobs ? jobs_prefix : progress_prefix;
+    store_.range(prefix, page_after_, timeout_.value(),
+                 process_.on_control<store_result>(
+                     [this, term = term_](const store_result& result)
+                     {
+                         if (term == term_)
+                         {
+                             on_page(result);
+                         }
+                     }));
+}
+
+void job_holder::on_page(const store_result& result)
+{
+    reading_ = false;
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        next_read_ = boot_clock::now() + pause;
+        return;
+    }
+    timeout_.answered(result.took);
+    if (jobs_since_ == 0)
+    {
+        jobs_since_ = result.revision; // later pages may be newer
+    }
+    for (const store_item& item : result.items)
+    {
+        take_item(item);
+    }
+    if (result.more && !result.items.empty())
+    {
+        page_after_ = result.items.back().key;
+        return;
+    }
+    page_after_.clear();
+    if (at_ == stage::reading_jobs)
+    {
+        at_ = stage::reading_progress;
+        return;
+    }
+    adopt_all();
+}
+
+void job_holder::take_item(const store_item& item)
+{
+    try
+    {
+        if (at_ == stage::reading_progress)
+        {
+            const std::string id =
+                item.key.substr(std::string_view(progress_prefix).size());
+            kept_progress_[id] = {decode_progress(item.value), item.revision};
+            return;
+        }
+        const job_entry_key key = parse_job_key(item.key);
+        if (key.cancellation)
+        {
+            kept_cancellations_.insert(key.id);
+            return;
+        }
+        kept_jobs_[key.id] = decode_job(item.value);
+    }
+    catch (const document_error& error)
+    {
+        log_event(event_id::configuration_refused,
+                  {{"key", item.key}, {"why", error.what()}});
+    }
+}
+
+void job_holder::adopt_all()
+{
+    const time_point now = boot_clock::now();
+    for (auto& [id, what] : kept_jobs_)
+    {
+        const auto found = kept_progress_.find(id);
+        const bool known = found != kept_progress_.end();
+        core_.adopt(std::move(what),
+                    known ? std::optional(found->second.first) : std::nullopt,
+                    known ? found->second.second : 0, now);
+    }
+    core_.begin(now);
+    for (const std::string& id : kept_cancellations_)
+    {
+        core_.cancel(id, now);
+    }
+    log_event(event_id::office_taken,
+              {{"epoch", std::to_string(core_.epoch())},
+               {"jobs", std::to_string(kept_jobs_.size())},
+               {"progress", std::to_string(kept_progress_.size())}});
+    kept_jobs_.clear();
+    kept_progress_.clear();
+    at_ = stage::holding;
+}
+
+// ---------------------------------------------------------------------------
+// New jobs
+// ---------------------------------------------------------------------------
+
+void job_holder::watch()
+{
+    watching_ = true;
+    const time_point sent = boot_clock::now();
+    store_.watch(jobs_prefix, jobs_since_, watch_wait,
+                 process_.on_control<store_result>(
+                     [this, sent, term = term_](const store_result& result)
+                     {
+                         if (term == term_)
+                         {
+                             on_watch(result, sent);
+                         }
+                     }));
+}
+
+void job_holder::on_watch(const store_result& result, time_point sent)
+{
+    watching_ = false;
+    if (result.status != store_status::done)
+    {
+        // What was missed is read anew.
+        const bool at_once = boot_clock::now() - sent > pause;
+        next_watch_ = boot_clock::now() + (at_once ? duration{0} : pause);
+        read_again();
+        return;
+    }
+    for (const store_item& item : result.items)
+    {
+        jobs_since_ = std::max(jobs_since_, item.revision);
+        learn(item);
+    }
+}
+
+void job_holder::learn(const store_item& item)
+{
+    if (item.gone)
+    {
+        return;
+    }
+    const job_entry_key key = parse_job_key(item.key);
+    const time_point now = boot_clock::now();
+    if (key.cancellation)
+    {
+        core_.cancel(key.id, now);
+        return;
+    }
+    if (core_.find(key.id) != nullptr)
+    {
+        return;
+    }
+    try
+    {
+        core_.accept(decode_job(item.value), now);
+    }
+    catch (const document_error& error)
+    {
+        log_event(event_id::configuration_refused,
+                  {{"key", item.key}, {"why", error.what()}});
+    }
+}
+
+void job_holder::read_again()
+{
+    watching_ = true;
+    store_.range(jobs_prefix, page_after_, timeout_.value(),
+                 process_.on_control<store_result>(
+                     [this, term = term_](const store_result& result)
+                     {
+                         if (term == term_)
+                         {
+                             on_read_again(result);
+                         }
+                     }));
+}
+
+void job_holder::on_read_again(const store_result& result)
+{
+    watching_ = false;
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        page_after_.clear();
+        next_watch_ = boot_clock::now() + pause;
+        jobs_since_ = 0; // a watch from here has no history: read again
+        return;
+    }
+    timeout_.answered(result.took);
+    if (page_after_.empty())
+    {
+        jobs_since_ = result.revision;
+    }
+    // A cancellation sorts right after its job.
+    for (const store_item& item : result.items)
+    {
+        learn(item);
+    }
+    page_after_ = result.more && !result.items.empty() ? result.items.back().key
+                                                       : std::string();
+    if (!page_after_.empty())
+    {
+        read_again();
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Writing
+// ---------------------------------------------------------------------------
+
+void job_holder::write()
+{
+    if (writing_ || boot_clock::now() < next_write_)
+    {
+        return;
+    }
+    if (!batch_)
+    {
+        batch_ = core_.next_commit(boot_clock::now());
+    }
+    if (batch_)
+    {
+        send_batch();
+    }
+}
+
+void job_holder::send_batch()
+{
+    writing_ = true;
+    const time_point sent = boot_clock::now();
+    store_.transact(transaction_of(*batch_, core_.epoch()), timeout_.value(),
+                    process_.on_control<store_result>(
+                        [this, sent, term = term_](const store_result& result)
+                        {
+                            if (term == term_)
+                            {
+                                on_written(result, sent);
+                            }
+                        }));
+}
+
+void job_holder::on_written(const store_result& result, time_point sent)
+{
+    writing_ = false;
+    const time_point now = boot_clock::now();
+    if (result.status == store_status::done)
+    {
+        timeout_.answered(result.took);
+        office_.verified(sent);
+        core_.committed(*batch_, result.revision, now);
+        batch_.reset();
+        return;
+    }
+    if (result.status == store_status::conflict)
+    {
+        if (const auto revision = written_before(result))
+        {
+            office_.verified(sent);
+            core_.committed(*batch_, *revision, now);
+            batch_.reset();
+            return;
+        }
+        office_.superseded("a write found another holder");
+        return;
+    }
+    if (result.status == store_status::unknown)
+    {
+        timeout_.unanswered();
+        log_event(event_id::commit_uncertain,
+                  {{"jobs", std::to_string(batch_->size())},
+                   {"waited_ms", std::to_string(to_milliseconds(now - sent))}});
+    }
+    next_write_ = now + pause;
+}
+
+// A conflict with our own earlier copy of the same batch: it was done, and
+// only its answer was lost. Gives the revision that it wrote.
+std::optional<std::int64_t>
+job_holder::written_before(const store_result& result) const
+{
+    std::map<std::string, const store_item*> items;
+    for (const store_item& item : result.items)
+    {
+        items[item.key] = &item;
+    }
+    const auto holder = items.find(holder_key);
+    if (holder == items.end() || holder->second->revision != core_.epoch())
+    {
+        return std::nullopt;
+    }
+    std::int64_t revision = 0;
+    for (const progress_write& write : *batch_)
+    {
+        const auto found = items.find(progress_key(write.job));
+        if (found == items.end() || found->second->value != write.text ||
+            found->second->revision <= write.expected_revision)
+        {
+            return std::nullopt;
+        }
+        revision = found->second->revision;
+    }
+    return revision;
+}
+
+// ---------------------------------------------------------------------------
+// Guards
+// ---------------------------------------------------------------------------
+
+report_answer job_holder::report(const worker_report& from)
+{
+    report_answer answer;
+    if (ready())
+    {
+        answer = core_.report(from, boot_clock::now(), office_.verified_at());
+    }
+    answer.holder = office_.holder();
+    return answer;
+}
+
+void job_holder::send_orders()
+{
+    for (const addressed_orders& one : core_.take_orders())
+    {
+        process_.client.send(
+            {.method = "POST",
+             .url = "http://" + one.address + wire::rpc_path,
+             .headers = {{"content-type", "application/json"}},
+             .body = make_body(rpc_request("orders", one.orders)),
+             .timeout = order_timeout},
+            [guard = one.guard](const http_result& result)
+            {
+                if (result.how != delivery::answered)
+                {
+                    log_event(event_id::order_failed,
+                              {{"guard", guard}, {"why", result.error}});
+                }
+            });
+    }
+}
+
+void job_holder::set_table(const queue_table& table)
+{
+    core_.set_table(table);
+}
+
+void job_holder::job_was_accepted(const job& what)
+{
+    if (ready())
+    {
+        core_.accept(what, boot_clock::now());
+    }
+}
+
+void job_holder::job_was_cancelled(const std::string& id)
+{
+    if (ready())
+    {
+        core_.cancel(id, boot_clock::now());
+    }
+}
+
+void job_holder::tick(time_point now)
+{
+    if (at_ == stage::idle)
+    {
+        return;
+    }
+    if (at_ != stage::holding)
+    {
+        if (!reading_ && now >= next_read_)
+        {
+            read_page();
+        }
+        return;
+    }
+    if (!watching_ && now >= next_watch_)
+    {
+        jobs_since_ == 0 ? read_again() : watch();
+    }
+    core_.tick(now, day_milliseconds());
+    write();
+    send_orders();
+    log_decisions();
+}
+
+void job_holder::log_decisions()
+{
+    for (const decision& one : core_.take_decisions())
+    {
+        log_event(one.id, one.fields);
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_holder.hpp
@@ -0,0 +1,100 @@
+#pragma once
+// The holder of all jobs: binds the scheduler's decisions to the store and
+// to the guards.
+
+#include "job_store.hpp"
+#include "office_keeper.hpp"
+
+#include <springstair/scheduler.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace springstair
+{
+
+class job_holder
+{
+public:
+    job_holder(job_process& process, platform::store_client& store,
+               office_keeper& office);
+
+    /// The office was taken: reads all that the store keeps.
+    void begin(std::int64_t epoch);
+    /// The office was lost.
+    void end();
+    void tick(time_point now);
+
+    void set_table(const queue_table& table);
+    /// A guard's report, as the internal interface carries it.
+    report_answer report(const worker_report& from);
+    /// A job that this entry has just accepted or cancelled itself.
+    void job_was_accepted(const job& what);
+    void job_was_cancelled(const std::string& id);
+
+    /// Whether it holds the jobs and has read them.
+    [[nodiscard]] bool ready() const noexcept
+    {
+        return at_ == stage::holding;
+    }
+    [[nodiscard]] const scheduler_core& core() const noexcept
+    {
+        return core_;
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        idle,
+        reading_jobs,
+        reading_progress,
+        holding
+    };
+
+    // Reading what is kept.
+    void read_page();
+    void on_page(const platform::store_result& result);
+    void take_item(const platform::store_item& item);
+    void adopt_all();
+
+    // Learning of new jobs.
+    void watch();
+    void on_watch(const platform::store_result& result, time_point sent);
+    void learn(const platform::store_item& item);
+    void read_again();
+    void on_read_again(const platform::store_result& result);
+
+    // Writing.
+    void write();
+    void send_batch();
+    void on_written(const platform::store_result& result, time_point sent);
+    std::optional<std::int64_t>
+    written_before(const platform::store_result& result) const;
+
+    void send_orders();
+    void log_decisions();
+
+    job_process& process_;
+    platform::store_client& store_;
+    office_keeper& office_;
+    scheduler_core core_;
+    stage at_ = stage::idle;
+    std::int64_t term_ = 0; ///< counts offices; ends of older calls are void
+    adaptive_timeout timeout_;
+    time_point next_read_{};
+    bool reading_ = false;
+    std::string page_after_;
+    std::map<std::string, job> kept_jobs_;
+    std::set<std::string> kept_cancellations_;
+    std::map<std::string, std::pair<job_progress, std::int64_t>> kept_progress_;
+    std::int64_t jobs_since_ = 0; ///< revision to watch jobs from
+    bool watching_ = false;
+    time_point next_watch_{};
+    std::optional<commit_batch> batch_; ///< being written
+    bool writing_ = false;
+    time_point next_write_{};
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_process.hpp
@@ -0,0 +1,81 @@
+#pragma once
+// What the parts of a process of the job system share.
+
+#include "role_support.hpp"
+
+#include <springstair/daemon.hpp>
+#include <springstair/transport.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace springstair
+{
+
+/// Work handed to the control thread: the end of a call, or an arrival.
+using control_work = std::function<void()>;
+
+/// What the parts of a process share. The control thread owns all state;
+/// traffic threads and calls only post work to it.
+struct job_process
+{
+    const job_settings& from;
+    const std::atomic<bool>& drain;
+    supervisor parts;
+    mailbox<control_work> work;
+    metrics numbers;
+    http_client client;
+
+    job_process(const job_settings& settings, const std::atomic<bool>& flag)
+        : from(settings), drain(flag)
+    {
+    }
+
+    /// Wraps a completion so that it runs on the control thread.
+    template <class... Arguments, class Done>
+    std::function<void(Arguments...)> on_control(Done done)
+    {
+        return [this, done = std::move(done)](Arguments... arguments)
+        {
+            work.post([done, ... held = std::move(arguments)]() mutable
+                      { done(std::move(held)...); });
+        };
+    }
+};
+
+/// Splits an endpoint into a server's options.
+http_server_options server_at(const std::string& endpoint);
+
+/// The internal address of this process.
+std::string internal_address(const job_settings& of);
+
+/// How long to wait for the store: it answers within milliseconds, but there
+/// are times when it is a hundred times slower, and times when answers are
+/// lost and waiting is vain.
+class adaptive_timeout
+{
+public:
+    /// Ample beside the store's usual few milliseconds, short beside a
+    /// caller's patience of seconds.
+    static constexpr duration least = std::chrono::milliseconds(250);
+    static constexpr duration most = std::chrono::milliseconds(1500);
+    static constexpr int factor = 4; ///< of the newest answer's time
+
+    [[nodiscard]] duration value() const noexcept
+    {
+        return value_;
+    }
+    void answered(duration took) noexcept
+    {
+        value_ = std::clamp<duration>(took * factor, least, most);
+    }
+    void unanswered() noexcept
+    {
+        value_ = std::min<duration>(value_ * 2, most);
+    }
+
+private:
+    duration value_ = least;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/job_store.cpp
@@ -0,0 +1,83 @@
+#include "job_store.hpp"
+
+#include "holder_watch.hpp"
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr std::string_view cancellation_mark = "/cancelled";
+
+} // namespace
+
+std::string job_key(const std::string& id)
+{
+    return jobs_prefix + id;
+}
+
+std::string cancellation_key(const std::string& id)
+{
+    return job_key(id) + std::string(cancellation_mark);
+}
+
+std::string progress_key(const std::string& id)
+{
+    return progress_prefix + id;
+}
+
+job_entry_key parse_job_key(const std::string& key)
+{
+    job_entry_key to{.id = key.substr(std::string_view(jobs_prefix).size())};
+    if (to.id.ends_with(cancellation_mark))
+    {
+        to.id.resize(to.id.size() - cancellation_mark.size());
+        to.cancellation = true;
+    }
+    return to;
+}
+
+job decode_job(const std::string& text)
+{
+    try
+    {
+        return json::parse(text).get<job>();
+    }
+    catch (const json::exception& error)
+    {
+        throw document_error(std::string("a stored job: ") + error.what());
+    }
+}
+
+kv_transaction acceptance_of(const job& what)
+{
+    const std::string key = job_key(what.id);
+    return {.compares = {{.key = key,
+                          .of = kv_compare::number::mod_revision,
+                          .equals = 0}},
+            .puts = {{.key = key, .value = json(what).dump()}}};
+}
+
+kv_transaction cancellation_of(const std::string& id)
+{
+    return {.puts = {{.key = cancellation_key(id), .value = "{}"}}};
+}
+
+kv_transaction transaction_of(const commit_batch& batch, std::int64_t epoch)
+{
+    kv_transaction to{.compares = {{.key = holder_key,
+                                    .of = kv_compare::number::mod_revision,
+                                    .equals = epoch}}};
+    for (const progress_write& write : batch)
+    {
+        const std::string key = progress_key(write.job);
+        to.compares.push_back({.key = key,
+                               .of = kv_compare::number::mod_revision,
+                               .equals = write.expected_revision});
+        to.puts.push_back({.key = key, .value = write.text});
+    }
+    return to;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/office_keeper.cpp
@@ -0,0 +1,317 @@
+#include "office_keeper.hpp"
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+using platform::store_result;
+using platform::store_status;
+
+// A dead holder is noticed after this long: short beside the seconds that
+// callers wait, long beside a slow store's answer.
+constexpr duration lease_ttl = std::chrono::milliseconds(2000);
+constexpr duration renew_every = std::chrono::milliseconds(500);
+// A quiet holder reads its key so often; a busy one's writes prove as much.
+constexpr duration check_every = std::chrono::milliseconds(1000);
+constexpr duration watch_wait = std::chrono::seconds(8);
+constexpr duration pause = std::chrono::milliseconds(150);
+constexpr int nonce_bytes = 6;
+
+json holder_value(const job_process& process, const std::string& nonce)
+{
+    return {{"entry", process.from.name},
+            {"address", internal_address(process.from)},
+            {"nonce", nonce}};
+}
+
+} // namespace
+
+office_keeper::office_keeper(job_process& process,
+                             platform::store_client& store, callbacks then)
+    : process_(process), store_(store), then_(std::move(then)),
+      watch_(process, store, watch_wait,
+             [this](const std::optional<platform::store_item>& item)
+             { follow(item); }),
+      nonce_(random_hex(nonce_bytes))
+{
+}
+
+void office_keeper::tick(time_point now)
+{
+    if (at_ == stage::holding)
+    {
+        watch_.tick(now);
+        if (now >= next_renewal_ && !renewing_)
+        {
+            renew();
+        }
+        if (now - verified_ > check_every)
+        {
+            check();
+        }
+        return;
+    }
+    watch_.tick(now);
+    if (at_ == stage::taking && !busy_ && now >= next_)
+    {
+        lease_ == 0 ? take() : claim();
+    }
+}
+
+void office_keeper::note_answer(const store_result& result)
+{
+    if (result.status == store_status::unknown)
+    {
+        timeout_.unanswered();
+        return;
+    }
+    if (result.status != store_status::refused)
+    {
+        timeout_.answered(result.took);
+        store_answered_ = boot_clock::now();
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Following another holder
+// ---------------------------------------------------------------------------
+
+void office_keeper::follow(const std::optional<platform::store_item>& item)
+{
+    if (at_ == stage::holding)
+    {
+        const bool newer = item && item->revision > epoch_;
+        if (newer)
+        {
+            lose("another entry holds it");
+        }
+        else if (!item)
+        {
+            check();
+        }
+    }
+    if (at_ == stage::holding || at_ == stage::retired)
+    {
+        return;
+    }
+    if (!item)
+    {
+        holder_.clear();
+        at_ = stage::taking;
+        return;
+    }
+    const json value = json::parse(item->value, nullptr, false);
+    const json document = value.is_object() ? value : json::object();
+    if (document.value("nonce", "") == nonce_)
+    {
+        hold(item->revision, boot_clock::now());
+        return;
+    }
+    holder_ = document.value("address", "");
+    at_ = stage::watching;
+}
+
+// ---------------------------------------------------------------------------
+// Taking the office
+// ---------------------------------------------------------------------------
+
+void office_keeper::take()
+{
+    busy_ = true;
+    store_.grant_lease(
+        lease_ttl, timeout_.value(),
+        process_.on_control<store_result>([this](const store_result& result)
+                                          { on_lease(result); }));
+}
+
+void office_keeper::on_lease(const store_result& result)
+{
+    busy_ = false;
+    note_answer(result);
+    if (result.status != store_status::done)
+    {
+        next_ = boot_clock::now() + pause;
+        return;
+    }
+    lease_ = result.lease;
+    next_ = {};
+}
+
+// The same claim is repeated until its outcome is known: it is conditioned
+// on the key's absence, so it takes effect once at most.
+void office_keeper::claim()
+{
+    busy_ = true;
+    const time_point sent = boot_clock::now();
+    store_.transact({.compares = {{.key = holder_key,
+                                   .of = kv_compare::number::mod_revision,
+                                   .equals = 0}},
+                     .puts = {{.key = holder_key,
+                               .value = holder_value(process_, nonce_).dump(),
+                               .lease = lease_}}},
+                    timeout_.value(),
+                    process_.on_control<store_result>(
+                        [this, sent](const store_result& result)
+                        { on_claim(result, sent); }));
+}
+
+void office_keeper::on_claim(const store_result& result, time_point sent)
+{
+    busy_ = false;
+    note_answer(result);
+    if (at_ == stage::retired)
+    {
+        return;
+    }
+    switch (result.status)
+    {
+    case store_status::done:
+        hold(result.revision, sent);
+        return;
+    case store_status::conflict:
+        if (!result.items.empty())
+        {
+            const platform::store_item& other = result.items.front();
+            follow(other.revision == 0 ? std::nullopt : std::optional(other));
+        }
+        return;
+    case store_status::absent: // the lease is over
+        lease_ = 0;
+        return;
+    case store_status::compacted:
+    case store_status::refused:
+    case store_status::unknown:
+        next_ = boot_clock::now() + pause;
+        return;
+    }
+}
+
+void office_keeper::hold(std::int64_t revision, time_point sent)
+{
+    at_ = stage::holding;
+    epoch_ = revision;
+    verified_ = sent;
+    next_renewal_ = sent + renew_every;
+    holder_ = internal_address(process_.from);
+    then_.taken(epoch_);
+}
+
+// ---------------------------------------------------------------------------
+// Keeping it
+// ---------------------------------------------------------------------------
+
+void office_keeper::renew()
+{
+    renewing_ = true;
+    next_renewal_ = boot_clock::now() + renew_every;
+    store_.renew_lease(
+        lease_, timeout_.value(),
+        process_.on_control<store_result>([this](const store_result& result)
+                                          { on_renewed(result); }));
+}
+
+void office_keeper::on_renewed(const store_result& result)
+{
+    renewing_ = false;
+    note_answer(result);
+    if (at_ != stage::holding)
+    {
+        return;
+    }
+    if (result.status == store_status::absent)
+    {
+        lose("its lease is over");
+        return;
+    }
+    if (result.status != store_status::done)
+    {
+        next_renewal_ = boot_clock::now() + pause;
+    }
+}
+
+// A lease that lives does not prove that the key is still there.
+void office_keeper::check()
+{
+    if (checking_)
+    {
+        return;
+    }
+    checking_ = true;
+    const time_point sent = boot_clock::now();
+    store_.read(holder_key, timeout_.value(),
+                process_.on_control<store_result>(
+                    [this, sent](const store_result& result)
+                    {
+                        checking_ = false;
+                        note_answer(result);
+                        if (at_ != stage::holding)
+                        {
+                            return;
+                        }
+                        const bool ours =
+                            !result.items.empty() &&
+                            result.items.front().revision == epoch_;
+                        if (result.status == store_status::done && ours)
+                        {
+                            verified(sent);
+                        }
+                        else if (result.status == store_status::done ||
+                                 result.status == store_status::absent)
+                        {
+                            lose("its key is gone");
+                        }
+                    }));
+}
+
+void office_keeper::verified(time_point sent)
+{
+    verified_ = std::max(verified_, sent);
+    store_answered_ = std::max(store_answered_, sent);
+}
+
+void office_keeper::superseded(const char* why)
+{
+    if (at_ == stage::holding)
+    {
+        lose(why);
+    }
+}
+
+void office_keeper::lose(const char* why)
+{
+    log_event(event_id::office_lost,
+              {{"epoch", std::to_string(epoch_)},
+               {"why", why},
+               {"verified_ms_ago", std::to_string(to_milliseconds(
+                                       boot_clock::now() - verified_))}});
+    at_ = stage::watching;
+    watch_.refresh();
+    lease_ = 0;
+    epoch_ = 0;
+    next_ = {};
+    holder_.clear();
+    nonce_ = random_hex(nonce_bytes);
+    then_.lost();
+}
+
+void office_keeper::retire()
+{
+    const bool held = at_ == stage::holding;
+    at_ = stage::retired;
+    if (!held)
+    {
+        return;
+    }
+    log_event(event_id::office_lost,
+              {{"epoch", std::to_string(epoch_)}, {"why", "a planned stop"}});
+    // The key goes with its lease, and another entry takes over at once.
+    store_.end_lease(lease_, timeout_.value(), [](const store_result&) {});
+    holder_.clear();
+    then_.lost();
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/office_keeper.hpp
@@ -0,0 +1,99 @@
+#pragma once
+// Which entry holds the jobs: a leased key of the store.
+
+#include "holder_watch.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace springstair
+{
+
+/// Takes, keeps and gives up the office of the holder of all jobs. The key's
+/// revision is the epoch; the key goes with its lease.
+class office_keeper
+{
+public:
+    struct callbacks
+    {
+        std::function<void(std::int64_t epoch)> taken;
+        std::function<void()> lost;
+    };
+
+    office_keeper(job_process& process, platform::store_client& store,
+                  callbacks then);
+
+    void tick(time_point now);
+    /// Gives the office up and takes it no more.
+    void retire();
+    /// A write conditioned on the office succeeded; it was sent at a time.
+    void verified(time_point sent);
+    /// A write conditioned on the office found another one.
+    void superseded(const char* why);
+
+    [[nodiscard]] bool holds() const noexcept
+    {
+        return at_ == stage::holding;
+    }
+    [[nodiscard]] std::int64_t epoch() const noexcept
+    {
+        return epoch_;
+    }
+    /// When the office was last known to be ours.
+    [[nodiscard]] time_point verified_at() const noexcept
+    {
+        return verified_;
+    }
+    /// The holder's internal address; empty if not known.
+    [[nodiscard]] const std::string& holder() const noexcept
+    {
+        return holder_;
+    }
+    /// When the store last answered this process.
+    [[nodiscard]] time_point store_answered() const noexcept
+    {
+        return std::max(store_answered_, watch_.store_answered());
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        watching,
+        taking,
+        holding,
+        retired
+    };
+
+    void follow(const std::optional<platform::store_item>& item);
+    void take();
+    void on_lease(const platform::store_result& result);
+    void claim();
+    void on_claim(const platform::store_result& result, time_point sent);
+    void renew();
+    void on_renewed(const platform::store_result& result);
+    void check();
+    void hold(std::int64_t revision, time_point sent);
+    void lose(const char* why);
+    void note_answer(const platform::store_result& result);
+
+    job_process& process_;
+    platform::store_client& store_;
+    callbacks then_;
+    holder_watch watch_;
+    stage at_ = stage::watching;
+    adaptive_timeout timeout_;
+    std::string nonce_; ///< tells this attempt's key from any other
+    std::string holder_;
+    bool busy_ = false; ///< a claim is under way
+    bool renewing_ = false;
+    bool checking_ = false;
+    std::int64_t lease_ = 0;
+    std::int64_t epoch_ = 0;
+    time_point verified_{};
+    time_point next_{};
+    time_point next_renewal_{};
+    time_point store_answered_{};
+};
+
+} // namespace springstair
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -179,7 +179,7 @@
     return all;
 }
 
-settings read_settings(const std::string& path)
+json read_document(const std::string& path)
 {
     const std::ifstream file(path);
     if (!file)
@@ -188,12 +188,17 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    const json document = json::parse(text.str(), nullptr, false);
+    json document = json::parse(text.str(), nullptr, false);
     if (document.is_discarded())
     {
         throw document_error(path + " is not JSON");
     }
-    return parse_settings(document);
+    return document;
+}
+
+settings read_settings(const std::string& path)
+{
+    return parse_settings(read_document(path));
 }
 
 json to_document(const settings& from)
--- /dev/null
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -0,0 +1,216 @@
+#pragma once
+
+#include <springstair/detail/guard/interference.hpp>
+#include <springstair/jobs.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief Timings of a guard's dealings with its worker.
+struct run_keeper_options
+{
+    /// Longest lease that the worker takes (platform setting).
+    duration longest_lease = std::chrono::seconds(6);
+    /// A start that reaches the worker later than this does nothing. Bounds
+    /// orders that are carried out late; above any answer in time.
+    duration start_limit = std::chrono::milliseconds(2000);
+    /// Pause before an order without an answer is sent again.
+    duration retry_after = std::chrono::milliseconds(100);
+    /// Unanswered starts of one run before it is given back.
+    std::int64_t most_unanswered = 4;
+    /// Longest time that the worker takes to stop a run (platform setting).
+    duration stop_time = std::chrono::milliseconds(400);
+    /// How long the worker may wait for an end before it answers a look.
+    /// Sets the age of what reports say and how often leases are extended.
+    duration look_wait = std::chrono::milliseconds(500);
+    /// Pause after a look that got no answer.
+    duration look_retry = std::chrono::milliseconds(100);
+    interference_options interference;
+};
+
+/// @brief Whether and why the worker took an order.
+enum class order_result : std::uint8_t
+{
+    accepted,
+    fenced, ///< a newer holder's order has been seen there
+    stale,  ///< this run or a newer one has ended or was stopped there
+    late,   ///< its time limit had passed
+    no_room,
+    no_ticket,
+    rejected,   ///< it cannot be read; it never will be
+    unhealthy,  ///< nothing was done
+    other_life, ///< the executor is another incarnation
+    unanswered  ///< it may be done now, later or never
+};
+
+/// @brief The name of a result, for the log.
+std::string_view to_string(order_result value) noexcept;
+
+/// @brief The worker's lists and its clock.
+struct worker_look
+{
+    std::int64_t clock_ms = 0;
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+
+    bool operator==(const worker_look&) const = default;
+};
+
+// What a guard has its worker do.
+
+/// @brief Start a run. @a deadline_ms is on the worker's clock.
+struct start_run
+{
+    start_order order;
+    std::int64_t deadline_ms = 0;
+    std::int64_t epoch = 0;
+    std::string life;
+};
+
+/// @brief Stop a run.
+struct stop_run
+{
+    stop_order order;
+    std::int64_t epoch = 0;
+    std::string life;
+};
+
+/// @brief Let a run work at a share of its speed, in percent.
+struct pace_run
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::int64_t percent = 100;
+    std::int64_t epoch = 0;
+    std::string life;
+};
+
+/// @brief Extend the lease, acknowledge ends and ask for both lists.
+struct look_at_worker
+{
+    std::optional<std::int64_t> deadline_ms;
+    std::int64_t acknowledged = 0;
+    std::int64_t wait_ms = 0;
+    std::int64_t epoch = 0;
+    std::string life;
+};
+
+/// @brief One thing to do.
+using keeper_action =
+    std::variant<start_run, stop_run, pace_run, look_at_worker>;
+
+/// @brief Keeps the runs of one worker as the holder of its jobs orders.
+///
+/// It decides nothing about jobs: it repeats orders until their effect is
+/// certain, extends the lease as far as the holder permits, and reports.
+class run_keeper
+{
+public:
+    explicit run_keeper(run_keeper_options options = {});
+
+    /// @brief The executor beside this guard said who it is.
+    void on_worker(const worker_description& what, std::int64_t clock_ms,
+                   time_point now);
+    /// @brief The executor said that it ends.
+    void on_leave(const std::string& life);
+    /// @brief Orders came. @return false if they are of an older holder or
+    /// for another incarnation
+    bool on_orders(const guard_orders& orders, time_point now);
+    /// @brief A report was answered. @param sent when it was sent
+    void on_answer(const report_answer& answer, const worker_report& report,
+                   time_point sent, time_point now);
+    /// @brief A start ended.
+    void on_started(const std::string& task, std::int64_t run,
+                    order_result result, time_point now);
+    /// @brief A stop ended.
+    void on_stopped(const std::string& task, std::int64_t run,
+                    order_result result, time_point now);
+    /// @brief A pace ended.
+    void on_paced(const pace_run& what, order_result result);
+    /// @brief A look ended. @param look nothing if it got no answer
+    void on_looked(const std::string& life, order_result result,
+                   const std::optional<worker_look>& look, time_point sent,
+                   time_point now);
+
+    /// @brief What to do now.
+    std::vector<keeper_action> due(time_point now);
+    /// @brief The present report, without the guard's own name and address.
+    [[nodiscard]] worker_report report() const;
+    /// @brief Whether something is new since the last call; clears it.
+    bool take_news() noexcept;
+
+    [[nodiscard]] std::int64_t epoch() const noexcept
+    {
+        return epoch_;
+    }
+    [[nodiscard]] time_point permit_until() const noexcept
+    {
+        return permit_until_;
+    }
+    [[nodiscard]] const worker_description& worker() const noexcept
+    {
+        return worker_;
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        starting, ///< until the worker confirms the start
+        running,
+        stopping, ///< until the worker confirms the stop
+        stopped   ///< until a later look shows that it is gone
+    };
+
+    struct kept_run
+    {
+        start_order order;
+        stage at = stage::starting;
+        bool call_open = false;
+        std::int64_t unanswered = 0;
+        time_point next_call{};
+        time_point confirmed{};  ///< when the present stage was confirmed
+        std::string refusal;     ///< why it is given back once it is gone
+        std::int64_t pace = 100; ///< percent that the worker has taken
+        bool pace_open = false;
+    };
+
+    void refuse(const std::string& task, kept_run& run,
+                const std::string& reason, time_point now);
+    void settle(time_point sent);
+    void act_on_run(const std::string& task, kept_run& run, time_point now,
+                    std::vector<keeper_action>& out);
+    void act_on_worker(time_point now, std::vector<keeper_action>& out);
+    void give_back_unstarted(time_point now);
+    void act_on_pace(const std::string& task, kept_run& run,
+                     std::vector<keeper_action>& out);
+    [[nodiscard]] std::int64_t worker_clock(time_point now) const;
+    [[nodiscard]] bool is_running(const std::string& task,
+                                  std::int64_t run) const;
+    [[nodiscard]] bool is_ended(const std::string& task,
+                                std::int64_t run) const;
+
+    run_keeper_options options_;
+    worker_description worker_;
+    std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
+    time_point clock_at_{};
+    std::int64_t epoch_ = 0;
+    time_point permit_until_{};
+    std::int64_t acknowledged_ = 0;
+    std::map<std::string, kept_run> runs_;
+    bool looked_ = false;
+    bool look_open_ = false;
+    time_point next_look_{};
+    std::vector<running_task> running_;
+    std::vector<ended_task> ended_;
+    std::vector<refused_run> refused_;
+    interference interference_;
+    bool news_ = false;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/guard/src/run_keeper.cpp
@@ -0,0 +1,491 @@
+#include <springstair/guard.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+std::string_view to_string(order_result value) noexcept
+{
+    switch (value)
+    {
+    case order_result::accepted:
+        return "accepted";
+    case order_result::fenced:
+        return "fenced";
+    case order_result::stale:
+        return "stale";
+    case order_result::late:
+        return "late";
+    case order_result::no_room:
+        return "no_room";
+    case order_result::no_ticket:
+        return "no_ticket";
+    case order_result::rejected:
+        return "rejected";
+    case order_result::unhealthy:
+        return "unhealthy";
+    case order_result::other_life:
+        return "other_life";
+    case order_result::unanswered:
+        return "unanswered";
+    }
+    return {};
+}
+
+run_keeper::run_keeper(run_keeper_options options)
+    : options_(options), interference_(options.interference)
+{
+}
+
+// ---------------------------------------------------------------------------
+// The executor
+// ---------------------------------------------------------------------------
+
+void run_keeper::on_worker(const worker_description& what,
+                           std::int64_t clock_ms, time_point now)
+{
+    if (worker_.life != what.life)
+    {
+        // A new incarnation runs nothing and has seen no order.
+        runs_.clear();
+        running_.clear();
+        ended_.clear();
+        refused_.clear();
+        looked_ = false;
+        acknowledged_ = 0;
+        next_look_ = now;
+        interference_ = interference(options_.interference);
+    }
+    news_ = news_ || worker_ != what;
+    worker_ = what;
+    clock_ms_ = clock_ms;
+    clock_at_ = now;
+}
+
+void run_keeper::on_leave(const std::string& life)
+{
+    if (worker_.life == life)
+    {
+        worker_.draining = true;
+        news_ = true;
+    }
+}
+
+std::int64_t run_keeper::worker_clock(time_point now) const
+{
+    return clock_ms_ + to_milliseconds(now - clock_at_);
+}
+
+bool run_keeper::is_running(const std::string& task, std::int64_t run) const
+{
+    return std::any_of(running_.begin(), running_.end(),
+                       [&](const running_task& row)
+                       { return row.task == task && row.run == run; });
+}
+
+bool run_keeper::is_ended(const std::string& task, std::int64_t run) const
+{
+    return std::any_of(ended_.begin(), ended_.end(),
+                       [&](const ended_task& row)
+                       { return row.task == task && row.run == run; });
+}
+
+// ---------------------------------------------------------------------------
+// The holder
+// ---------------------------------------------------------------------------
+
+bool run_keeper::on_orders(const guard_orders& orders, time_point now)
+{
+    if (orders.epoch < epoch_ || orders.epoch == 0)
+    {
+        return false;
+    }
+    epoch_ = orders.epoch;
+    if (orders.life != worker_.life || worker_.life.empty())
+    {
+        return false;
+    }
+    acknowledged_ = std::max(acknowledged_, orders.acknowledged);
+    for (const start_order& order : orders.starts)
+    {
+        kept_run& kept = runs_[order.task];
+        if (order.run < kept.order.run)
+        {
+            continue;
+        }
+        if (order.run > kept.order.run)
+        {
+            kept = {.order = order, .next_call = now};
+        }
+        if (is_running(order.task, order.run) && kept.at == stage::starting)
+        {
+            kept.at = stage::running;
+            kept.confirmed = now;
+        }
+        kept.order = order;
+    }
+    for (const stop_order& order : orders.stops)
+    {
+        kept_run& kept = runs_[order.task];
+        if (order.run < kept.order.run || kept.at == stage::stopping ||
+            kept.at == stage::stopped)
+        {
+            continue;
+        }
+        kept.order.task = order.task;
+        kept.order.run = order.run;
+        kept.at = stage::stopping;
+        kept.refusal = "stopped";
+        kept.next_call = now;
+    }
+    return true;
+}
+
+void run_keeper::on_answer(const report_answer& answer,
+                           const worker_report& report, time_point sent,
+                           time_point now)
+{
+    if (!answer.holds || answer.orders.epoch < epoch_)
+    {
+        return;
+    }
+    permit_until_ = std::max(
+        permit_until_, sent + std::chrono::milliseconds(answer.permit_ms));
+    std::erase_if(refused_,
+                  [&](const refused_run& one)
+                  {
+                      return std::find(report.refused.begin(),
+                                       report.refused.end(),
+                                       one) != report.refused.end();
+                  });
+    on_orders(answer.orders, now);
+}
+
+// ---------------------------------------------------------------------------
+// What came of orders
+// ---------------------------------------------------------------------------
+
+// Gives a run back. An earlier copy without an answer could still begin, so
+// the worker is told first never to begin it.
+void run_keeper::refuse(const std::string& task, kept_run& run,
+                        const std::string& reason, time_point now)
+{
+    if (run.unanswered > 0)
+    {
+        run.at = stage::stopping;
+        run.refusal = reason;
+        run.unanswered = 0;
+        run.next_call = now;
+        return;
+    }
+    refused_.push_back({.task = task, .run = run.order.run, .reason = reason});
+    runs_.erase(task);
+    news_ = true;
+}
+
+void run_keeper::on_started(const std::string& task, std::int64_t run,
+                            order_result result, time_point now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.order.run != run)
+    {
+        return;
+    }
+    kept_run& kept = found->second;
+    kept.call_open = false;
+    if (kept.at != stage::starting)
+    {
+        return; // a stop was ordered meanwhile
+    }
+    switch (result)
+    {
+    case order_result::accepted:
+        kept.at = stage::running;
+        kept.confirmed = now;
+        news_ = true;
+        return;
+    case order_result::late:
+        kept.next_call = now + options_.retry_after;
+        return;
+    case order_result::unanswered:
+        ++kept.unanswered;
+        kept.next_call = now + options_.retry_after;
+        if (kept.unanswered >= options_.most_unanswered)
+        {
+            refuse(task, kept, std::string(to_string(result)), now);
+        }
+        return;
+    case order_result::fenced:
+    case order_result::other_life:
+        runs_.erase(found); // a newer holder or life decides
+        news_ = true;
+        return;
+    case order_result::stale:
+        // It has ended here, or was stopped: the next look tells.
+        kept.at = stage::stopped;
+        kept.refusal = "stale";
+        kept.confirmed = now - options_.stop_time;
+        next_look_ = now;
+        return;
+    case order_result::no_room:
+    case order_result::no_ticket:
+    case order_result::rejected:
+    case order_result::unhealthy:
+        break;
+    }
+    refuse(task, kept, std::string(to_string(result)), now);
+}
+
+void run_keeper::on_stopped(const std::string& task, std::int64_t run,
+                            order_result result, time_point now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.order.run != run ||
+        found->second.at != stage::stopping)
+    {
+        return;
+    }
+    kept_run& kept = found->second;
+    kept.call_open = false;
+    if (result == order_result::accepted || result == order_result::stale)
+    {
+        kept.at = stage::stopped;
+        kept.confirmed = now;
+        return;
+    }
+    if (result == order_result::fenced || result == order_result::other_life)
+    {
+        runs_.erase(found);
+        return;
+    }
+    kept.next_call = now + options_.retry_after;
+}
+
+void run_keeper::on_looked(const std::string& life, order_result result,
+                           const std::optional<worker_look>& look,
+                           time_point sent, time_point now)
+{
+    look_open_ = false;
+    next_look_ = now;
+    if (!look)
+    {
+        next_look_ = now + options_.look_retry;
+        static_cast<void>(result);
+        return;
+    }
+    if (life != worker_.life)
+    {
+        return;
+    }
+    clock_ms_ = look->clock_ms;
+    clock_at_ = now;
+    news_ = news_ || !looked_ || ended_ != look->ended;
+    looked_ = true;
+    running_ = look->running;
+    ended_ = look->ended;
+    settle(sent);
+    std::map<std::string, run_traits> traits;
+    for (const auto& [task, kept] : runs_)
+    {
+        traits[task] = {.fills = kept.order.fills,
+                        .latency_target_ms = kept.order.latency_target_ms};
+    }
+    interference_.observe(running_, traits, now);
+}
+
+void run_keeper::on_paced(const pace_run& what, order_result result)
+{
+    const auto found = runs_.find(what.task);
+    if (found == runs_.end() || found->second.order.run != what.run)
+    {
+        return;
+    }
+    found->second.pace_open = false;
+    if (result == order_result::accepted)
+    {
+        found->second.pace = what.percent;
+    }
+}
+
+// Compares the runs with a look that was sent at a time.
+void run_keeper::settle(time_point sent)
+{
+    std::vector<std::string> gone;
+    for (auto& [task, kept] : runs_)
+    {
+        const std::int64_t run = kept.order.run;
+        if (is_ended(task, run))
+        {
+            gone.push_back(task);
+            continue;
+        }
+        const bool there = is_running(task, run);
+        if (there && kept.at == stage::starting)
+        {
+            kept.at = stage::running;
+            kept.confirmed = sent;
+        }
+        if (there)
+        {
+            continue;
+        }
+        if (kept.at == stage::running && kept.confirmed < sent)
+        {
+            gone.push_back(task); // its end was acknowledged
+        }
+        if (kept.at == stage::stopped &&
+            kept.confirmed + options_.stop_time < sent)
+        {
+            refused_.push_back(
+                {.task = task, .run = run, .reason = kept.refusal});
+            gone.push_back(task);
+            news_ = true;
+        }
+    }
+    for (const std::string& task : gone)
+    {
+        runs_.erase(task);
+    }
+}
+
+// ---------------------------------------------------------------------------
+// What to do
+// ---------------------------------------------------------------------------
+
+std::vector<keeper_action> run_keeper::due(time_point now)
+{
+    std::vector<keeper_action> out;
+    if (worker_.life.empty() || epoch_ == 0)
+    {
+        return out;
+    }
+    if (worker_.draining)
+    {
+        give_back_unstarted(now);
+    }
+    for (auto& [task, kept] : runs_)
+    {
+        act_on_run(task, kept, now, out);
+        act_on_pace(task, kept, out);
+    }
+    act_on_worker(now, out);
+    return out;
+}
+
+// A draining worker begins nothing more.
+void run_keeper::give_back_unstarted(time_point now)
+{
+    std::vector<std::string> unstarted;
+    for (const auto& [task, kept] : runs_)
+    {
+        if (kept.at == stage::starting && !kept.call_open)
+        {
+            unstarted.push_back(task);
+        }
+    }
+    for (const std::string& task : unstarted)
+    {
+        refuse(task, runs_.at(task), "draining", now);
+    }
+}
+
+void run_keeper::act_on_pace(const std::string& task, kept_run& run,
+                             std::vector<keeper_action>& out)
+{
+    const bool due = run.at == stage::running && run.order.fills &&
+                     !run.pace_open && run.pace != interference_.pace();
+    if (!due)
+    {
+        return;
+    }
+    run.pace_open = true;
+    out.emplace_back(pace_run{.task = task,
+                              .run = run.order.run,
+                              .percent = interference_.pace(),
+                              .epoch = epoch_,
+                              .life = worker_.life});
+}
+
+void run_keeper::act_on_run(const std::string& task, kept_run& run,
+                            time_point now, std::vector<keeper_action>& out)
+{
+    if (run.call_open || now < run.next_call)
+    {
+        return;
+    }
+    if (run.at == stage::stopping)
+    {
+        run.call_open = true;
+        out.emplace_back(stop_run{.order = {.task = task, .run = run.order.run},
+                                  .epoch = epoch_,
+                                  .life = worker_.life});
+        return;
+    }
+    const duration left = std::min(permit_until_ - now, options_.start_limit);
+    if (run.at != stage::starting || left <= duration{0} || worker_.draining)
+    {
+        return;
+    }
+    run.call_open = true;
+    out.emplace_back(
+        start_run{.order = run.order,
+                  .deadline_ms = worker_clock(now) + to_milliseconds(left),
+                  .epoch = epoch_,
+                  .life = worker_.life});
+}
+
+void run_keeper::act_on_worker(time_point now, std::vector<keeper_action>& out)
+{
+    if (look_open_ || now < next_look_)
+    {
+        return;
+    }
+    look_open_ = true;
+    look_at_worker look{.acknowledged = acknowledged_,
+                        .wait_ms = to_milliseconds(options_.look_wait),
+                        .epoch = epoch_,
+                        .life = worker_.life};
+    const duration left = std::min(permit_until_ - now, options_.longest_lease);
+    if (left > duration{0})
+    {
+        look.deadline_ms = worker_clock(now) + to_milliseconds(left);
+    }
+    if (!looked_)
+    {
+        look.wait_ms = 0;
+    }
+    out.emplace_back(std::move(look));
+}
+
+worker_report run_keeper::report() const
+{
+    worker_report out{.epoch = epoch_,
+                      .worker = worker_,
+                      .looked = looked_,
+                      .running = running_,
+                      .ended = ended_,
+                      .refused = refused_};
+    for (const auto& [task, kept] : runs_)
+    {
+        if (kept.at != stage::running)
+        {
+            out.starting.push_back(task);
+        }
+    }
+    for (const running_task& row : running_)
+    {
+        if (!runs_.contains(row.task))
+        {
+            out.unknown.push_back(row.task);
+        }
+    }
+    return out;
+}
+
+bool run_keeper::take_news() noexcept
+{
+    return std::exchange(news_, false);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <springstair/detail/jobs/job.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+// ---------------------------------------------------------------------------
+// What a worker says of itself
+// ---------------------------------------------------------------------------
+
+/// @brief One incarnation of the executor beside a guard.
+struct worker_description
+{
+    std::string life;    ///< its incarnation; empty: none is known
+    std::string service; ///< the pool that it belongs to
+    std::string data_centre;
+    std::string rack;
+    std::vector<std::string> labels; ///< its kind and its rack among them
+    resources capacity;
+    bool draining = false;
+    std::int64_t leaves_ms = 0; ///< least time that remains; 0: not leaving
+
+    bool operator==(const worker_description&) const = default;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_description, life,
+                                                service, data_centre, rack,
+                                                labels, capacity, draining,
+                                                leaves_ms)
+
+/// @brief A run that a worker has at work.
+struct running_task
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::string checkpoint;
+    std::int64_t percent = 0; ///< progress; of a lasting task: 100 at work
+    /// The tail latency in milliseconds of a task that serves; otherwise the
+    /// processors in use, in thousandths. A rough figure of half a second.
+    std::int64_t load = 0;
+
+    bool operator==(const running_task&) const = default;
+};
+
+/// @brief How a run ended.
+enum class run_end : std::uint8_t
+{
+    done,
+    failed,
+    stopped,
+    lapsed,  ///< its lease ran out
+    broken,  ///< another member of its gang ended
+    alone,   ///< its gang was never complete
+    refused, ///< it never ran: the worker refused it for good
+    lost     ///< the executor's incarnation is gone, or its lease surely
+             ///< ran out
+};
+
+/// @brief The wire name of an end.
+std::string_view to_string(run_end value) noexcept;
+
+/// @brief A run's end, listed by the worker until it is acknowledged.
+struct ended_task
+{
+    std::int64_t number = 0; ///< counts the ends of one incarnation
+    std::string task;
+    std::int64_t run = 0;
+    run_end how = run_end::failed;
+    std::string checkpoint;
+
+    bool operator==(const ended_task&) const = default;
+};
+
+/// @brief A run that a worker refused and will never begin.
+struct refused_run
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::string reason;
+
+    bool operator==(const refused_run&) const = default;
+};
+
+// ---------------------------------------------------------------------------
+// Guard to scheduler
+// ---------------------------------------------------------------------------
+
+/// @brief A guard's report. It is whole: what it leaves out is not there.
+struct worker_report
+{
+    std::string guard;
+    std::string address;       ///< where the guard takes orders
+    std::int64_t epoch = 0;    ///< newest holder that the guard knows
+    std::string incarnation;   ///< of the guard itself
+    std::int64_t sequence = 0; ///< grows with each report of an incarnation
+    worker_description worker;
+    /// Whether running and ended are a look at this incarnation; false in a
+    /// guard that has not yet seen its worker's lists.
+    bool looked = false;
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+    std::vector<refused_run> refused;
+    std::vector<std::string> starting; ///< ordered, not yet seen running
+    std::vector<std::string> unknown;  ///< running, but never described to it
+
+    bool operator==(const worker_report&) const = default;
+};
+
+// ---------------------------------------------------------------------------
+// Scheduler to guard
+// ---------------------------------------------------------------------------
+
+/// @brief Start a run, once; also describes a run that is there already.
+struct start_order
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+    bool fills = false;
+    std::int64_t latency_target_ms = 0; ///< 0: it serves nobody
+    std::string image;
+
+    bool operator==(const start_order&) const = default;
+};
+
+/// @brief Stop a run, and never begin it if it is not there.
+struct stop_order
+{
+    std::string task;
+    std::int64_t run = 0;
+
+    bool operator==(const stop_order&) const = default;
+};
+
+/// @brief What a holder has a guard do.
+struct guard_orders
+{
+    std::int64_t epoch = 0;
+    std::string life; ///< the incarnation that is meant
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::int64_t acknowledged = 0; ///< ends up to this number are kept
+
+    bool operator==(const guard_orders&) const = default;
+
+    /// @brief Whether there is nothing to do.
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return starts.empty() && stops.empty();
+    }
+};
+
+/// @brief A holder's answer to a report.
+struct report_answer
+{
+    bool holds = false;         ///< false: ask @ref holder instead
+    std::string holder;         ///< address of the holder, if known
+    std::int64_t permit_ms = 0; ///< the worker's lease may last so long,
+                                ///< counted from the report's sending
+    guard_orders orders;
+
+    bool operator==(const report_answer&) const = default;
+};
+
+void to_json(json& to, const running_task& from);
+void from_json(const json& from, running_task& to);
+void to_json(json& to, const ended_task& from);
+void from_json(const json& from, ended_task& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
+                                                epoch, incarnation, sequence,
+                                                worker, looked, running, ended,
+                                                refused, starting, unknown)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
+                                                checkpoint, ticket, fills,
+                                                latency_target_ms, image)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
+                                                starts, stops, acknowledged)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
+                                                permit_ms, orders)
+
+} // namespace springstair
--- /dev/null
+++ b/packages/jobs/include/springstair/jobs.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+/// @file
+/// @brief Jobs: what callers submit, what workers run and what is kept.
+
+#include <springstair/detail/jobs/job.hpp>
+#include <springstair/detail/jobs/progress.hpp>
+#include <springstair/detail/jobs/queue_table.hpp>
+#include <springstair/detail/jobs/worker_messages.hpp>
--- /dev/null
+++ b/packages/jobs/src/job.cpp
@@ -0,0 +1,133 @@
+#include <springstair/jobs.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace springstair
+{
+
+namespace
+{
+
+std::string place(std::size_t step, std::string_view member)
+{
+    return "/steps/" + std::to_string(step) + "/" + std::string(member);
+}
+
+void check_step(const job& what, std::size_t number, findings& out)
+{
+    const job_step& step = what.steps[number];
+    if (step.count < 1)
+    {
+        out.push_back({place(number, "count"), "must be 1 or more"});
+    }
+    const resources& demand = step.demand;
+    if (demand.cpu_millis < 0 || demand.memory_mb < 0 ||
+        demand.accelerators < 0)
+    {
+        out.push_back({place(number, "demand"), "must not be negative"});
+    }
+    for (const std::size_t before : step.after)
+    {
+        if (before >= number)
+        {
+            out.push_back({place(number, "after"),
+                           "names step " + std::to_string(before) +
+                               ", which is not an earlier one"});
+        }
+    }
+}
+
+std::int64_t tasks_of(const job& what)
+{
+    std::int64_t tasks = 0;
+    for (const job_step& step : what.steps)
+    {
+        tasks += std::max<std::int64_t>(0, step.count);
+    }
+    return tasks * what.rounds();
+}
+
+} // namespace
+
+findings check_job(const job& what, const job_bounds& bounds)
+{
+    findings out;
+    if (what.id.empty())
+    {
+        out.push_back({"/id", "is required"});
+    }
+    if (what.payload.size() > bounds.payload_bytes)
+    {
+        out.push_back({"/payload", "is longer than " +
+                                       std::to_string(bounds.payload_bytes) +
+                                       " bytes"});
+    }
+    if (what.steps.empty() || what.steps.size() > bounds.steps)
+    {
+        out.push_back({"/steps", "must be 1 to " +
+                                     std::to_string(bounds.steps) + " steps"});
+    }
+    for (std::size_t number = 0; number < what.steps.size(); ++number)
+    {
+        check_step(what, number, out);
+    }
+    if (tasks_of(what) > bounds.tasks)
+    {
+        out.push_back({"/steps", "make more than " +
+                                     std::to_string(bounds.tasks) + " tasks"});
+    }
+    return out;
+}
+
+std::string task_name::text() const
+{
+    return job + '.' + std::to_string(at.round) + '.' +
+           std::to_string(at.step) + '.' + std::to_string(at.index);
+}
+
+std::optional<task_name> task_name::parse(std::string_view text)
+{
+    const std::size_t dot = text.find('.');
+    if (dot == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    task_name name{.job = std::string(text.substr(0, dot))};
+    const char* from = text.data() + dot + 1;
+    const char* const end = text.data() + text.size();
+    const std::array<std::int64_t*, 3> parts{&name.at.round, &name.at.step,
+                                             &name.at.index};
+    for (std::size_t part = 0; part < parts.size(); ++part)
+    {
+        const auto [stop, error] = std::from_chars(from, end, *parts[part]);
+        const bool last = part + 1 == parts.size();
+        if (error != std::errc{} || (last ? stop != end : stop == end) ||
+            (!last && *stop != '.'))
+        {
+            return std::nullopt;
+        }
+        from = stop + (last ? 0 : 1);
+    }
+    return name;
+}
+
+std::string_view to_string(job_state value) noexcept
+{
+    switch (value)
+    {
+    case job_state::pending:
+        return "pending";
+    case job_state::running:
+        return "running";
+    case job_state::succeeded:
+        return "succeeded";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        return "cancelled";
+    }
+    return {};
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/jobs/src/progress.cpp
@@ -0,0 +1,60 @@
+#include <springstair/jobs.hpp>
+
+namespace springstair
+{
+
+namespace
+{
+
+// A task is a row of values in this order; names would triple its size.
+json row_of(const task_progress& task)
+{
+    return json::array({task.at.round, task.at.step, task.at.index,
+                        task.done ? 1 : 0, task.runs, task.failures, task.guard,
+                        task.life, task.checkpoint});
+}
+
+task_progress task_of(const json& row)
+{
+    return {.at = {.round = row.at(0), .step = row.at(1), .index = row.at(2)},
+            .done = row.at(3).get<int>() != 0,
+            .runs = row.at(4),
+            .failures = row.at(5),
+            .guard = row.at(6),
+            .life = row.at(7),
+            .checkpoint = row.at(8)};
+}
+
+} // namespace
+
+std::string encode(const job_progress& from)
+{
+    json tasks = json::array();
+    for (const task_progress& task : from.tasks)
+    {
+        tasks.push_back(row_of(task));
+    }
+    return json{{"state", static_cast<int>(from.state)}, {"tasks", tasks}}
+        .dump();
+}
+
+job_progress decode_progress(const std::string& text)
+{
+    try
+    {
+        const json document = json::parse(text);
+        job_progress to;
+        to.state = static_cast<job_state>(document.at("state").get<int>());
+        for (const json& row : document.at("tasks"))
+        {
+            to.tasks.push_back(task_of(row));
+        }
+        return to;
+    }
+    catch (const json::exception& error)
+    {
+        throw document_error(std::string("a job's progress: ") + error.what());
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <springstair/jobs.hpp>
+
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief The newest run of a task that may still be at some worker.
+struct task_run
+{
+    std::int64_t number = 0;
+    std::string guard;
+    std::string life;           ///< the executor's incarnation
+    std::int64_t placed_in = 0; ///< the job's change that recorded it
+    bool ordered = false;       ///< a start was sent in this office
+    bool seen = false;          ///< a report showed it running
+    bool stopping = false;      ///< it is to end; a stop is repeated
+    std::int64_t percent = -1;  ///< progress in the newest report
+    time_point moved_at{};      ///< when that progress last changed
+
+    bool operator==(const task_run&) const = default;
+};
+
+/// @brief One task of a job.
+struct job_task
+{
+    bool done = false;
+    std::int64_t runs = 0;
+    std::int64_t failures = 0;
+    std::optional<task_run> run;
+    std::string checkpoint;
+    std::set<std::string> avoided; ///< guards where it failed or stood still
+    time_point not_before{};       ///< no start earlier; after a refusal
+    time_point ready_since{};      ///< for waiting times
+};
+
+/// @brief One job as its holder knows it, with all of its tasks.
+class job_record
+{
+public:
+    /// @brief A job of which nothing has run.
+    explicit job_record(job what);
+
+    [[nodiscard]] const job& what() const noexcept
+    {
+        return what_;
+    }
+    [[nodiscard]] job_state state() const noexcept
+    {
+        return state_;
+    }
+
+    /// @brief Moves to another state. Final states are kept.
+    void enter(job_state next) noexcept;
+
+    /// @brief The task at a position, or null if the job has none there.
+    job_task* find(const task_position& at);
+    /// @brief The tasks of one step of one round.
+    std::span<job_task> tasks_of(std::int64_t round, std::int64_t step);
+    [[nodiscard]] std::span<const job_task> tasks_of(std::int64_t round,
+                                                     std::int64_t step) const;
+    /// @brief All tasks.
+    [[nodiscard]] std::span<job_task> tasks() noexcept
+    {
+        return tasks_;
+    }
+    [[nodiscard]] std::span<const job_task> tasks() const noexcept
+    {
+        return tasks_;
+    }
+    /// @brief The position of a task of this record.
+    [[nodiscard]] task_position position_of(const job_task& task) const;
+    /// @brief The step of a task.
+    [[nodiscard]] const job_step& step_at(const task_position& at) const;
+
+    /// @brief Whether every step before this one is done in that round.
+    [[nodiscard]] bool is_open(std::int64_t round, std::int64_t step) const;
+    /// @brief Whether every task is done.
+    [[nodiscard]] bool all_done() const;
+    /// @brief Whether any run may still be at a worker.
+    [[nodiscard]] bool has_runs() const;
+
+    /// @brief What is to be kept of it.
+    [[nodiscard]] job_progress progress() const;
+    /// @brief Takes over what an earlier holder kept.
+    void restore(const job_progress& kept);
+
+    // Bookkeeping of what the store has.
+
+    std::int64_t change = 0;   ///< counts changes worth keeping
+    std::int64_t kept = 0;     ///< the newest change that the store has
+    std::int64_t revision = 0; ///< of the stored progress; 0: none
+    job_state shown = job_state::pending; ///< what callers may see
+    std::int64_t order = 0;               ///< in which jobs were accepted
+    time_point accepted{};                ///< when this holder learnt of it
+    bool begun = false;                   ///< some task was seen running
+
+private:
+    job what_;
+    job_state state_ = job_state::pending;
+    std::vector<std::size_t> first_of_step_; ///< offsets within a round
+    std::size_t tasks_a_round_ = 0;
+    std::vector<job_task> tasks_;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <springstair/detail/scheduler/job_record.hpp>
+#include <springstair/detail/scheduler/worker_ledger.hpp>
+
+#include <map>
+#include <string>
+
+namespace springstair
+{
+
+/// @brief All workers of a holder, by their guard's name.
+using worker_map = std::map<std::string, worker_record>;
+
+/// @brief Bounds of the choice of a worker.
+struct placement_options
+{
+    /// A worker without a report for so long gets nothing new: two reports
+    /// that guards send twice a second, and some delay.
+    duration report_age = std::chrono::milliseconds(1300);
+    /// Share of their reserved processors that serving tasks use on average;
+    /// only an estimate of what is left for tasks that fill.
+    double serving_use = 0.5;
+    /// Score added for work away from its data, which takes longer there.
+    double far_penalty = 0.5;
+};
+
+/// @brief One task in search of a worker.
+struct placement_query
+{
+    const job_step& step;
+    const std::string& service;
+    const std::string& group; ///< step_group() of the task
+    const std::set<std::string>& avoided;
+    time_point now;
+};
+
+/// @brief Whether a worker may be given new runs at all.
+bool takes_runs(const worker_record& at, const std::string& service,
+                time_point now, const placement_options& options);
+
+/// @brief The best worker for a task, or null if none can take it now.
+/// Workers that the task should avoid are taken only if no other can.
+worker_record* choose_worker(worker_map& workers, const placement_query& query,
+                             const placement_options& options);
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -0,0 +1,231 @@
+#pragma once
+
+#include <springstair/detail/scheduler/job_record.hpp>
+#include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/worker_ledger.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief Timings and bounds of a holder.
+struct scheduler_options
+{
+    placement_options placement;
+    /// How long a worker's lease may last on one answer to its guard. Above
+    /// a guard's restart and a frozen VM; below the platform's most.
+    duration permit = std::chrono::seconds(4);
+    /// No permit ends later than this after the office was last verified. A
+    /// successor waits as long for workers it cannot reach. Above the longest
+    /// outage of the store that tasks should survive, plus a permit.
+    duration office_reach = std::chrono::seconds(10);
+    /// A worker's clock may run slower by this share of a lease (platform).
+    double clock_drift = 0.02;
+    /// Delays of messages and timers, on top of a lease.
+    duration lease_slack = std::chrono::milliseconds(300);
+    /// Least time between two writes: bounds the calls to the store.
+    duration commit_gap = std::chrono::milliseconds(20);
+    /// Jobs a write: each takes a condition and a put of the store's 32
+    /// entries, and the office's own condition one.
+    std::size_t jobs_a_commit = 15;
+    /// A start or stop that shows no effect is repeated after so long: two
+    /// reports of a guard.
+    duration repeat_order = std::chrono::milliseconds(1000);
+    /// A refused task is tried again after so long; the ledger was wrong and
+    /// a report corrects it in the meantime.
+    duration refused_pause = std::chrono::milliseconds(300);
+    /// Failures of different jobs in a row that take a worker out of use.
+    std::int64_t eject_after = 3;
+    /// How long it stays out at first; doubled each time, up to the most.
+    duration eject_for = std::chrono::seconds(2);
+    duration eject_most = std::chrono::seconds(10);
+    /// A run whose progress stands still for so long is moved elsewhere.
+    duration stuck_after = std::chrono::milliseconds(2000);
+    /// The same for a run that fills, which may rightly be starved longer.
+    duration stuck_fill_after = std::chrono::milliseconds(5000);
+    /// Before a worker leaves, runs are stopped when this little remains.
+    duration leave_margin = std::chrono::milliseconds(1500);
+};
+
+/// @brief One job's record to be written.
+struct progress_write
+{
+    std::string job;
+    std::string text;
+    std::int64_t expected_revision = 0; ///< of the stored record; 0: none
+    std::int64_t change = 0;
+    job_state state = job_state::pending;
+
+    bool operator==(const progress_write&) const = default;
+};
+
+/// @brief Records to be written in one transaction.
+using commit_batch = std::vector<progress_write>;
+
+/// @brief A decision, for the log.
+struct decision
+{
+    event_id id;
+    std::vector<event_field> fields;
+};
+
+/// @brief Orders for one guard and where it takes them.
+struct addressed_orders
+{
+    std::string guard;
+    std::string address;
+    guard_orders orders;
+};
+
+/// @brief Figures of a holder, for the metrics.
+struct scheduler_figures
+{
+    std::int64_t starts = 0;
+    std::int64_t refused = 0;
+    std::int64_t lost = 0;
+    std::int64_t failed_runs = 0;
+    std::int64_t jobs_open = 0;
+    std::int64_t workers = 0;
+};
+
+/// @brief All jobs and workers of one holder, and every decision on them.
+///
+/// Effects of a change (a start, an acknowledged end, a state shown to
+/// callers) are released only once the store has the change.
+class scheduler_core
+{
+public:
+    explicit scheduler_core(scheduler_options options = {});
+
+    /// @brief Begins an office. @param epoch grows with each office
+    void take_office(std::int64_t epoch, time_point now);
+    /// @brief Adds a job that an earlier holder kept, before begin().
+    void adopt(job what, const std::optional<job_progress>& kept,
+               std::int64_t revision, time_point now);
+    /// @brief All kept jobs are adopted: workers may report.
+    void begin(time_point now);
+
+    /// @brief A newer table is in force. Older ones are ignored.
+    void set_table(const queue_table& table);
+    /// @brief A job was accepted. Known jobs are ignored.
+    void accept(job what, time_point now);
+    /// @brief A job was cancelled, and the store has it.
+    void cancel(const std::string& id, time_point now);
+
+    /// @brief A guard reports. @param verified when the office was last known
+    /// to be this holder's, by a store call sent then
+    report_answer report(const worker_report& from, time_point now,
+                         time_point verified);
+
+    /// @brief Time passes. @param day_ms time of day since 1970
+    void tick(time_point now, std::int64_t day_ms);
+
+    /// @brief What to write next; none while one is under way or it is too
+    /// soon. The caller answers with committed().
+    std::optional<commit_batch> next_commit(time_point now);
+    /// @brief The store has the batch. @param revision of its items
+    void committed(const commit_batch& batch, std::int64_t revision,
+                   time_point now);
+
+    /// @brief Orders that became due.
+    std::vector<addressed_orders> take_orders();
+    /// @brief Decisions since the last call.
+    std::vector<decision> take_decisions();
+
+    /// @brief What callers may be shown of a job; nothing if unknown.
+    [[nodiscard]] std::optional<job_state> shown(const std::string& id) const;
+    /// @brief Jobs of a queue of which no task has begun.
+    [[nodiscard]] std::int64_t waiting(const std::string& queue) const;
+    /// @brief The present epoch.
+    [[nodiscard]] std::int64_t epoch() const noexcept
+    {
+        return epoch_;
+    }
+    [[nodiscard]] const worker_map& workers() const noexcept
+    {
+        return workers_;
+    }
+    [[nodiscard]] const job_record* find(const std::string& id) const;
+    [[nodiscard]] scheduler_figures figures() const;
+
+private:
+    // Placing (scheduler_placing.cpp).
+    void place(time_point now, std::int64_t day_ms);
+    bool place_job(job_record& of, time_point now, std::int64_t day_ms);
+    bool place_step(job_record& of, const queue_row& queue, std::int64_t round,
+                    std::int64_t step, time_point now);
+    bool place_gang(job_record& of, const queue_row& queue, std::int64_t round,
+                    std::int64_t step, time_point now);
+    std::vector<worker_record*> gang_workers(job_record& of,
+                                             const queue_row& queue,
+                                             const task_position& first,
+                                             time_point now);
+    void put(job_record& of, job_task& task, worker_record& at,
+             std::int64_t number, time_point now);
+    [[nodiscard]] std::int64_t priority_of(const job_record& of) const;
+
+    // Reports (scheduler_reports.cpp).
+    worker_record& worker_of(const worker_report& from, time_point now);
+    void change_life(worker_record& at, const std::string& life,
+                     time_point now);
+    void adopt_awaited(worker_record& at, time_point now);
+    void note_ends(worker_record& at, const worker_report& from,
+                   time_point now);
+    void note_refusals(worker_record& at, const worker_report& from,
+                       time_point now);
+    void note_running(worker_record& at, const worker_report& from,
+                      guard_orders& out, time_point now);
+    void note_progress(worker_record& at, task_run& run, const job_step& step,
+                       const running_task& row, time_point now);
+    void repeat_missing(worker_record& at, const worker_report& from,
+                        guard_orders& out, time_point now);
+    void leave_in_time(worker_record& at, guard_orders& out, time_point now);
+    std::int64_t acknowledge(worker_record& at);
+    [[nodiscard]] start_order order_for(const job_record& of,
+                                        const job_task& task) const;
+
+    // Ends (scheduler_ends.cpp).
+    void close_run(job_record& of, job_task& task, run_end how,
+                   const std::string& checkpoint, time_point now);
+    void close_gang(job_record& of, const task_position& at, run_end how,
+                    time_point now);
+    void count_failure(job_record& of, job_task& task, const task_run& run,
+                       time_point now);
+    void judge_worker(worker_record& at, const job_record& of,
+                      const task_run& run, run_end how, time_point now);
+    void finish_if_done(job_record& of);
+    void stop_all(job_record& of);
+    void want(job_record& of);
+    void lose_worker(worker_record& at, const char* why, time_point now);
+    void note(event_id id, std::vector<event_field> fields);
+
+    job_record* job_of(const std::string& id);
+
+    scheduler_options options_;
+    queue_table table_;
+    std::int64_t epoch_ = 0;
+    bool begun_ = false;
+    time_point office_since_{};
+    std::map<std::string, std::unique_ptr<job_record>> jobs_;
+    std::set<std::string> wanting_;  ///< jobs that may have tasks to place
+    std::vector<std::string> dirty_; ///< jobs to write, oldest change first
+    std::set<std::string> is_dirty_;
+    bool committing_ = false;
+    time_point last_commit_{};
+    worker_map workers_;
+    /// Runs that an earlier holder placed, by guard, until it reports.
+    std::map<std::string, std::set<task_name>> awaited_;
+    std::map<std::string, guard_orders> outbox_;
+    std::vector<decision> decisions_;
+    std::int64_t accepted_jobs_ = 0;
+    scheduler_figures counts_;
+    bool place_again_ = false;
+};
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <springstair/jobs.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace springstair
+{
+
+/// @brief An end that is applied but may not be kept in the store yet.
+struct noted_end
+{
+    std::int64_t number = 0;
+    std::string job;
+    std::int64_t change = 0; ///< the job's change that holds it
+
+    bool operator==(const noted_end&) const = default;
+};
+
+/// @brief What the holder knows of one worker.
+struct worker_record
+{
+    std::string guard;
+    std::string address; ///< of its guard
+    worker_description what;
+    resources used;                ///< by runs that may be there
+    std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
+    std::int64_t fill_runs = 0;    ///< their number
+    std::set<task_name> held;      ///< tasks whose newest run may be there
+    std::string incarnation;       ///< of its guard
+    std::int64_t sequence = 0;     ///< of the newest report
+    time_point reported{};         ///< when its last report came
+    time_point lease_ends{};       ///< by then its lease has surely run out
+    std::int64_t noted = 0;        ///< ends up to here are applied
+    std::int64_t acknowledged = 0; ///< ends up to here are kept
+    std::deque<noted_end> unkept;
+    std::int64_t failure_streak = 0; ///< failures of distinct jobs in a row
+    std::string failed_job;          ///< the last job that failed here
+    time_point ejected_until{};
+    std::int64_t ejections = 0;
+    std::map<std::string, std::int64_t> of_step; ///< runs by job and step
+
+    /// @brief What is left, by the ledger.
+    [[nodiscard]] resources room() const noexcept;
+};
+
+/// @brief What a run takes from a worker's room: a run that fills reserves
+/// no processors.
+resources reserved_by(const job_step& step) noexcept;
+
+/// @brief Enters a run into a worker's ledger.
+void reserve(worker_record& at, const job_step& step, const task_name& task);
+
+/// @brief Takes a run out of a worker's ledger, if it is in there.
+void release(worker_record& at, const job_step& step, const task_name& task);
+
+/// @brief The text that groups the runs of one step of one round.
+std::string step_group(const std::string& job, const task_position& at);
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+/// @file
+/// @brief The decisions about jobs: what runs where, and what became of it.
+///
+/// Nothing here does I/O or reads a clock; every call is given the time.
+
+#include <springstair/detail/scheduler/job_record.hpp>
+#include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/scheduler_core.hpp>
+#include <springstair/detail/scheduler/worker_ledger.hpp>
--- /dev/null
+++ b/packages/scheduler/src/job_record.cpp
@@ -0,0 +1,149 @@
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+job_record::job_record(job what) : what_(std::move(what))
+{
+    for (const job_step& step : what_.steps)
+    {
+        first_of_step_.push_back(tasks_a_round_);
+        tasks_a_round_ += static_cast<std::size_t>(step.count);
+    }
+    tasks_.resize(tasks_a_round_ * static_cast<std::size_t>(what_.rounds()));
+}
+
+void job_record::enter(job_state next) noexcept
+{
+    if (!is_final(state_) && state_ != next)
+    {
+        state_ = next;
+        ++change;
+    }
+}
+
+job_task* job_record::find(const task_position& at)
+{
+    const bool exists =
+        at.round >= 0 && at.round < what_.rounds() && at.step >= 0 &&
+        at.step < static_cast<std::int64_t>(what_.steps.size()) &&
+        at.index >= 0 &&
+        at.index < what_.steps[static_cast<std::size_t>(at.step)].count;
+    if (!exists)
+    {
+        return nullptr;
+    }
+    return &tasks_of(at.round, at.step)[static_cast<std::size_t>(at.index)];
+}
+
+std::span<const job_task> job_record::tasks_of(std::int64_t round,
+                                               std::int64_t step) const
+{
+    const auto number = static_cast<std::size_t>(step);
+    const std::size_t first = static_cast<std::size_t>(round) * tasks_a_round_ +
+                              first_of_step_[number];
+    return std::span(tasks_).subspan(
+        first, static_cast<std::size_t>(what_.steps[number].count));
+}
+
+std::span<job_task> job_record::tasks_of(std::int64_t round, std::int64_t step)
+{
+    const auto same = std::as_const(*this).tasks_of(round, step);
+    const auto first = static_cast<std::size_t>(same.data() - tasks_.data());
+    return std::span(tasks_).subspan(first, same.size());
+}
+
+task_position job_record::position_of(const job_task& task) const
+{
+    const auto number = static_cast<std::size_t>(&task - tasks_.data());
+    const std::size_t in_round = number % tasks_a_round_;
+    const auto after = std::upper_bound(first_of_step_.begin(),
+                                        first_of_step_.end(), in_round);
+    const auto step =
+        static_cast<std::size_t>(after - first_of_step_.begin()) - 1;
+    return {.round = static_cast<std::int64_t>(number / tasks_a_round_),
+            .step = static_cast<std::int64_t>(step),
+            .index =
+                static_cast<std::int64_t>(in_round - first_of_step_[step])};
+}
+
+const job_step& job_record::step_at(const task_position& at) const
+{
+    return what_.steps[static_cast<std::size_t>(at.step)];
+}
+
+bool job_record::is_open(std::int64_t round, std::int64_t step) const
+{
+    const job_step& of = what_.steps[static_cast<std::size_t>(step)];
+    return std::all_of(
+        of.after.begin(), of.after.end(),
+        [&](std::size_t before)
+        {
+            const auto tasks =
+                tasks_of(round, static_cast<std::int64_t>(before));
+            return std::all_of(tasks.begin(), tasks.end(),
+                               [](const job_task& task) { return task.done; });
+        });
+}
+
+bool job_record::all_done() const
+{
+    return std::all_of(tasks_.begin(), tasks_.end(),
+                       [](const job_task& task) { return task.done; });
+}
+
+bool job_record::has_runs() const
+{
+    return std::any_of(tasks_.begin(), tasks_.end(),
+                       [](const job_task& task)
+                       { return task.run.has_value(); });
+}
+
+job_progress job_record::progress() const
+{
+    job_progress kept{.state = state_};
+    for (const job_task& task : tasks_)
+    {
+        if (task.runs == 0)
+        {
+            continue;
+        }
+        kept.tasks.push_back(
+            {.at = position_of(task),
+             .done = task.done,
+             .runs = task.runs,
+             .failures = task.failures,
+             .guard = task.run ? task.run->guard : std::string(),
+             .life = task.run ? task.run->life : std::string(),
+             .checkpoint = task.done ? std::string() : task.checkpoint});
+    }
+    return kept;
+}
+
+void job_record::restore(const job_progress& kept_progress)
+{
+    state_ = kept_progress.state;
+    shown = state_;
+    for (const task_progress& from : kept_progress.tasks)
+    {
+        job_task* const task = find(from.at);
+        if (task == nullptr)
+        {
+            continue;
+        }
+        begun = true;
+        task->done = from.done;
+        task->runs = from.runs;
+        task->failures = from.failures;
+        task->checkpoint = from.checkpoint;
+        if (!from.guard.empty())
+        {
+            task->run = task_run{
+                .number = from.runs, .guard = from.guard, .life = from.life};
+        }
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -0,0 +1,286 @@
+// Office, acceptance, writing and what callers see.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+scheduler_core::scheduler_core(scheduler_options options)
+    : options_(std::move(options))
+{
+}
+
+void scheduler_core::take_office(std::int64_t epoch, time_point now)
+{
+    const queue_table table = table_;
+    *this = scheduler_core(options_);
+    table_ = table;
+    epoch_ = epoch;
+    office_since_ = now;
+}
+
+void scheduler_core::adopt(job what, const std::optional<job_progress>& kept,
+                           std::int64_t revision, time_point now)
+{
+    accept(std::move(what), now);
+    job_record& of = *jobs_.rbegin()->second;
+    if (!kept)
+    {
+        return;
+    }
+    of.restore(*kept);
+    of.revision = revision;
+    for (job_task& task : of.tasks())
+    {
+        if (task.run)
+        {
+            awaited_[task.run->guard].insert(
+                {of.what().id, of.position_of(task)});
+        }
+    }
+}
+
+void scheduler_core::begin(time_point now)
+{
+    begun_ = true;
+    office_since_ = now;
+    for (const auto& [id, of] : jobs_)
+    {
+        finish_if_done(*of);
+    }
+}
+
+void scheduler_core::set_table(const queue_table& table)
+{
+    if (table.version > table_.version)
+    {
+        table_ = table;
+        place_again_ = true;
+    }
+}
+
+void scheduler_core::accept(job what, time_point now)
+{
+    if (jobs_.contains(what.id))
+    {
+        return;
+    }
+    auto fresh = std::make_unique<job_record>(std::move(what));
+    fresh->order = ++accepted_jobs_;
+    fresh->accepted = now;
+    for (job_task& task : fresh->tasks())
+    {
+        task.ready_since = now;
+    }
+    job_record& of = *fresh;
+    jobs_.emplace(of.what().id, std::move(fresh));
+    note(event_id::job_known, {{"job", of.what().id},
+                               {"queue", of.what().queue},
+                               {"tasks", std::to_string(of.tasks().size())}});
+    wanting_.insert(of.what().id);
+    place_again_ = true;
+}
+
+void scheduler_core::cancel(const std::string& id, time_point /*now*/)
+{
+    job_record* const of = job_of(id);
+    if (of == nullptr || is_final(of->state()))
+    {
+        return;
+    }
+    note(event_id::job_ended, {{"job", id}, {"state", "cancelled"}});
+    of->enter(job_state::cancelled);
+    of->shown = job_state::cancelled; // the store has the cancellation
+    want(*of);
+    stop_all(*of);
+}
+
+job_record* scheduler_core::job_of(const std::string& id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+const job_record* scheduler_core::find(const std::string& id) const
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void scheduler_core::want(job_record& of)
+{
+    const std::string& id = of.what().id;
+    wanting_.insert(id);
+    place_again_ = true;
+    if (of.change > of.kept && is_dirty_.insert(id).second)
+    {
+        dirty_.push_back(id);
+    }
+}
+
+// ---------------------------------------------------------------------------
+// Writing
+// ---------------------------------------------------------------------------
+
+std::optional<commit_batch> scheduler_core::next_commit(time_point now)
+{
+    if (committing_ || !begun_ || dirty_.empty() ||
+        now - last_commit_ < options_.commit_gap)
+    {
+        return std::nullopt;
+    }
+    const std::size_t count = std::min(dirty_.size(), options_.jobs_a_commit);
+    commit_batch batch;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        const job_record& of = *job_of(dirty_[index]);
+        is_dirty_.erase(dirty_[index]);
+        batch.push_back({.job = of.what().id,
+                         .text = encode(of.progress()),
+                         .expected_revision = of.revision,
+                         .change = of.change,
+                         .state = of.state()});
+    }
+    dirty_.erase(dirty_.begin(),
+                 dirty_.begin() + static_cast<std::ptrdiff_t>(count));
+    committing_ = true;
+    last_commit_ = now;
+    return batch;
+}
+
+void scheduler_core::committed(const commit_batch& batch, std::int64_t revision,
+                               time_point now)
+{
+    committing_ = false;
+    for (const progress_write& write : batch)
+    {
+        job_record& of = *job_of(write.job);
+        of.kept = write.change;
+        of.revision = revision;
+        of.shown = of.shown == job_state::cancelled ? of.shown : write.state;
+        for (job_task& task : of.tasks())
+        {
+            const bool due = task.run && !task.run->ordered &&
+                             task.run->placed_in <= of.kept;
+            const auto at =
+                due ? workers_.find(task.run->guard) : workers_.end();
+            if (at == workers_.end() || task.run->stopping ||
+                at->second.what.life != task.run->life)
+            {
+                continue;
+            }
+            task.run->ordered = true;
+            task.run->moved_at = now;
+            outbox_[task.run->guard].starts.push_back(order_for(of, task));
+        }
+    }
+}
+
+std::vector<addressed_orders> scheduler_core::take_orders()
+{
+    std::vector<addressed_orders> out;
+    for (auto& [guard, orders] : outbox_)
+    {
+        const auto at = workers_.find(guard);
+        if (at == workers_.end() || orders.empty())
+        {
+            continue;
+        }
+        orders.epoch = epoch_;
+        orders.life = at->second.what.life;
+        orders.acknowledged = at->second.acknowledged;
+        out.push_back({.guard = guard,
+                       .address = at->second.address,
+                       .orders = std::move(orders)});
+    }
+    outbox_.clear();
+    return out;
+}
+
+// ---------------------------------------------------------------------------
+// What is seen from outside
+// ---------------------------------------------------------------------------
+
+std::optional<job_state> scheduler_core::shown(const std::string& id) const
+{
+    const job_record* const of = find(id);
+    if (of == nullptr || !begun_)
+    {
+        return std::nullopt;
+    }
+    if (!is_final(of->shown) && of->begun)
+    {
+        return job_state::running;
+    }
+    return of->shown;
+}
+
+std::int64_t scheduler_core::waiting(const std::string& queue) const
+{
+    return std::count_if(jobs_.begin(), jobs_.end(),
+                         [&](const auto& entry)
+                         {
+                             const job_record& of = *entry.second;
+                             return of.what().queue == queue && !of.begun &&
+                                    !is_final(of.state());
+                         });
+}
+
+scheduler_figures scheduler_core::figures() const
+{
+    scheduler_figures now = counts_;
+    now.jobs_open = std::count_if(jobs_.begin(), jobs_.end(),
+                                  [](const auto& entry)
+                                  { return !is_final(entry.second->state()); });
+    now.workers = static_cast<std::int64_t>(workers_.size());
+    return now;
+}
+
+void scheduler_core::note(event_id id, std::vector<event_field> fields)
+{
+    decisions_.push_back({id, std::move(fields)});
+}
+
+std::vector<decision> scheduler_core::take_decisions()
+{
+    return std::exchange(decisions_, {});
+}
+
+// ---------------------------------------------------------------------------
+// Time
+// ---------------------------------------------------------------------------
+
+void scheduler_core::tick(time_point now, std::int64_t day_ms)
+{
+    if (!begun_)
+    {
+        return;
+    }
+    for (auto& [guard, at] : workers_)
+    {
+        if (now >= at.lease_ends && !at.held.empty())
+        {
+            lose_worker(at, "its lease has surely run out", now);
+        }
+    }
+    const duration reach =
+        options_.office_reach +
+        from_seconds(to_seconds(options_.office_reach) * options_.clock_drift) +
+        options_.lease_slack;
+    if (!awaited_.empty() && now - office_since_ > reach)
+    {
+        for (const auto& [guard, tasks] : std::exchange(awaited_, {}))
+        {
+            for (const task_name& name : tasks)
+            {
+                job_record& of = *job_of(name.job);
+                close_run(of, *of.find(name.at), run_end::lost, {}, now);
+            }
+        }
+    }
+    place(now, day_ms);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -0,0 +1,178 @@
+// What an end of a run means for its task, its job and its worker.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+void scheduler_core::close_run(job_record& of, job_task& task, run_end how,
+                               const std::string& checkpoint, time_point now)
+{
+    const task_run run = *task.run;
+    const task_position where = of.position_of(task);
+    const job_step& step = of.step_at(where);
+    const auto at = workers_.find(run.guard);
+    if (at != workers_.end())
+    {
+        release(at->second, step, {of.what().id, where});
+        judge_worker(at->second, of, run, how, now);
+    }
+    task.run.reset();
+    task.ready_since = now;
+    ++of.change;
+    if (!checkpoint.empty())
+    {
+        task.checkpoint = checkpoint;
+    }
+    if (how == run_end::done)
+    {
+        task.done = true;
+    }
+    else if (how == run_end::failed)
+    {
+        count_failure(of, task, run, now);
+    }
+    else if (how == run_end::lost)
+    {
+        ++counts_.lost;
+    }
+    if (step.gang)
+    {
+        close_gang(of, where, how, now);
+    }
+    finish_if_done(of);
+    want(of);
+}
+
+// Members end together: one done stands for all, any other end brings the
+// rest down before the gang may run again.
+void scheduler_core::close_gang(job_record& of, const task_position& at,
+                                run_end how, time_point now)
+{
+    job_task& closed = *of.find(at);
+    for (job_task& member : of.tasks_of(at.round, at.step))
+    {
+        if (&member == &closed)
+        {
+            continue;
+        }
+        member.checkpoint = closed.checkpoint;
+        if (how == run_end::failed)
+        {
+            member.failures = std::max(member.failures, closed.failures);
+        }
+        if (how == run_end::done)
+        {
+            member.done = true;
+        }
+        else if (member.run && !member.run->stopping)
+        {
+            member.run->stopping = true;
+            member.run->ordered = true;
+            outbox_[member.run->guard].stops.push_back(
+                {.task = task_name{of.what().id, of.position_of(member)}.text(),
+                 .run = member.run->number});
+        }
+        member.ready_since = now;
+    }
+}
+
+void scheduler_core::count_failure(job_record& of, job_task& task,
+                                   const task_run& run, time_point now)
+{
+    ++counts_.failed_runs;
+    ++task.failures;
+    task.avoided.insert(run.guard);
+    const job_step& step = of.step_at(of.position_of(task));
+    const queue_row* const queue = table_.queue(of.what().queue);
+    const bool exhausted = !step.lasting && queue != nullptr &&
+                           task.failures >= queue->most_attempts;
+    if (!exhausted || is_final(of.state()))
+    {
+        return;
+    }
+    note(event_id::job_ended,
+         {{"job", of.what().id},
+          {"state", "failed"},
+          {"task", task_name{of.what().id, of.position_of(task)}.text()},
+          {"failures", std::to_string(task.failures)},
+          {"most_attempts", std::to_string(queue->most_attempts)},
+          {"table_version", std::to_string(table_.version)}});
+    of.enter(job_state::failed);
+    stop_all(of);
+    static_cast<void>(now);
+}
+
+// A worker that fails different jobs in a row gets no work for a while. A
+// task that has failed on several workers says nothing about any of them.
+void scheduler_core::judge_worker(worker_record& at, const job_record& of,
+                                  const task_run& /*run*/, run_end how,
+                                  time_point now)
+{
+    if (how == run_end::done)
+    {
+        at.failure_streak = 0;
+        at.ejections = 0;
+        at.failed_job.clear();
+        return;
+    }
+    std::set<std::string> failed_on;
+    for (const job_task& task : of.tasks())
+    {
+        failed_on.insert(task.avoided.begin(), task.avoided.end());
+    }
+    failed_on.erase(at.guard);
+    if (how != run_end::failed || at.failed_job == of.what().id ||
+        !failed_on.empty())
+    {
+        return;
+    }
+    at.failed_job = of.what().id;
+    ++at.failure_streak;
+    if (at.failure_streak < options_.eject_after)
+    {
+        return;
+    }
+    const duration pause = std::min(
+        options_.eject_most,
+        options_.eject_for *
+            (std::int64_t{1} << std::min<std::int64_t>(at.ejections, 4)));
+    at.ejected_until = now + pause;
+    at.failure_streak = options_.eject_after - 1; // one more ejects again
+    ++at.ejections;
+    note(event_id::worker_ejected,
+         {{"guard", at.guard},
+          {"life", at.what.life},
+          {"for_ms", std::to_string(to_milliseconds(pause))}});
+}
+
+void scheduler_core::finish_if_done(job_record& of)
+{
+    if (is_final(of.state()) || !of.all_done())
+    {
+        return;
+    }
+    note(event_id::job_ended, {{"job", of.what().id}, {"state", "succeeded"}});
+    of.enter(job_state::succeeded);
+    want(of);
+}
+
+void scheduler_core::stop_all(job_record& of)
+{
+    for (job_task& task : of.tasks())
+    {
+        if (!task.run || task.run->stopping)
+        {
+            continue;
+        }
+        task.run->stopping = true;
+        task.run->ordered = true;
+        outbox_[task.run->guard].stops.push_back(
+            {.task = task_name{of.what().id, of.position_of(task)}.text(),
+             .run = task.run->number});
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -0,0 +1,261 @@
+// Which waiting task goes to which worker.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace springstair
+{
+
+namespace
+{
+
+// Above every configured priority: jobs of a queue that is gone go last.
+constexpr std::int64_t last_priority = 1'000'000;
+
+bool is_waiting(const job_task& task)
+{
+    return !task.done && !task.run;
+}
+
+std::int64_t rounds_due(const job& what, std::int64_t day_ms)
+{
+    const job_schedule& schedule = what.schedule;
+    if (schedule.count == 0)
+    {
+        return 1;
+    }
+    if (day_ms < schedule.first_due_ms)
+    {
+        return 0;
+    }
+    const std::int64_t since = day_ms - schedule.first_due_ms;
+    const std::int64_t due = schedule.interval_ms <= 0
+                                 ? schedule.count
+                                 : since / schedule.interval_ms + 1;
+    return std::min(due, schedule.count);
+}
+
+} // namespace
+
+std::int64_t scheduler_core::priority_of(const job_record& of) const
+{
+    const queue_row* const queue = table_.queue(of.what().queue);
+    return queue == nullptr ? last_priority : queue->priority;
+}
+
+void scheduler_core::place(time_point now, std::int64_t day_ms)
+{
+    std::vector<std::tuple<std::int64_t, std::int64_t, job_record*>> order;
+    for (const std::string& id : wanting_)
+    {
+        job_record& of = *job_of(id);
+        order.emplace_back(priority_of(of), of.order, &of);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto& [priority, number, of] : order)
+    {
+        if (!place_job(*of, now, day_ms))
+        {
+            wanting_.erase(of->what().id);
+        }
+    }
+    place_again_ = false;
+}
+
+// Gives whether the job may have more to place later.
+bool scheduler_core::place_job(job_record& of, time_point now,
+                               std::int64_t day_ms)
+{
+    if (is_final(of.state()))
+    {
+        return false;
+    }
+    const queue_row* const queue = table_.queue(of.what().queue);
+    if (queue == nullptr || queue->advice)
+    {
+        return true;
+    }
+    const std::int64_t due = rounds_due(of.what(), day_ms);
+    bool more = due < of.what().rounds();
+    const auto steps = static_cast<std::int64_t>(of.what().steps.size());
+    for (std::int64_t round = 0; round < due; ++round)
+    {
+        for (std::int64_t step = 0; step < steps; ++step)
+        {
+            if (!of.is_open(round, step))
+            {
+                continue;
+            }
+            const bool gang =
+                of.what().steps[static_cast<std::size_t>(step)].gang;
+            const bool left = gang ? place_gang(of, *queue, round, step, now)
+                                   : place_step(of, *queue, round, step, now);
+            more = more || left;
+        }
+    }
+    return more;
+}
+
+bool scheduler_core::place_step(job_record& of, const queue_row& queue,
+                                std::int64_t round, std::int64_t step,
+                                time_point now)
+{
+    bool left = false;
+    const std::string group =
+        step_group(of.what().id, {.round = round, .step = step});
+    for (job_task& task : of.tasks_of(round, step))
+    {
+        if (!is_waiting(task))
+        {
+            continue;
+        }
+        if (now < task.not_before)
+        {
+            left = true;
+            continue;
+        }
+        worker_record* const at = choose_worker(
+            workers_,
+            {.step = of.what().steps[static_cast<std::size_t>(step)],
+             .service = queue.service,
+             .group = group,
+             .avoided = task.avoided,
+             .now = now},
+            options_.placement);
+        if (at == nullptr)
+        {
+            return true; // its siblings ask for the same
+        }
+        put(of, task, *at, task.runs + 1, now);
+    }
+    return left;
+}
+
+void scheduler_core::put(job_record& of, job_task& task, worker_record& at,
+                         std::int64_t number, time_point now)
+{
+    const task_position where = of.position_of(task);
+    ++of.change;
+    task.runs = number;
+    task.run = task_run{.number = number,
+                        .guard = at.guard,
+                        .life = at.what.life,
+                        .placed_in = of.change,
+                        .moved_at = now};
+    const task_name name{of.what().id, where};
+    reserve(at, of.step_at(where), name);
+    of.enter(job_state::running);
+    want(of);
+    ++counts_.starts;
+    note(event_id::run_placed,
+         {{"task", name.text()},
+          {"run", std::to_string(number)},
+          {"guard", at.guard},
+          {"life", at.what.life},
+          {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
+          {"waited_ms",
+           std::to_string(to_milliseconds(now - task.ready_since))}});
+}
+
+// ---------------------------------------------------------------------------
+// Gangs: all members at once, or none
+// ---------------------------------------------------------------------------
+
+bool scheduler_core::place_gang(job_record& of, const queue_row& queue,
+                                std::int64_t round, std::int64_t step,
+                                time_point now)
+{
+    const auto tasks = of.tasks_of(round, step);
+    if (std::all_of(tasks.begin(), tasks.end(),
+                    [](const job_task& task) { return task.done; }))
+    {
+        return false;
+    }
+    const bool free =
+        std::all_of(tasks.begin(), tasks.end(),
+                    [now](const job_task& task)
+                    { return is_waiting(task) && now >= task.not_before; });
+    if (!free)
+    {
+        return true;
+    }
+    const auto chosen =
+        gang_workers(of, queue, {.round = round, .step = step}, now);
+    if (chosen.empty())
+    {
+        return true;
+    }
+    std::int64_t number = 0;
+    for (const job_task& task : tasks)
+    {
+        number = std::max(number, task.runs + 1);
+    }
+    for (std::size_t index = 0; index < tasks.size(); ++index)
+    {
+        put(of, tasks[index], *chosen[index], number, now);
+    }
+    return false;
+}
+
+// One worker a member, chosen on a copy of the ledger; empty if they do not
+// all fit. A gang that wants one rack is tried rack by rack first.
+std::vector<worker_record*>
+scheduler_core::gang_workers(job_record& of, const queue_row& queue,
+                             const task_position& first, time_point now)
+{
+    const job_step& step = of.step_at(first);
+    const auto tasks = of.tasks_of(first.round, first.step);
+    const std::string group = step_group(of.what().id, first);
+    const auto fill = [&](const std::string& rack)
+    {
+        worker_map trial;
+        for (const auto& [name, at] : workers_)
+        {
+            if (rack.empty() || at.what.rack == rack)
+            {
+                trial.emplace(name, at);
+            }
+        }
+        std::vector<worker_record*> chosen;
+        for (std::size_t index = 0; index < tasks.size(); ++index)
+        {
+            worker_record* const at =
+                choose_worker(trial,
+                              {.step = step,
+                               .service = queue.service,
+                               .group = group,
+                               .avoided = tasks[index].avoided,
+                               .now = now},
+                              options_.placement);
+            if (at == nullptr)
+            {
+                return std::vector<worker_record*>{};
+            }
+            task_position where = first;
+            where.index = static_cast<std::int64_t>(index);
+            reserve(*at, step, {of.what().id, where});
+            chosen.push_back(&workers_.at(at->guard));
+        }
+        return chosen;
+    };
+    if (step.same_rack)
+    {
+        std::set<std::string> racks;
+        for (const auto& [name, at] : workers_)
+        {
+            racks.insert(at.what.rack);
+        }
+        for (const std::string& rack : racks)
+        {
+            if (auto chosen = fill(rack); !chosen.empty())
+            {
+                return chosen;
+            }
+        }
+    }
+    return fill({});
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -0,0 +1,357 @@
+// What guards report, and what they are told.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+report_answer scheduler_core::report(const worker_report& from, time_point now,
+                                     time_point verified)
+{
+    report_answer answer;
+    if (!begun_)
+    {
+        return answer;
+    }
+    answer.holds = true;
+    worker_record& at = worker_of(from, now);
+    answer.orders.epoch = epoch_;
+    answer.orders.life = at.what.life;
+    answer.orders.acknowledged = at.acknowledged;
+    const bool repeated =
+        at.incarnation == from.incarnation && from.sequence <= at.sequence;
+    if (repeated)
+    {
+        return answer; // delayed on its way; a newer one was answered
+    }
+    at.incarnation = from.incarnation;
+    at.sequence = from.sequence;
+    at.address = from.address;
+    at.reported = now;
+    const duration left = verified + options_.office_reach - now;
+    const duration permit = std::clamp(left, duration{0}, options_.permit);
+    answer.permit_ms = to_milliseconds(permit);
+    const duration drifted =
+        from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
+    at.lease_ends =
+        std::max(at.lease_ends, now + drifted + options_.lease_slack);
+    if (!from.worker.life.empty())
+    {
+        change_life(at, from.worker.life, now);
+        at.what = from.worker;
+        adopt_awaited(at, now);
+    }
+    if (from.looked && from.worker.life == at.what.life)
+    {
+        note_ends(at, from, now);
+        note_refusals(at, from, now);
+        note_running(at, from, answer.orders, now);
+        repeat_missing(at, from, answer.orders, now);
+        leave_in_time(at, answer.orders, now);
+    }
+    answer.orders.life = at.what.life;
+    answer.orders.acknowledged = acknowledge(at);
+    return answer;
+}
+
+worker_record& scheduler_core::worker_of(const worker_report& from,
+                                         time_point now)
+{
+    const auto [found, fresh] = workers_.try_emplace(from.guard);
+    worker_record& at = found->second;
+    if (fresh)
+    {
+        at.guard = from.guard;
+        at.reported = now;
+        // What an earlier holder permitted may still be in force.
+        at.lease_ends = office_since_ + options_.office_reach;
+        note(event_id::worker_known,
+             {{"guard", from.guard}, {"life", from.worker.life}});
+    }
+    return at;
+}
+
+// Another incarnation of the executor: all that ran there is gone.
+void scheduler_core::change_life(worker_record& at, const std::string& life,
+                                 time_point now)
+{
+    if (at.what.life.empty() || at.what.life == life)
+    {
+        return;
+    }
+    lose_worker(at, "its executor began another life", now);
+    at.noted = 0;
+    at.acknowledged = 0;
+    at.unkept.clear();
+    at.failure_streak = 0;
+    at.ejections = 0;
+    at.ejected_until = {};
+}
+
+void scheduler_core::lose_worker(worker_record& at, const char* why,
+                                 time_point now)
+{
+    note(event_id::worker_lost,
+         {{"guard", at.guard},
+          {"life", at.what.life},
+          {"runs", std::to_string(at.held.size())},
+          {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
+          {"why", why}});
+    for (const task_name& name : std::set<task_name>(at.held))
+    {
+        job_record& of = *job_of(name.job);
+        close_run(of, *of.find(name.at), run_end::lost, {}, now);
+    }
+}
+
+// Runs of an earlier holder: those of this incarnation are entered into the
+// ledger, those of another are gone.
+void scheduler_core::adopt_awaited(worker_record& at, time_point now)
+{
+    const auto found = awaited_.find(at.guard);
+    if (found == awaited_.end())
+    {
+        return;
+    }
+    const std::set<task_name> tasks = std::move(found->second);
+    awaited_.erase(found);
+    for (const task_name& name : tasks)
+    {
+        job_record& of = *job_of(name.job);
+        job_task& task = *of.find(name.at);
+        if (task.run->life != at.what.life)
+        {
+            close_run(of, task, run_end::lost, {}, now);
+            continue;
+        }
+        task.run->moved_at = now;
+        task.run->ordered = true;
+        task.run->stopping = is_final(of.state());
+        reserve(at, of.step_at(name.at), name);
+    }
+}
+
+void scheduler_core::note_ends(worker_record& at, const worker_report& from,
+                               time_point now)
+{
+    for (const ended_task& end : from.ended)
+    {
+        if (end.number <= at.noted)
+        {
+            continue;
+        }
+        at.noted = end.number;
+        const auto name = task_name::parse(end.task);
+        job_record* const of = name ? job_of(name->job) : nullptr;
+        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
+        const bool current =
+            task != nullptr && task->run && task->run->number == end.run &&
+            task->run->guard == at.guard && task->run->life == at.what.life;
+        note(event_id::run_ended, {{"task", end.task},
+                                   {"run", std::to_string(end.run)},
+                                   {"guard", at.guard},
+                                   {"how", std::string(to_string(end.how))},
+                                   {"current", current ? "yes" : "no"}});
+        if (current)
+        {
+            close_run(*of, *task, end.how, end.checkpoint, now);
+        }
+        if (of != nullptr)
+        {
+            at.unkept.push_back({.number = end.number,
+                                 .job = of->what().id,
+                                 .change = of->change});
+        }
+        else
+        {
+            at.unkept.push_back({.number = end.number});
+        }
+    }
+}
+
+void scheduler_core::note_refusals(worker_record& at, const worker_report& from,
+                                   time_point now)
+{
+    for (const refused_run& refusal : from.refused)
+    {
+        const auto name = task_name::parse(refusal.task);
+        job_record* const of = name ? job_of(name->job) : nullptr;
+        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
+        const bool current =
+            task != nullptr && task->run && task->run->number == refusal.run &&
+            task->run->guard == at.guard && task->run->life == at.what.life;
+        if (!current)
+        {
+            continue;
+        }
+        ++counts_.refused;
+        note(event_id::run_refused, {{"task", refusal.task},
+                                     {"run", std::to_string(refusal.run)},
+                                     {"guard", at.guard},
+                                     {"reason", refusal.reason}});
+        task->not_before = now + options_.refused_pause;
+        close_run(*of, *task, run_end::refused, {}, now);
+    }
+}
+
+void scheduler_core::note_running(worker_record& at, const worker_report& from,
+                                  guard_orders& out, time_point now)
+{
+    for (const running_task& row : from.running)
+    {
+        const auto name = task_name::parse(row.task);
+        job_record* const of = name ? job_of(name->job) : nullptr;
+        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
+        const bool current =
+            task != nullptr && task->run && task->run->number == row.run &&
+            task->run->guard == at.guard && task->run->life == at.what.life;
+        if (!current)
+        {
+            out.stops.push_back({.task = row.task, .run = row.run});
+            continue;
+        }
+        of->begun = true;
+        if (!row.checkpoint.empty())
+        {
+            task->checkpoint = row.checkpoint;
+        }
+        note_progress(at, *task->run, of->step_at(name->at), row, now);
+        const bool undescribed =
+            std::find(from.unknown.begin(), from.unknown.end(), row.task) !=
+            from.unknown.end();
+        if (undescribed)
+        {
+            out.starts.push_back(order_for(*of, *task));
+        }
+        if (task->run->stopping)
+        {
+            out.stops.push_back({.task = row.task, .run = row.run});
+        }
+    }
+}
+
+// A run that stands still is stopped, and the task runs elsewhere.
+void scheduler_core::note_progress(worker_record& at, task_run& run,
+                                   const job_step& step,
+                                   const running_task& row, time_point now)
+{
+    run.seen = true;
+    const bool at_work = step.lasting && row.percent == 100;
+    if (row.percent != run.percent || at_work)
+    {
+        run.percent = row.percent;
+        run.moved_at = now;
+        return;
+    }
+    const duration bound =
+        step.fills ? options_.stuck_fill_after : options_.stuck_after;
+    if (now - run.moved_at <= bound || run.stopping || step.gang)
+    {
+        return;
+    }
+    run.stopping = true;
+    note(event_id::run_stuck,
+         {{"task", row.task},
+          {"run", std::to_string(row.run)},
+          {"guard", at.guard},
+          {"percent", std::to_string(row.percent)},
+          {"still_ms", std::to_string(to_milliseconds(now - run.moved_at))}});
+    if (const auto name = task_name::parse(row.task))
+    {
+        job_of(name->job)->find(name->at)->avoided.insert(at.guard);
+    }
+}
+
+// Runs that the store has but the worker does not show: the start was lost,
+// or an earlier holder fell before it sent one. A start is sent again; the
+// worker takes each run once.
+void scheduler_core::repeat_missing(worker_record& at,
+                                    const worker_report& from,
+                                    guard_orders& out, time_point now)
+{
+    std::set<std::string> there(from.starting.begin(), from.starting.end());
+    for (const running_task& row : from.running)
+    {
+        there.insert(row.task);
+    }
+    for (const task_name& name : at.held)
+    {
+        job_record& of = *job_of(name.job);
+        job_task& task = *of.find(name.at);
+        task_run& run = *task.run;
+        const std::string text = name.text();
+        const bool due = run.ordered && run.placed_in <= of.kept &&
+                         !there.contains(text) &&
+                         now - run.moved_at > options_.repeat_order;
+        if (!due)
+        {
+            continue;
+        }
+        run.moved_at = now;
+        if (run.stopping)
+        {
+            out.stops.push_back({.task = text, .run = run.number});
+        }
+        else
+        {
+            out.starts.push_back(order_for(of, task));
+        }
+    }
+}
+
+// A worker that leaves takes down what runs there: what lasts moves at once,
+// the rest when little time remains.
+void scheduler_core::leave_in_time(worker_record& at, guard_orders& out,
+                                   time_point /*now*/)
+{
+    if (!at.what.draining || at.what.leaves_ms == 0)
+    {
+        return;
+    }
+    const bool late =
+        std::chrono::milliseconds(at.what.leaves_ms) < options_.leave_margin;
+    for (const task_name& name : at.held)
+    {
+        job_record& of = *job_of(name.job);
+        task_run& run = *of.find(name.at)->run;
+        if (run.seen && !run.stopping && (late || of.step_at(name.at).lasting))
+        {
+            run.stopping = true;
+            out.stops.push_back({.task = name.text(), .run = run.number});
+        }
+    }
+}
+
+std::int64_t scheduler_core::acknowledge(worker_record& at)
+{
+    while (!at.unkept.empty())
+    {
+        const noted_end& oldest = at.unkept.front();
+        const job_record* const of = job_of(oldest.job);
+        if (of != nullptr && of->kept < oldest.change)
+        {
+            break;
+        }
+        at.acknowledged = oldest.number;
+        at.unkept.pop_front();
+    }
+    return at.acknowledged;
+}
+
+start_order scheduler_core::order_for(const job_record& of,
+                                      const job_task& task) const
+{
+    const task_position where = of.position_of(task);
+    const job_step& step = of.step_at(where);
+    return {.task = task_name{of.what().id, where}.text(),
+            .run = task.run->number,
+            .payload = of.what().payload,
+            .checkpoint = task.checkpoint,
+            .fills = step.fills,
+            .latency_target_ms = step.latency_target_ms,
+            .image = step.image};
+}
+
+} // namespace springstair
