Entry: a configuration is in force in time while watches are deaf; fills get a budget

Watches now wait 0.7 s and are asked again, which tells of the dropped history. Ruled out: a stale read (none is used).

Tried with it: a budget of processors for fills per worker in place of halved paces, and placement within it.

--- a/packages/daemon/src/configuration_watch.cpp
+++ b/packages/daemon/src/configuration_watch.cpp
@@ -11,9 +11,10 @@
 using platform::store_result;
 using platform::store_status;
 
-// A watch may hear nothing for a second before it is cut; it is asked anew
-// often enough that a change is still in force in time.
-constexpr duration watch_wait = std::chrono::seconds(5);
+// A watch may hear nothing for a second while the history is dropped; the
+// next one is then told to read anew. So short, a change is in force within
+// two seconds all the same.
+constexpr duration watch_wait = std::chrono::milliseconds(700);
 constexpr duration pause = std::chrono::milliseconds(150);
 
 } // namespace
--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -133,7 +133,7 @@
         answer(to, platform::accepted_answer());
         if (result.status == store_status::done)
         {
-            holder_.job_was_accepted(what);
+            tell_holder(what);
         }
         return;
     }
@@ -153,6 +153,17 @@
     again(to, [this, what, to] { submit(what, to); });
 }
 
+// Saves the time until the holder finds the job in the store.
+void job_desk::tell_holder(const job& what)
+{
+    if (holder_.ready())
+    {
+        holder_.job_was_accepted(what);
+        return;
+    }
+    ask_holder("accepted", what, [](const std::optional<json>&) {});
+}
+
 // ---------------------------------------------------------------------------
 // Showing
 // ---------------------------------------------------------------------------
@@ -320,6 +331,8 @@
                             timeout_.answered(result.took);
                             log_event(event_id::job_cancelled, {{"job", id}});
                             holder_.job_was_cancelled(id);
+                ask_holder("cancelled", {{"id", id}},
+                           [](const std::optional<json>&) {});
                             answer(to, platform::accepted_answer());
                         }));
 }
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -56,6 +56,7 @@
     void submit(const job& what, const request_ptr& to);
     void on_submitted(const job& what, const request_ptr& to,
                       const platform::store_result& result);
+    void tell_holder(const job& what);
     void show_from_store(const std::string& id, const request_ptr& to);
     void on_job_read(const std::string& id, const request_ptr& to,
                      const platform::store_result& result);
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -55,6 +55,18 @@
                  });
         rpc_.add("show", [this](const json& message)
                  { return desk_.show_for_peer(message); });
+        rpc_.add("accepted",
+                 [this](const json& message)
+                 {
+                     holder_.job_was_accepted(message.get<job>());
+                     return json::object();
+                 });
+        rpc_.add("cancelled",
+                 [this](const json& message)
+                 {
+                     holder_.job_was_cancelled(message.value("id", ""));
+                     return json::object();
+                 });
         rpc_.add("count", [this](const json& message)
                  { return desk_.count_for_peer(message); });
     }
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -20,6 +20,8 @@
 // Without news, the holder hears from a guard so often; its answer renews
 // the permit.
 constexpr duration report_every = std::chrono::milliseconds(500);
+// While ends wait to be acknowledged: about a write to the store.
+constexpr duration ends_report_every = std::chrono::milliseconds(60);
 constexpr duration report_timeout = std::chrono::milliseconds(700);
 constexpr duration report_retry = std::chrono::milliseconds(120);
 // Ends within this time travel in one report.
@@ -299,7 +301,8 @@
         if (answer && answer->holds)
         {
             failures_ = 0;
-            next_report_ = sent + report_every;
+            next_report_ =
+                sent + (keeper_.has_ends() ? ends_report_every : report_every);
             follow(target);
             keeper_.on_answer(*answer, report, sent, now);
             return;
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -13,8 +13,10 @@
 using platform::store_result;
 using platform::store_status;
 
-// Waiting costs nothing; each answer is a priced call.
-constexpr duration watch_wait = std::chrono::seconds(5);
+// Entries tell the holder of each job themselves; the watch finds what they
+// could not tell. Each answer is a priced call, so changes are gathered.
+constexpr duration watch_wait = std::chrono::milliseconds(700);
+constexpr duration watch_gap = std::chrono::milliseconds(400);
 constexpr duration pause = std::chrono::milliseconds(100);
 // An order is repeated by the next reports; waiting longer helps nobody.
 constexpr duration order_timeout = std::chrono::milliseconds(600);
@@ -190,6 +192,7 @@
         read_again();
         return;
     }
+    next_watch_ = boot_clock::now() + watch_gap;
     for (const store_item& item : result.items)
     {
         jobs_since_ = std::max(jobs_since_, item.revision);
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -31,6 +31,9 @@
     duration look_wait = std::chrono::milliseconds(500);
     /// Pause after a look that got no answer.
     duration look_retry = std::chrono::milliseconds(100);
+    /// Pause between looks while ends wait for their acknowledgement: about
+    /// a write to the store and a report's way.
+    duration unacknowledged_pause = std::chrono::milliseconds(30);
     interference_options interference;
 };
 
@@ -157,6 +160,11 @@
     {
         return worker_;
     }
+    /// @brief Whether ends are listed that the holder has not acknowledged.
+    [[nodiscard]] bool has_ends() const noexcept
+    {
+        return !ended_.empty();
+    }
 
 private:
     enum class stage : std::uint8_t
--- a/packages/guard/src/interference.cpp
+++ b/packages/guard/src/interference.cpp
@@ -5,38 +5,79 @@
 namespace springstair
 {
 
+namespace
+{
+
+// Paces are rounded to this, so that small changes cost no orders.
+constexpr std::int64_t pace_grain = 5;
+
+std::int64_t pace_for(double budget, double asked)
+{
+    if (asked <= budget)
+    {
+        return 100;
+    }
+    const auto percent = static_cast<std::int64_t>(100 * budget / asked);
+    return percent / pace_grain * pace_grain;
+}
+
+} // namespace
+
 interference::interference(interference_options options) : options_(options) {}
 
 void interference::observe(const std::vector<running_task>& running,
                            const std::map<std::string, run_traits>& traits,
-                           time_point now)
+                           std::int64_t capacity, time_point now)
 {
-    if (now < next_step_)
+    const auto whole = static_cast<double>(capacity);
+    if (budget_ <= 0)
     {
-        return;
+        budget_ = options_.at_first * whole;
     }
-    next_step_ = now + options_.step;
     double worst = 0; // tail by target
+    double used = 0;  // by fills, in the last half second
+    double asked = 0; // by fills, at full pace
     for (const running_task& row : running)
     {
         const auto found = traits.find(row.task);
-        if (found == traits.end() || found->second.latency_target_ms <= 0)
+        if (found == traits.end())
         {
             continue;
         }
-        worst = std::max(
-            worst, static_cast<double>(row.load) /
-                       static_cast<double>(found->second.latency_target_ms));
+        const run_traits& of = found->second;
+        if (of.fills)
+        {
+            used += static_cast<double>(row.load);
+            asked += static_cast<double>(of.cpu_millis);
+        }
+        else if (of.latency_target_ms > 0)
+        {
+            worst =
+                std::max(worst, static_cast<double>(row.load) /
+                                    static_cast<double>(of.latency_target_ms));
+        }
+    }
+    if (now >= next_step_)
+    {
+        next_step_ = now + options_.step;
+        step(worst, used, whole);
     }
-    if (worst > options_.slow_above)
+    pace_ = pace_for(budget_, asked);
+}
+
+void interference::step(double worst, double used, double capacity)
+{
+    if (worst > options_.lower_above)
     {
-        pace_ = static_cast<std::int64_t>(static_cast<double>(pace_) *
-                                          options_.slow_by);
-        pace_ = pace_ < options_.least ? 0 : pace_;
+        const double left = std::clamp(options_.lower_to / worst,
+                                       options_.least_left, 1.0);
+        budget_ = std::max(1.0, std::min(budget_, used) * left);
+        return;
     }
-    else if (worst < options_.raise_below)
+    if (worst < options_.raise_below && used >= options_.in_use * budget_)
     {
-        pace_ = std::min<std::int64_t>(100, pace_ + options_.raise_by);
+        budget_ = std::min(budget_ + options_.raise_by * capacity,
+                           options_.at_most * capacity);
     }
 }
 
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -268,6 +268,11 @@
 {
     look_open_ = false;
     next_look_ = now;
+    if (look && look->ended == ended_ && !ended_.empty())
+    {
+        // A look returns at once while ends are not acknowledged.
+        next_look_ = now + options_.unacknowledged_pause;
+    }
     if (!look)
     {
         next_look_ = now + options_.look_retry;
@@ -289,9 +294,10 @@
     for (const auto& [task, kept] : runs_)
     {
         traits[task] = {.fills = kept.order.fills,
+                        .cpu_millis = kept.order.cpu_millis,
                         .latency_target_ms = kept.order.latency_target_ms};
     }
-    interference_.observe(running_, traits, now);
+    interference_.observe(running_, traits, worker_.capacity.cpu_millis, now);
 }
 
 void run_keeper::on_paced(const pace_run& what, order_result result)
@@ -465,7 +471,8 @@
                       .looked = looked_,
                       .running = running_,
                       .ended = ended_,
-                      .refused = refused_};
+                      .refused = refused_,
+                      .fill_budget = interference_.budget()};
     for (const auto& [task, kept] : runs_)
     {
         if (kept.at != stage::running)
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -107,6 +107,9 @@
     std::vector<refused_run> refused;
     std::vector<std::string> starting; ///< ordered, not yet seen running
     std::vector<std::string> unknown;  ///< running, but never described to it
+    /// Processors, in thousandths, that tasks which fill may use here now
+    /// without harm to those that serve.
+    std::int64_t fill_budget = 0;
 
     bool operator==(const worker_report&) const = default;
 };
@@ -124,6 +127,7 @@
     std::string checkpoint;
     std::string ticket;
     bool fills = false;
+    std::int64_t cpu_millis = 0; ///< that it asks for
     std::int64_t latency_target_ms = 0; ///< 0: it serves nobody
     std::string image;
 
@@ -177,10 +181,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
                                                 worker, looked, running, ended,
-                                                refused, starting, unknown)
+                                                refused, starting, unknown,
+                                                fill_budget)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
-                                                latency_target_ms, image)
+                                                cpu_millis, latency_target_ms,
+                                                image)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
                                                 starts, stops, acknowledged)
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -18,9 +18,9 @@
     /// A worker without a report for so long gets nothing new: two reports
     /// that guards send twice a second, and some delay.
     duration report_age = std::chrono::milliseconds(1300);
-    /// Share of their reserved processors that serving tasks use on average;
-    /// only an estimate of what is left for tasks that fill.
-    double serving_use = 0.5;
+    /// Fills may ask for this much of a worker's budget for them: some of
+    /// them end or start while the others work.
+    double fill_overcommit = 1.1;
     /// Score added for work away from its data, which takes longer there.
     double far_penalty = 0.5;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -27,6 +27,7 @@
     std::string address; ///< of its guard
     worker_description what;
     resources used;                ///< by runs that may be there
+    std::int64_t fill_budget = 0; ///< its guard's newest figure
     std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
     std::int64_t fill_runs = 0;    ///< their number
     std::set<task_name> held;      ///< tasks whose newest run may be there
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -30,11 +30,15 @@
            found->second < query.step.most_per_worker;
 }
 
+bool has_fill_room(const worker_record& at, const job_step& step,
+                   const placement_options& options);
+
 bool can_take(const worker_record& at, const placement_query& query,
               const placement_options& options)
 {
     return takes_runs(at, query.service, query.now, options) &&
            reserved_by(query.step).fits(at.room()) &&
+           (!query.step.fills || has_fill_room(at, query.step, options)) &&
            has_label(at, query.step.label) && below_step_bound(at, query);
 }
 
@@ -44,16 +48,21 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// Fills compete for what serving tasks leave of the processors.
-double fill_pressure(const worker_record& at, const job_step& step,
-                     const placement_options& options)
+// Fills share the processors that their guard found to be harmless. A worker
+// without any fill takes one, however large, if half of it fits.
+bool has_fill_room(const worker_record& at, const job_step& step,
+                   const placement_options& options)
+{
+    const std::int64_t asked = at.fill_cpu + step.demand.cpu_millis;
+    const auto budget = static_cast<std::int64_t>(
+        options.fill_overcommit * static_cast<double>(at.fill_budget));
+    return asked <= budget || (at.fill_runs == 0 && asked <= 2 * budget);
+}
+
+double fill_pressure(const worker_record& at, const job_step& step)
 {
-    const auto whole = static_cast<double>(at.what.capacity.cpu_millis);
-    const double left =
-        whole - options.serving_use * static_cast<double>(at.used.cpu_millis);
-    const auto wanted =
-        static_cast<double>(at.fill_cpu + step.demand.cpu_millis);
-    return wanted / std::max(left, whole / 20);
+    return share(at.fill_cpu + step.demand.cpu_millis,
+                 std::max<std::int64_t>(at.fill_budget, 1));
 }
 
 // Lower is better. Fills go where they compete least for processors, all
@@ -66,7 +75,7 @@
     double value = 0;
     if (step.fills)
     {
-        value = fill_pressure(at, step, options);
+        value = fill_pressure(at, step);
     }
     else
     {
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -41,6 +41,7 @@
     {
         change_life(at, from.worker.life, now);
         at.what = from.worker;
+        at.fill_budget = from.fill_budget;
         adopt_awaited(at, now);
     }
     if (from.looked && from.worker.life == at.what.life)
@@ -350,6 +351,7 @@
             .payload = of.what().payload,
             .checkpoint = task.checkpoint,
             .fills = step.fills,
+            .cpu_millis = step.demand.cpu_millis,
             .latency_target_ms = step.latency_target_ms,
             .image = step.image};
 }
