Holder: learns which images harm which, and places and paces fills by it

Cause: bundle-render and publish-build earned nearly nothing because the guards slowed all fills whenever one serving task's tail rose. The holder now fits them from the reports' figures, places a fill where the tails bear it, tells guards the pairs at their worker, and puts serving tasks of one image together; guards slow the fills that are to blame.

--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -159,6 +159,7 @@
                                        report.refused.end(),
                                        one) != report.refused.end();
                   });
+    interference_.learn(answer.harms);
     on_orders(answer.orders, now);
 }
 
@@ -294,8 +295,8 @@
     for (const auto& [task, kept] : runs_)
     {
         traits[task] = {.fills = kept.order.fills,
-                        .cpu_millis = kept.order.cpu_millis,
-                        .latency_target_ms = kept.order.latency_target_ms};
+                        .latency_target_ms = kept.order.latency_target_ms,
+                        .image = kept.order.image};
     }
     interference_.observe(running_, traits, worker_.capacity.cpu_millis, now);
 }
@@ -399,8 +400,9 @@
 void run_keeper::act_on_pace(const std::string& task, kept_run& run,
                              std::vector<keeper_action>& out)
 {
+    const std::int64_t wanted = interference_.pace(run.order.image);
     const bool due = run.at == stage::running && run.order.fills &&
-                     !run.pace_open && run.pace != interference_.pace();
+                     !run.pace_open && run.pace != wanted;
     if (!due)
     {
         return;
@@ -408,7 +410,7 @@
     run.pace_open = true;
     out.emplace_back(pace_run{.task = task,
                               .run = run.order.run,
-                              .percent = interference_.pace(),
+                              .percent = wanted,
                               .epoch = epoch_,
                               .life = worker_.life});
 }
@@ -471,8 +473,7 @@
                       .looked = looked_,
                       .running = running_,
                       .ended = ended_,
-                      .refused = refused_,
-                      .fill_budget = interference_.budget()};
+                      .refused = refused_};
     for (const auto& [task, kept] : runs_)
     {
         if (kept.at != stage::running)
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -107,9 +107,6 @@
     std::vector<refused_run> refused;
     std::vector<std::string> starting; ///< ordered, not yet seen running
     std::vector<std::string> unknown;  ///< running, but never described to it
-    /// Processors, in thousandths, that tasks which fill may use here now
-    /// without harm to those that serve.
-    std::int64_t fill_budget = 0;
 
     bool operator==(const worker_report&) const = default;
 };
@@ -127,7 +124,6 @@
     std::string checkpoint;
     std::string ticket;
     bool fills = false;
-    std::int64_t cpu_millis = 0; ///< that it asks for
     std::int64_t latency_target_ms = 0; ///< 0: it serves nobody
     std::string image;
 
@@ -161,6 +157,19 @@
     }
 };
 
+/// @brief How much tasks of one image that fill harm tasks of another that
+/// serve, on the same worker.
+struct pair_harm
+{
+    std::string serving;
+    std::string filling;
+    /// Growth of the logarithm of the serving tasks' tail if the fills took
+    /// all of the worker's processors.
+    double harm = 0;
+
+    bool operator==(const pair_harm&) const = default;
+};
+
 /// @brief A holder's answer to a report.
 struct report_answer
 {
@@ -169,6 +178,7 @@
     std::int64_t permit_ms = 0; ///< the worker's lease may last so long,
                                 ///< counted from the report's sending
     guard_orders orders;
+    std::vector<pair_harm> harms; ///< of pairs that run at this worker
 
     bool operator==(const report_answer&) const = default;
 };
@@ -181,16 +191,16 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
                                                 worker, looked, running, ended,
-                                                refused, starting, unknown,
-                                                fill_budget)
+                                                refused, starting, unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
-                                                cpu_millis, latency_target_ms,
-                                                image)
+                                                latency_target_ms, image)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
                                                 starts, stops, acknowledged)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pair_harm, serving, filling,
+                                                harm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
-                                                permit_ms, orders)
+                                                permit_ms, orders, harms)
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
@@ -18,9 +19,18 @@
     /// A worker without a report for so long gets nothing new: two reports
     /// that guards send twice a second, and some delay.
     duration report_age = std::chrono::milliseconds(1300);
-    /// Fills may ask for this much of a worker's budget for them: some of
-    /// them end or start while the others work.
-    double fill_overcommit = 1.1;
+    /// Share of their reserved processors that serving tasks use at their
+    /// busiest, as an estimate of what is left for tasks that fill.
+    double serving_use = 0.6;
+    /// A serving task's tail, as a share of its target, up to which a fill
+    /// may be placed beside it by the learnt harm.
+    double bearable_tail = 0.85;
+    /// What a tail is taken to be without fills, where nothing is known yet:
+    /// the middle of both sites' figures.
+    double usual_tail = 0.5;
+    /// Score taken off a worker that has serving tasks of the same image:
+    /// the fewer images serve there, the more images may fill.
+    double same_image_bonus = 0.4;
     /// Score added for work away from its data, which takes longer there.
     double far_penalty = 0.5;
 };
@@ -32,6 +42,7 @@
     const std::string& service;
     const std::string& group; ///< step_group() of the task
     const std::set<std::string>& avoided;
+    const harm_model& harm;
     time_point now;
 };
 
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
@@ -51,6 +52,11 @@
     duration stuck_fill_after = std::chrono::milliseconds(5000);
     /// Before a worker leaves, runs are stopped when this little remains.
     duration leave_margin = std::chrono::milliseconds(1500);
+    /// Figures of a worker are learnt from so often: each is an average of
+    /// the half second before.
+    duration figure_age = std::chrono::milliseconds(450);
+    /// Harm below this is not worth telling a guard.
+    double harm_told = 0.8;
 };
 
 /// @brief One job's record to be written.
@@ -186,6 +192,10 @@
     void repeat_missing(worker_record& at, const worker_report& from,
                         guard_orders& out, time_point now);
     void leave_in_time(worker_record& at, guard_orders& out, time_point now);
+    void learn_harm(worker_record& at, const worker_report& from,
+                    time_point now);
+    [[nodiscard]] std::vector<pair_harm>
+    harms_at(const worker_record& at) const;
     std::int64_t acknowledge(worker_record& at);
     [[nodiscard]] start_order order_for(const job_record& of,
                                         const job_task& task) const;
@@ -219,6 +229,7 @@
     bool committing_ = false;
     time_point last_commit_{};
     worker_map workers_;
+    harm_model harm_;
     /// Runs that an earlier holder placed, by guard, until it reports.
     std::map<std::string, std::set<task_name>> awaited_;
     std::map<std::string, guard_orders> outbox_;
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -27,7 +27,6 @@
     std::string address; ///< of its guard
     worker_description what;
     resources used;                ///< by runs that may be there
-    std::int64_t fill_budget = 0; ///< its guard's newest figure
     std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
     std::int64_t fill_runs = 0;    ///< their number
     std::set<task_name> held;      ///< tasks whose newest run may be there
@@ -43,6 +42,14 @@
     time_point ejected_until{};
     std::int64_t ejections = 0;
     std::map<std::string, std::int64_t> of_step; ///< runs by job and step
+    /// Tasks that serve, by image, by the ledger.
+    std::map<std::string, std::int64_t> serving_runs;
+    std::int64_t serving_cpu = 0; ///< reserved by tasks that serve
+    /// Processors that fills ask for, by image, by the ledger.
+    std::map<std::string, std::int64_t> fill_cpu_of;
+    time_point learnt{}; ///< when its figures were last learnt from
+    std::map<std::string, double> serving; ///< newest worst tail by target
+    std::map<std::string, double> filling; ///< newest use, share of capacity
 
     /// @brief What is left, by the ledger.
     [[nodiscard]] resources room() const noexcept;
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -1,6 +1,7 @@
 #include <springstair/scheduler.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace springstair
 {
@@ -11,6 +12,8 @@
 // Added to the score of a worker that the task should avoid: more than any
 // other difference can make.
 constexpr double avoided_penalty = 1000;
+// A fill that lets a tail grow by less than this share does not matter.
+constexpr double small_growth = 0.03;
 
 bool has_label(const worker_record& at, const std::string& label)
 {
@@ -30,7 +33,7 @@
            found->second < query.step.most_per_worker;
 }
 
-bool has_fill_room(const worker_record& at, const job_step& step,
+bool has_fill_room(const worker_record& at, const placement_query& query,
                    const placement_options& options);
 
 bool can_take(const worker_record& at, const placement_query& query,
@@ -38,7 +41,7 @@
 {
     return takes_runs(at, query.service, query.now, options) &&
            reserved_by(query.step).fits(at.room()) &&
-           (!query.step.fills || has_fill_room(at, query.step, options)) &&
+           (!query.step.fills || has_fill_room(at, query, options)) &&
            has_label(at, query.step.label) && below_step_bound(at, query);
 }
 
@@ -48,21 +51,59 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// Fills share the processors that their guard found to be harmless. A worker
-// without any fill takes one, however large, if half of it fits.
-bool has_fill_room(const worker_record& at, const job_step& step,
+// What fills may ask for in all: what serving and urgent tasks leave.
+double fill_room(const worker_record& at, const placement_options& options)
+{
+    const auto serving = static_cast<double>(at.serving_cpu);
+    return static_cast<double>(at.what.capacity.cpu_millis) -
+           options.serving_use * serving -
+           (static_cast<double>(at.used.cpu_millis) - serving);
+}
+
+// The worst tail, as a share of its target, that serving tasks would have
+// with one more fill beside them.
+double tail_with(const worker_record& at, const placement_query& query,
+                 const placement_options& options)
+{
+    const auto whole = static_cast<double>(at.what.capacity.cpu_millis);
+    double worst = 0;
+    for (const auto& [serving, runs] : at.serving_runs)
+    {
+        double growth =
+            query.harm.harm(serving, query.step.image) *
+            static_cast<double>(query.step.demand.cpu_millis) / whole;
+        if (growth < small_growth)
+        {
+            continue; // this fill would not be the cause
+        }
+        for (const auto& [filling, cpu] : at.fill_cpu_of)
+        {
+            growth += query.harm.harm(serving, filling) *
+                      static_cast<double>(cpu) / whole;
+        }
+        const double alone =
+            query.harm.tail_alone(serving).value_or(options.usual_tail);
+        worst = std::max(worst, alone * std::exp(growth));
+    }
+    return worst;
+}
+
+bool has_fill_room(const worker_record& at, const placement_query& query,
                    const placement_options& options)
 {
-    const std::int64_t asked = at.fill_cpu + step.demand.cpu_millis;
-    const auto budget = static_cast<std::int64_t>(
-        options.fill_overcommit * static_cast<double>(at.fill_budget));
-    return asked <= budget || (at.fill_runs == 0 && asked <= 2 * budget);
+    const auto asked =
+        static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
+    return asked <= fill_room(at, options) &&
+           tail_with(at, query, options) <= options.bearable_tail;
 }
 
-double fill_pressure(const worker_record& at, const job_step& step)
+double fill_pressure(const worker_record& at, const placement_query& query,
+                     const placement_options& options)
 {
-    return share(at.fill_cpu + step.demand.cpu_millis,
-                 std::max<std::int64_t>(at.fill_budget, 1));
+    const auto asked =
+        static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
+    return asked / std::max(fill_room(at, options), 1.0) +
+           tail_with(at, query, options);
 }
 
 // Lower is better. Fills go where they compete least for processors, all
@@ -75,7 +116,7 @@
     double value = 0;
     if (step.fills)
     {
-        value = fill_pressure(at, step);
+        value = fill_pressure(at, query, options);
     }
     else
     {
@@ -84,6 +125,10 @@
                          share(at.used.memory_mb + step.demand.memory_mb,
                                capacity.memory_mb));
     }
+    if (step.latency_target_ms > 0 && at.serving_runs.contains(step.image))
+    {
+        value -= options.same_image_bonus;
+    }
     if (!step.data_rack.empty() && step.data_rack != at.what.rack)
     {
         value += options.far_penalty;
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -122,6 +122,7 @@
              .service = queue.service,
              .group = group,
              .avoided = task.avoided,
+             .harm = harm_,
              .now = now},
             options_.placement);
         if (at == nullptr)
@@ -227,6 +228,7 @@
                                .service = queue.service,
                                .group = group,
                                .avoided = tasks[index].avoided,
+                               .harm = harm_,
                                .now = now},
                               options_.placement);
             if (at == nullptr)
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -41,7 +41,6 @@
     {
         change_life(at, from.worker.life, now);
         at.what = from.worker;
-        at.fill_budget = from.fill_budget;
         adopt_awaited(at, now);
     }
     if (from.looked && from.worker.life == at.what.life)
@@ -49,6 +48,8 @@
         note_ends(at, from, now);
         note_refusals(at, from, now);
         note_running(at, from, answer.orders, now);
+        learn_harm(at, from, now);
+        answer.harms = harms_at(at);
         repeat_missing(at, from, answer.orders, now);
         leave_in_time(at, answer.orders, now);
     }
@@ -302,6 +303,68 @@
     }
 }
 
+// Each report shows serving tasks' tails beside the fills that worked at the
+// same time.
+void scheduler_core::learn_harm(worker_record& at, const worker_report& from,
+                                time_point now)
+{
+    if (now - at.learnt < options_.figure_age)
+    {
+        return;
+    }
+    at.learnt = now;
+    harm_sample beside;
+    at.serving.clear();
+    std::vector<std::pair<std::string, double>> tails;
+    for (const running_task& row : from.running)
+    {
+        const auto name = task_name::parse(row.task);
+        const job_record* const of = name ? find(name->job) : nullptr;
+        if (of == nullptr)
+        {
+            continue;
+        }
+        const job_step& step = of->step_at(name->at);
+        if (step.fills)
+        {
+            beside[step.image] += static_cast<double>(row.load) /
+                                  static_cast<double>(std::max<std::int64_t>(
+                                      at.what.capacity.cpu_millis, 1));
+        }
+        else if (step.latency_target_ms > 0 && row.load > 0)
+        {
+            tails.emplace_back(step.image,
+                               static_cast<double>(row.load) /
+                                   static_cast<double>(step.latency_target_ms));
+        }
+    }
+    for (const auto& [image, tail] : tails)
+    {
+        harm_.observe(image, tail, beside);
+        double& worst = at.serving[image];
+        worst = std::max(worst, tail);
+    }
+    at.filling = std::move(beside);
+}
+
+std::vector<pair_harm> scheduler_core::harms_at(const worker_record& at) const
+{
+    std::vector<pair_harm> out;
+    for (const auto& [serving, tail] : at.serving)
+    {
+        for (const auto& [filling, use] : at.filling)
+        {
+            const double harm = harm_.harm(serving, filling);
+            if (harm >= options_.harm_told)
+            {
+                out.push_back(
+                    {.serving = serving, .filling = filling, .harm = harm});
+            }
+        }
+    }
+    return out;
+}
+
 // A worker that leaves takes down what runs there: what lasts moves at once,
 // the rest when little time remains.
 void scheduler_core::leave_in_time(worker_record& at, guard_orders& out,
@@ -351,7 +414,6 @@
             .payload = of.what().payload,
             .checkpoint = task.checkpoint,
             .fills = step.fills,
-            .cpu_millis = step.demand.cpu_millis,
             .latency_target_ms = step.latency_target_ms,
             .image = step.image};
 }
--- a/packages/scheduler/src/worker_ledger.cpp
+++ b/packages/scheduler/src/worker_ledger.cpp
@@ -20,37 +20,55 @@
     return needed;
 }
 
-void reserve(worker_record& at, const job_step& step, const task_name& task)
+namespace
+{
+
+// Adds to a count by name, and forgets names that come to nothing.
+void add(std::map<std::string, std::int64_t>& to, const std::string& name,
+         std::int64_t amount)
 {
-    if (!at.held.insert(task).second)
+    std::int64_t& count = to[name];
+    count += amount;
+    if (count == 0)
     {
-        return;
+        to.erase(name);
     }
-    at.used += reserved_by(step);
+}
+
+void enter(worker_record& at, const job_step& step, const task_name& task,
+           int sign)
+{
+    add(at.of_step, step_group(task.job, task.at), sign);
     if (step.fills)
     {
-        at.fill_cpu += step.demand.cpu_millis;
-        ++at.fill_runs;
+        at.fill_cpu += sign * step.demand.cpu_millis;
+        at.fill_runs += sign;
+        add(at.fill_cpu_of, step.image, sign * step.demand.cpu_millis);
+    }
+    if (step.latency_target_ms > 0)
+    {
+        at.serving_cpu += sign * step.demand.cpu_millis;
+        add(at.serving_runs, step.image, sign);
     }
-    ++at.of_step[step_group(task.job, task.at)];
 }
 
-void release(worker_record& at, const job_step& step, const task_name& task)
+} // namespace
+
+void reserve(worker_record& at, const job_step& step, const task_name& task)
 {
-    if (at.held.erase(task) == 0)
-    {
-        return;
-    }
-    at.used -= reserved_by(step);
-    if (step.fills)
+    if (at.held.insert(task).second)
     {
-        at.fill_cpu -= step.demand.cpu_millis;
-        --at.fill_runs;
+        at.used += reserved_by(step);
+        enter(at, step, task, 1);
     }
-    const auto same = at.of_step.find(step_group(task.job, task.at));
-    if (--same->second == 0)
+}
+
+void release(worker_record& at, const job_step& step, const task_name& task)
+{
+    if (at.held.erase(task) > 0)
     {
-        at.of_step.erase(same);
+        at.used -= reserved_by(step);
+        enter(at, step, task, -1);
     }
 }
 
