Guard: counts the lease it asked for; a silent worker's tasks move when it has run out

The guard now counts the longest lease that it asked for, asks for none of a worker that is silent for 1.2 s, starts nothing there, and says when the lease has surely run out. Jobs are placed by earliest objective.

--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -102,7 +102,9 @@
                        come_back, "queues with advice are not served yet"));
         return;
     }
-    submit(what.what, to);
+    job taken = what.what;
+    taken.accepted_ms = day_milliseconds();
+    submit(taken, to);
 }
 
 void job_desk::submit(const job& what, const request_ptr& to)
@@ -331,8 +333,8 @@
                             timeout_.answered(result.took);
                             log_event(event_id::job_cancelled, {{"job", id}});
                             holder_.job_was_cancelled(id);
-                ask_holder("cancelled", {{"id", id}},
-                           [](const std::optional<json>&) {});
+                            ask_holder("cancelled", {{"id", id}},
+                                       [](const std::optional<json>&) {});
                             answer(to, platform::accepted_answer());
                         }));
 }
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -276,7 +276,7 @@
             return;
         }
         reporting_ = true;
-        worker_report report = keeper_.report();
+        worker_report report = keeper_.report(now);
         report.guard = process_.from.name;
         report.address = internal_address(process_.from);
         report.incarnation = incarnation_;
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -21,12 +21,6 @@
 // An order is repeated by the next reports; waiting longer helps nobody.
 constexpr duration order_timeout = std::chrono::milliseconds(600);
 
-std::int64_t day_milliseconds()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
-}
-
 } // namespace
 
 job_holder::job_holder(job_process& process, platform::store_client& store,
@@ -146,7 +140,7 @@
         const bool known = found != kept_progress_.end();
         core_.adopt(std::move(what),
                     known ? std::optional(found->second.first) : std::nullopt,
-                    known ? found->second.second : 0, now);
+                    known ? found->second.second : 0, now, day_milliseconds());
     }
     core_.begin(now);
     for (const std::string& id : kept_cancellations_)
--- a/packages/daemon/src/job_process.cpp
+++ b/packages/daemon/src/job_process.cpp
@@ -3,6 +3,12 @@
 namespace springstair
 {
 
+std::int64_t day_milliseconds()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 http_server_options server_at(const std::string& endpoint)
 {
     const std::size_t colon = endpoint.find(':');
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -43,6 +43,9 @@
     }
 };
 
+/// The time of day, in milliseconds since 1970. It may jump.
+std::int64_t day_milliseconds();
+
 /// Splits an endpoint into a server's options.
 http_server_options server_at(const std::string& endpoint);
 
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -17,6 +17,17 @@
 {
     /// Longest lease that the worker takes (platform setting).
     duration longest_lease = std::chrono::seconds(6);
+    /// Lease that is asked for with each look, within the holder's permit: a
+    /// worker that dies silently holds its tasks up for so long, and a guard
+    /// that restarts has so long to return.
+    duration lease = std::chrono::milliseconds(3000);
+    /// A worker that has not answered for so long gets no longer lease and
+    /// no starts: two looks, and some delay.
+    duration silence = std::chrono::milliseconds(1200);
+    /// The worker's clock may run slower by this share (platform).
+    double clock_drift = 0.02;
+    /// Delays of messages and timers, on top of a lease.
+    duration lease_slack = std::chrono::milliseconds(150);
     /// A start that reaches the worker later than this does nothing. Bounds
     /// orders that are carried out late; above any answer in time.
     duration start_limit = std::chrono::milliseconds(2000);
@@ -144,7 +155,7 @@
     /// @brief What to do now.
     std::vector<keeper_action> due(time_point now);
     /// @brief The present report, without the guard's own name and address.
-    [[nodiscard]] worker_report report() const;
+    [[nodiscard]] worker_report report(time_point now) const;
     /// @brief Whether something is new since the last call; clears it.
     bool take_news() noexcept;
 
@@ -198,6 +209,8 @@
     void act_on_pace(const std::string& task, kept_run& run,
                      std::vector<keeper_action>& out);
     [[nodiscard]] std::int64_t worker_clock(time_point now) const;
+    [[nodiscard]] bool is_silent(time_point now) const;
+    std::int64_t lease_to(duration left, time_point now);
     [[nodiscard]] bool is_running(const std::string& task,
                                   std::int64_t run) const;
     [[nodiscard]] bool is_ended(const std::string& task,
@@ -209,6 +222,8 @@
     time_point clock_at_{};
     std::int64_t epoch_ = 0;
     time_point permit_until_{};
+    time_point answered_{};     ///< when the worker last answered or spoke
+    time_point leased_until_{}; ///< no lease asked for lasts longer
     std::int64_t acknowledged_ = 0;
     std::map<std::string, kept_run> runs_;
     bool looked_ = false;
--- a/packages/guard/src/interference.cpp
+++ b/packages/guard/src/interference.cpp
@@ -66,16 +66,16 @@
         const run_traits& of = found->second;
         if (of.fills)
         {
-            seen.use[of.image] += static_cast<double>(row.load) /
-                                  static_cast<double>(std::max<std::int64_t>(
-                                      capacity, 1));
+            seen.use[of.image] +=
+                static_cast<double>(row.load) /
+                static_cast<double>(std::max<std::int64_t>(capacity, 1));
         }
         else if (of.latency_target_ms > 0)
         {
             double& tail = seen.tails[of.image];
-            tail = std::max(tail,
-                            static_cast<double>(row.load) /
-                                static_cast<double>(of.latency_target_ms));
+            tail =
+                std::max(tail, static_cast<double>(row.load) /
+                                   static_cast<double>(of.latency_target_ms));
         }
     }
     double worst = 0;
@@ -122,10 +122,9 @@
         {
             continue;
         }
-        const double factor =
-            explained ? std::clamp(1 - excess / known, options_.least_factor,
-                                   1.0)
-                      : options_.blind_factor;
+        const double factor = explained ? std::clamp(1 - excess / known,
+                                                     options_.least_factor, 1.0)
+                                        : options_.blind_factor;
         const auto [found, fresh] = pace_.try_emplace(filling, full_pace);
         found->second *= factor;
         if (found->second < options_.least_pace)
@@ -144,8 +143,8 @@
             [&](const auto& entry)
             {
                 const bool concerned = harm_of(entry.first, at->first) > 0;
-                return entry.second < (concerned ? options_.raise_below
-                                                 : options_.slow_above);
+                return entry.second <
+                       (concerned ? options_.raise_below : options_.slow_above);
             });
         if (bearable)
         {
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -54,6 +54,7 @@
         refused_.clear();
         looked_ = false;
         acknowledged_ = 0;
+        leased_until_ = now + options_.longest_lease; // by an earlier guard
         next_look_ = now;
         interference_ = interference(options_.interference);
     }
@@ -61,6 +62,7 @@
     worker_ = what;
     clock_ms_ = clock_ms;
     clock_at_ = now;
+    answered_ = now;
 }
 
 void run_keeper::on_leave(const std::string& life)
@@ -77,6 +79,24 @@
     return clock_ms_ + to_milliseconds(now - clock_at_);
 }
 
+bool run_keeper::is_silent(time_point now) const
+{
+    return now - answered_ > options_.silence;
+}
+
+// The worker's time at which a lease of a length from now ends. Its clock
+// may be behind the estimate, and slow: the lease can last a little longer.
+std::int64_t run_keeper::lease_to(duration left, time_point now)
+{
+    const duration behind =
+        from_seconds(to_seconds(now - clock_at_) * options_.clock_drift);
+    const duration longest =
+        from_seconds(to_seconds(left + behind) * (1 + options_.clock_drift)) +
+        options_.lease_slack;
+    leased_until_ = std::max(leased_until_, now + longest);
+    return worker_clock(now) + to_milliseconds(left);
+}
+
 bool run_keeper::is_running(const std::string& task, std::int64_t run) const
 {
     return std::any_of(running_.begin(), running_.end(),
@@ -286,6 +306,7 @@
     }
     clock_ms_ = look->clock_ms;
     clock_at_ = now;
+    answered_ = now;
     news_ = news_ || !looked_ || ended_ != look->ended;
     looked_ = true;
     running_ = look->running;
@@ -431,16 +452,16 @@
         return;
     }
     const duration left = std::min(permit_until_ - now, options_.start_limit);
-    if (run.at != stage::starting || left <= duration{0} || worker_.draining)
+    if (run.at != stage::starting || left <= duration{0} || worker_.draining ||
+        is_silent(now))
     {
         return;
     }
     run.call_open = true;
-    out.emplace_back(
-        start_run{.order = run.order,
-                  .deadline_ms = worker_clock(now) + to_milliseconds(left),
-                  .epoch = epoch_,
-                  .life = worker_.life});
+    out.emplace_back(start_run{.order = run.order,
+                               .deadline_ms = lease_to(left, now),
+                               .epoch = epoch_,
+                               .life = worker_.life});
 }
 
 void run_keeper::act_on_worker(time_point now, std::vector<keeper_action>& out)
@@ -454,10 +475,11 @@
                         .wait_ms = to_milliseconds(options_.look_wait),
                         .epoch = epoch_,
                         .life = worker_.life};
-    const duration left = std::min(permit_until_ - now, options_.longest_lease);
-    if (left > duration{0})
+    const duration left =
+        std::min({permit_until_ - now, options_.lease, options_.longest_lease});
+    if (left > duration{0} && !is_silent(now))
     {
-        look.deadline_ms = worker_clock(now) + to_milliseconds(left);
+        look.deadline_ms = lease_to(left, now);
     }
     if (!looked_)
     {
@@ -466,11 +488,13 @@
     out.emplace_back(std::move(look));
 }
 
-worker_report run_keeper::report() const
+worker_report run_keeper::report(time_point now) const
 {
     worker_report out{.epoch = epoch_,
                       .worker = worker_,
                       .looked = looked_,
+                      .answering = !is_silent(now),
+                      .lapsed = is_silent(now) && now >= leased_until_,
                       .running = running_,
                       .ended = ended_,
                       .refused = refused_};
--- a/packages/jobs/include/springstair/detail/jobs/job.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/job.hpp
@@ -60,6 +60,7 @@
     std::string payload;
     std::vector<job_step> steps;
     job_schedule schedule;
+    std::int64_t accepted_ms = 0; ///< when an entry took it, since 1970
 
     bool operator==(const job&) const = default;
 
@@ -68,10 +69,13 @@
     {
         return std::max<std::int64_t>(1, schedule.count);
     }
+
+    /// @brief The longest chain of dependent steps, by the caller's guesses.
+    [[nodiscard]] std::int64_t chain_ms() const;
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job, id, queue, payload, steps,
-                                                schedule)
+                                                schedule, accepted_ms)
 
 /// @brief Bounds of a job; a larger one is refused with its findings.
 struct job_bounds
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -102,6 +102,10 @@
     /// Whether running and ended are a look at this incarnation; false in a
     /// guard that has not yet seen its worker's lists.
     bool looked = false;
+    bool answering = false; ///< whether the worker has answered lately
+    /// Whether every lease that the guard asked for has surely run out
+    /// without an answer: nothing runs at this incarnation any more.
+    bool lapsed = false;
     std::vector<running_task> running;
     std::vector<ended_task> ended;
     std::vector<refused_run> refused;
@@ -190,8 +194,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
-                                                worker, looked, running, ended,
-                                                refused, starting, unknown)
+                                                worker, looked, answering,
+                                                lapsed, running, ended, refused,
+                                                starting, unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -1,5 +1,6 @@
 #include <springstair/jobs.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -80,6 +81,23 @@
     return out;
 }
 
+std::int64_t job::chain_ms() const
+{
+    std::vector<std::int64_t> ends; // of each step
+    std::int64_t longest = 0;
+    for (const job_step& step : steps)
+    {
+        std::int64_t begin = 0;
+        for (const std::size_t before : step.after)
+        {
+            begin = std::max(begin, before < ends.size() ? ends[before] : 0);
+        }
+        ends.push_back(begin + step.estimate_ms);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
 std::string task_name::text() const
 {
     return job + '.' + std::to_string(at.round) + '.' +
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -100,6 +100,7 @@
     std::int64_t order = 0;               ///< in which jobs were accepted
     time_point accepted{};                ///< when this holder learnt of it
     bool begun = false;                   ///< some task was seen running
+    std::int64_t chain_ms = 0;            ///< its longest chain, by the guesses
 
 private:
     job what_;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace springstair
@@ -55,6 +56,9 @@
     /// Figures of a worker are learnt from so often: each is an average of
     /// the half second before.
     duration figure_age = std::chrono::milliseconds(450);
+    /// A job is worth less up to this many times its latency objective, and
+    /// nothing later (platform).
+    std::int64_t late_factor = 3;
     /// Harm below this is not worth telling a guard.
     double harm_told = 0.8;
 };
@@ -113,7 +117,7 @@
     void take_office(std::int64_t epoch, time_point now);
     /// @brief Adds a job that an earlier holder kept, before begin().
     void adopt(job what, const std::optional<job_progress>& kept,
-               std::int64_t revision, time_point now);
+               std::int64_t revision, time_point now, std::int64_t day_ms);
     /// @brief All kept jobs are adopted: workers may report.
     void begin(time_point now);
 
@@ -174,7 +178,8 @@
                                              time_point now);
     void put(job_record& of, job_task& task, worker_record& at,
              std::int64_t number, time_point now);
-    [[nodiscard]] std::int64_t priority_of(const job_record& of) const;
+    [[nodiscard]] std::tuple<std::int64_t, int, time_point>
+    rank_of(const job_record& of, time_point now) const;
 
     // Reports (scheduler_reports.cpp).
     worker_record& worker_of(const worker_report& from, time_point now);
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -32,6 +32,7 @@
     std::set<task_name> held;      ///< tasks whose newest run may be there
     std::string incarnation;       ///< of its guard
     std::int64_t sequence = 0;     ///< of the newest report
+    bool answering = true;         ///< its guard hears from it
     time_point reported{};         ///< when its last report came
     time_point lease_ends{};       ///< by then its lease has surely run out
     std::int64_t noted = 0;        ///< ends up to here are applied
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -7,6 +7,7 @@
 
 job_record::job_record(job what) : what_(std::move(what))
 {
+    chain_ms = what_.chain_ms();
     for (const job_step& step : what_.steps)
     {
         first_of_step_.push_back(tasks_a_round_);
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -69,9 +69,9 @@
     double worst = 0;
     for (const auto& [serving, runs] : at.serving_runs)
     {
-        double growth =
-            query.harm.harm(serving, query.step.image) *
-            static_cast<double>(query.step.demand.cpu_millis) / whole;
+        double growth = query.harm.harm(serving, query.step.image) *
+                        static_cast<double>(query.step.demand.cpu_millis) /
+                        whole;
         if (growth < small_growth)
         {
             continue; // this fill would not be the cause
@@ -146,8 +146,8 @@
                 time_point now, const placement_options& options)
 {
     return at.what.service == service && !at.what.life.empty() &&
-           !at.what.draining && now - at.reported < options.report_age &&
-           now >= at.ejected_until;
+           !at.what.draining && at.answering &&
+           now - at.reported < options.report_age && now >= at.ejected_until;
 }
 
 worker_record* choose_worker(worker_map& workers, const placement_query& query,
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -7,6 +7,14 @@
 namespace springstair
 {
 
+namespace
+{
+
+// A job's age is only used to order it; clocks may jump.
+constexpr std::int64_t longest_age_ms = 600'000;
+
+} // namespace
+
 scheduler_core::scheduler_core(scheduler_options options)
     : options_(std::move(options))
 {
@@ -22,10 +30,14 @@
 }
 
 void scheduler_core::adopt(job what, const std::optional<job_progress>& kept,
-                           std::int64_t revision, time_point now)
+                           std::int64_t revision, time_point now,
+                           std::int64_t day_ms)
 {
-    accept(std::move(what), now);
-    job_record& of = *jobs_.rbegin()->second;
+    const std::string id = what.id;
+    const std::int64_t age =
+        std::clamp<std::int64_t>(day_ms - what.accepted_ms, 0, longest_age_ms);
+    accept(std::move(what), now - std::chrono::milliseconds(age));
+    job_record& of = *job_of(id);
     if (!kept)
     {
         return;
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -39,22 +39,43 @@
 
 } // namespace
 
-std::int64_t scheduler_core::priority_of(const job_record& of) const
+// Priority first. Then jobs that can still meet their objective, those that
+// are late, and those too late to be worth anything; the earliest objective
+// first among each.
+std::tuple<std::int64_t, int, time_point>
+scheduler_core::rank_of(const job_record& of, time_point now) const
 {
     const queue_row* const queue = table_.queue(of.what().queue);
-    return queue == nullptr ? last_priority : queue->priority;
+    if (queue == nullptr)
+    {
+        return {last_priority, 0, of.accepted};
+    }
+    const auto chain = std::chrono::milliseconds(of.chain_ms);
+    const duration objective =
+        from_seconds(to_seconds(chain) * queue->stretch) +
+        std::chrono::milliseconds(queue->target_ms);
+    const duration age = now - of.accepted;
+    const bool lasting = of.what().steps.front().lasting;
+    int lateness = 0;
+    if (!lasting && age > objective)
+    {
+        lateness = age > objective * options_.late_factor ? 2 : 1;
+    }
+    return {queue->priority, lateness, of.accepted + objective};
 }
 
 void scheduler_core::place(time_point now, std::int64_t day_ms)
 {
-    std::vector<std::tuple<std::int64_t, std::int64_t, job_record*>> order;
+    std::vector<
+        std::pair<std::tuple<std::int64_t, int, time_point>, job_record*>>
+        order;
     for (const std::string& id : wanting_)
     {
         job_record& of = *job_of(id);
-        order.emplace_back(priority_of(of), of.order, &of);
+        order.emplace_back(rank_of(of, now), &of);
     }
     std::sort(order.begin(), order.end());
-    for (const auto& [priority, number, of] : order)
+    for (const auto& [rank, of] : order)
     {
         if (!place_job(*of, now, day_ms))
         {
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -43,7 +43,14 @@
         at.what = from.worker;
         adopt_awaited(at, now);
     }
-    if (from.looked && from.worker.life == at.what.life)
+    at.answering = from.answering;
+    const bool lapsed =
+        from.lapsed && !at.held.empty() && from.worker.life == at.what.life;
+    if (lapsed)
+    {
+        lose_worker(at, "it is silent and its lease has run out", now);
+    }
+    else if (from.looked && from.worker.life == at.what.life)
     {
         note_ends(at, from, now);
         note_refusals(at, from, now);
