--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -91,6 +91,7 @@
         return;
     }
     lose_worker(at, "its executor began another life", now);
+    outbox_.erase(at.guard); // meant for the life before
     at.noted = 0;
     at.acknowledged = 0;
     at.unkept.clear();
