Tests: the holder's, the guard's and the model's decisions one by one; leases told

Cases for what is released when, ends, gangs, rounds, leases, successors, draining, ejection, stuck runs, orders without answers, pace of fills and learnt harm.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -211,6 +211,7 @@
     [[nodiscard]] std::int64_t worker_clock(time_point now) const;
     [[nodiscard]] bool is_silent(time_point now) const;
     std::int64_t lease_to(duration left, time_point now);
+    [[nodiscard]] std::int64_t lease_left(time_point now) const;
     [[nodiscard]] bool is_running(const std::string& task,
                                   std::int64_t run) const;
     [[nodiscard]] bool is_ended(const std::string& task,
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -84,6 +84,16 @@
     return now - answered_ > options_.silence;
 }
 
+// The permit may still be used; what was asked for may be in force.
+std::int64_t run_keeper::lease_left(time_point now) const
+{
+    const duration permitted =
+        from_seconds(to_seconds(permit_until_ - now) *
+                     (1 + options_.clock_drift));
+    return to_milliseconds(
+        std::max({duration{0}, permitted, leased_until_ - now}));
+}
+
 // The worker's time at which a lease of a length from now ends. Its clock
 // may be behind the estimate, and slow: the lease can last a little longer.
 std::int64_t run_keeper::lease_to(duration left, time_point now)
@@ -495,6 +505,7 @@
                       .looked = looked_,
                       .answering = !is_silent(now),
                       .lapsed = is_silent(now) && now >= leased_until_,
+                      .lease_ms = lease_left(now),
                       .running = running_,
                       .ended = ended_,
                       .refused = refused_};
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -106,6 +106,8 @@
     /// Whether every lease that the guard asked for has surely run out
     /// without an answer: nothing runs at this incarnation any more.
     bool lapsed = false;
+    /// The worker's lease may last so long still, by what this guard knows.
+    std::int64_t lease_ms = 0;
     std::vector<running_task> running;
     std::vector<ended_task> ended;
     std::vector<refused_run> refused;
@@ -195,8 +197,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
                                                 worker, looked, answering,
-                                                lapsed, running, ended, refused,
-                                                starting, unknown)
+                                                lapsed, lease_ms, running, ended,
+                                                refused, starting, unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -35,8 +35,11 @@
     answer.permit_ms = to_milliseconds(permit);
     const duration drifted =
         from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
-    at.lease_ends =
-        std::max(at.lease_ends, now + drifted + options_.lease_slack);
+    // What an earlier holder permitted may still be in force.
+    const duration before = std::chrono::milliseconds(from.lease_ms);
+    at.lease_ends = std::max({at.lease_ends,
+                              now + drifted + options_.lease_slack,
+                              now + before + options_.lease_slack});
     if (!from.worker.life.empty())
     {
         change_life(at, from.worker.life, now);
@@ -74,8 +77,6 @@
     {
         at.guard = from.guard;
         at.reported = now;
-        // What an earlier holder permitted may still be in force.
-        at.lease_ends = office_since_ + options_.office_reach;
         note(event_id::worker_known,
              {{"guard", from.guard}, {"life", from.worker.life}});
     }
--- /dev/null
+++ b/tests/unit/run_keeper_tests.cpp
@@ -0,0 +1,280 @@
+// The guard's dealings with its worker: leases, fences, orders that get no
+// answer, and the pace of fills.
+
+#include <doctest/doctest.h>
+
+#include <springstair/guard.hpp>
+
+#include <algorithm>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class guard
+{
+public:
+    guard()
+    {
+        keeper.on_worker({.life = "w1",
+                          .service = "s",
+                          .capacity = {.cpu_millis = 4000}},
+                         1000, now);
+        answer({});
+    }
+
+    // The holder answers a report.
+    void answer(const guard_orders& orders, std::int64_t epoch = 5,
+                std::int64_t permit_ms = 4000)
+    {
+        report_answer out{.holds = true, .permit_ms = permit_ms};
+        out.orders = orders;
+        out.orders.epoch = epoch;
+        out.orders.life = "w1";
+        keeper.on_answer(out, keeper.report(now), now, now);
+    }
+
+    void start(const std::string& task, std::int64_t run = 1,
+               bool fills = false)
+    {
+        start_order order{.task = task, .run = run};
+        order.fills = fills;
+        order.image = fills ? "f" : "s";
+        order.latency_target_ms = fills ? 0 : 10;
+        answer({.starts = {order}});
+    }
+
+    template <class Action> std::vector<Action> due()
+    {
+        std::vector<Action> out;
+        for (const keeper_action& one : keeper.due(now))
+        {
+            if (const auto* action = std::get_if<Action>(&one))
+            {
+                out.push_back(*action);
+            }
+        }
+        return out;
+    }
+
+    void looked(std::vector<running_task> running,
+                std::vector<ended_task> ended = {})
+    {
+        keeper.on_looked("w1", order_result::accepted,
+                         worker_look{.clock_ms = clock(),
+                                     .running = std::move(running),
+                                     .ended = std::move(ended)},
+                         now, now);
+    }
+
+    std::int64_t clock() const
+    {
+        return 1000 + to_milliseconds(now - begun);
+    }
+
+    time_point now{std::chrono::hours(1)};
+    time_point begun = now;
+    run_keeper keeper{};
+};
+
+} // namespace
+
+TEST_CASE("a lease lasts no longer than the holder's permit")
+{
+    guard at;
+    at.answer({}, 5, 800);
+    const auto looks = at.due<look_at_worker>();
+    REQUIRE(looks.size() == 1);
+    REQUIRE(looks[0].deadline_ms.has_value());
+    // The permit of the first answer is the longer one and still holds.
+    CHECK(*looks[0].deadline_ms <= at.clock() + 4000);
+    CHECK(looks[0].epoch == 5);
+    at.looked({});
+    at.now += seconds(4);
+    const auto later = at.due<look_at_worker>();
+    REQUIRE(later.size() == 1);
+    CHECK_FALSE(later[0].deadline_ms.has_value());
+}
+
+TEST_CASE("a start is asked for until it is answered, then given back")
+{
+    guard at;
+    at.start("j.0.0.0");
+    for (int count = 0; count < 4; ++count)
+    {
+        const auto starts = at.due<start_run>();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].deadline_ms <= at.clock() + 2000);
+        at.keeper.on_started("j.0.0.0", 1, order_result::unanswered, at.now);
+        at.now += milliseconds(150);
+        at.looked({});
+    }
+    // A late copy could still begin: it is stopped before it is given back.
+    CHECK(at.keeper.report(at.now).refused.empty());
+    REQUIRE(at.due<stop_run>().size() == 1);
+    at.keeper.on_stopped("j.0.0.0", 1, order_result::accepted, at.now);
+    at.looked({});
+    CHECK(at.keeper.report(at.now).refused.empty());
+    at.now += seconds(1);
+    at.looked({});
+    const auto refused = at.keeper.report(at.now).refused;
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].task == "j.0.0.0");
+    at.answer({});
+    CHECK(at.keeper.report(at.now).refused.empty());
+}
+
+TEST_CASE("what a worker's answer to a start leads to")
+{
+    struct row
+    {
+        order_result result;
+        bool given_back;
+        bool tried_again;
+    };
+    for (const row& one :
+         {row{order_result::accepted, false, false},
+          row{order_result::no_room, true, false},
+          row{order_result::rejected, true, false},
+          row{order_result::unhealthy, true, false},
+          row{order_result::late, false, true},
+          row{order_result::unanswered, false, true},
+          row{order_result::fenced, false, false},
+          row{order_result::other_life, false, false}})
+    {
+        CAPTURE(to_string(one.result));
+        guard at;
+        at.start("j.0.0.0");
+        at.due<start_run>();
+        at.keeper.on_started("j.0.0.0", 1, one.result, at.now);
+        CHECK(at.keeper.report(at.now).refused.size() ==
+              (one.given_back ? 1 : 0));
+        at.now += milliseconds(150);
+        CHECK(at.due<start_run>().size() == (one.tried_again ? 1 : 0));
+    }
+}
+
+TEST_CASE("orders of an older holder or for another life are not taken")
+{
+    guard at;
+    CHECK_FALSE(at.keeper.on_orders({.epoch = 4, .life = "w1"}, at.now));
+    CHECK_FALSE(at.keeper.on_orders({.epoch = 6, .life = "w0"}, at.now));
+    CHECK(at.keeper.on_orders({.epoch = 6, .life = "w1"}, at.now));
+    CHECK_FALSE(at.keeper.on_orders({.epoch = 5, .life = "w1"}, at.now));
+}
+
+TEST_CASE("an older holder's answer renews no permit")
+{
+    guard at;
+    at.keeper.on_orders({.epoch = 9, .life = "w1"}, at.now);
+    const time_point before = at.keeper.permit_until();
+    at.now += seconds(1);
+    at.answer({}, 5);
+    CHECK(at.keeper.permit_until() == before);
+}
+
+TEST_CASE("a silent worker gets no longer lease, and lapses surely")
+{
+    guard at;
+    const auto looks = at.due<look_at_worker>();
+    REQUIRE(looks.size() == 1);
+    at.keeper.on_looked("w1", order_result::unanswered, std::nullopt, at.now,
+                        at.now);
+    at.now += milliseconds(1500);
+    at.answer({});
+    const auto silent = at.due<look_at_worker>();
+    REQUIRE(silent.size() == 1);
+    CHECK_FALSE(silent[0].deadline_ms.has_value());
+    CHECK_FALSE(at.keeper.report(at.now).answering);
+    CHECK_FALSE(at.keeper.report(at.now).lapsed);
+    at.now += seconds(6); // an earlier guard may have asked for the longest
+    CHECK(at.keeper.report(at.now).lapsed);
+    at.looked({});
+    CHECK_FALSE(at.keeper.report(at.now).lapsed);
+}
+
+TEST_CASE("a draining worker begins nothing more")
+{
+    guard at;
+    at.start("j.0.0.0");
+    at.keeper.on_worker({.life = "w1", .service = "s", .draining = true},
+                        at.clock(), at.now);
+    CHECK(at.due<start_run>().empty());
+    CHECK(at.keeper.report(at.now).refused.size() == 1);
+}
+
+TEST_CASE("runs that a restarted guard finds are told to the holder")
+{
+    guard at;
+    at.looked({{.task = "j.0.0.0", .run = 3}});
+    CHECK(at.keeper.report(at.now).unknown ==
+          std::vector<std::string>{"j.0.0.0"});
+    at.start("j.0.0.0", 3);
+    CHECK(at.due<start_run>().empty());
+    CHECK(at.keeper.report(at.now).unknown.empty());
+}
+
+TEST_CASE("another life of the worker has none of the runs")
+{
+    guard at;
+    at.start("j.0.0.0");
+    at.due<start_run>();
+    at.keeper.on_started("j.0.0.0", 1, order_result::accepted, at.now);
+    at.looked({{.task = "j.0.0.0", .run = 1}});
+    at.keeper.on_worker({.life = "w2", .service = "s"}, 5, at.now);
+    const worker_report report = at.keeper.report(at.now);
+    CHECK(report.running.empty());
+    CHECK_FALSE(report.looked);
+}
+
+TEST_CASE("fills are slowed while a tail is high, known ones first")
+{
+    interference control;
+    control.learn({{.serving = "s", .filling = "bad", .harm = 4}});
+    const std::map<std::string, run_traits> traits{
+        {"serve", {.latency_target_ms = 10, .image = "s"}},
+        {"one", {.fills = true, .image = "bad"}},
+        {"two", {.fills = true, .image = "good"}}};
+    time_point now{std::chrono::hours(1)};
+    const auto look = [&](std::int64_t tail)
+    {
+        now += milliseconds(500);
+        control.observe({{.task = "serve", .load = tail},
+                         {.task = "one", .load = 1500},
+                         {.task = "two", .load = 1500}},
+                        traits, 4000, now);
+    };
+    look(6);
+    CHECK(control.pace("bad") == 100);
+    look(12);
+    CHECK(control.pace("bad") < 100);
+    CHECK(control.pace("good") == 100);
+    for (int count = 0; count < 8; ++count)
+    {
+        look(5);
+    }
+    CHECK(control.pace("bad") == 100);
+}
+
+TEST_CASE("without knowledge all fills are slowed, and stopped in time")
+{
+    interference control;
+    const std::map<std::string, run_traits> traits{
+        {"serve", {.latency_target_ms = 10, .image = "s"}},
+        {"one", {.fills = true, .image = "f"}}};
+    time_point now{std::chrono::hours(1)};
+    const time_point since = now;
+    while (control.pace("f") > 0)
+    {
+        now += milliseconds(500);
+        control.observe({{.task = "serve", .load = 30},
+                         {.task = "one", .load = 1500}},
+                        traits, 4000, now);
+        REQUIRE(now - since < seconds(4));
+    }
+    CHECK(now - since <= milliseconds(2500));
+}
--- /dev/null
+++ b/tests/unit/scheduler_tests.cpp
@@ -0,0 +1,655 @@
+// The holder's decisions, one at a time: what is released when, what an end
+// leads to, who gets what.
+
+#include <doctest/doctest.h>
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr resources room{.cpu_millis = 4000, .memory_mb = 4000};
+
+job_step step_of(std::int64_t count, std::int64_t cpu = 1000)
+{
+    return {.count = count,
+            .demand = {.cpu_millis = cpu, .memory_mb = 100},
+            .estimate_ms = 500};
+}
+
+// A holder, its store and its guards' reports, moved by hand.
+class holder
+{
+public:
+    explicit holder(scheduler_options options = {}) : core(options)
+    {
+        core.take_office(7, now);
+        core.set_table(table());
+        core.begin(now);
+    }
+
+    static queue_table table(std::int64_t version = 1)
+    {
+        return {.version = version,
+                .queues = {{.name = "q",
+                            .service = "s",
+                            .most_attempts = 2,
+                            .stretch = 2,
+                            .target_ms = 1000},
+                           {.name = "urgent",
+                            .service = "s",
+                            .priority = 0,
+                            .most_attempts = 2},
+                           {.name = "slow",
+                            .service = "s",
+                            .priority = 5,
+                            .most_attempts = 2},
+                           {.name = "other", .service = "elsewhere"}}};
+    }
+
+    job submit(std::vector<job_step> steps, const std::string& queue = "q")
+    {
+        job what{.id = "job" + std::to_string(++jobs_),
+                 .queue = queue,
+                 .payload = "p",
+                 .steps = std::move(steps)};
+        core.accept(what, now);
+        return what;
+    }
+
+    worker_report& worker(const std::string& guard)
+    {
+        worker_report& report = reports[guard];
+        if (report.guard.empty())
+        {
+            report = {.guard = guard,
+                      .address = guard + ":1",
+                      .incarnation = "i",
+                      .worker = {.life = guard + "-1",
+                                 .service = "s",
+                                 .capacity = room},
+                      .looked = true,
+                      .answering = true};
+        }
+        return report;
+    }
+
+    report_answer say(const std::string& guard)
+    {
+        worker_report& report = worker(guard);
+        ++report.sequence;
+        const report_answer answer = core.report(report, now, verified);
+        take(answer.orders, guard);
+        return answer;
+    }
+
+    // Time passes, and the store takes what is to be written.
+    void turn(duration length = milliseconds(25))
+    {
+        now += length;
+        verified = now;
+        core.tick(now, day_ms);
+        write();
+    }
+
+    void write()
+    {
+        while (const auto batch = core.next_commit(now))
+        {
+            core.committed(*batch, ++revision, now);
+            now += milliseconds(25);
+        }
+        for (const addressed_orders& one : core.take_orders())
+        {
+            take(one.orders, one.guard);
+        }
+    }
+
+    void take(const guard_orders& orders, const std::string& guard)
+    {
+        for (const start_order& one : orders.starts)
+        {
+            started[one.task] = one;
+            worker(guard).running.push_back({.task = one.task, .run = one.run});
+            where[one.task] = guard;
+        }
+        for (const stop_order& one : orders.stops)
+        {
+            stopped.insert(one.task);
+        }
+    }
+
+    void end(const std::string& task, run_end how,
+             const std::string& checkpoint = {})
+    {
+        worker_report& report = worker(where.at(task));
+        std::erase_if(report.running, [&](const running_task& row)
+                      { return row.task == task; });
+        report.ended.push_back({.number = ++ends_[report.guard],
+                                .task = task,
+                                .run = started.at(task).run,
+                                .how = how,
+                                .checkpoint = checkpoint});
+    }
+
+    bool runs(const std::string& task) const
+    {
+        return started.contains(task);
+    }
+
+    time_point now{std::chrono::hours(1)};
+    time_point verified = now;
+    std::int64_t day_ms = 0;
+    std::int64_t revision = 100;
+    scheduler_core core;
+    std::map<std::string, worker_report> reports;
+    std::map<std::string, start_order> started;
+    std::map<std::string, std::string> where;
+    std::set<std::string> stopped;
+
+private:
+    int jobs_ = 0;
+    std::map<std::string, std::int64_t> ends_;
+};
+
+} // namespace
+
+TEST_CASE("nothing starts before the store has its placement")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.core.tick(at.now, 0);
+    const auto batch = at.core.next_commit(at.now);
+    REQUIRE(batch.has_value());
+    CHECK(at.core.take_orders().empty());
+    CHECK(batch->front().expected_revision == 0);
+    at.core.committed(*batch, 9, at.now);
+    const auto orders = at.core.take_orders();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].orders.epoch == 7);
+    CHECK(orders[0].orders.life == "g1-1");
+    CHECK(orders[0].orders.starts.at(0).task == what.id + ".0.0.0");
+}
+
+TEST_CASE("an end is acknowledged and shown once the store has it")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    const std::string task = what.id + ".0.0.0";
+    REQUIRE(at.runs(task));
+    at.end(task, run_end::done);
+    CHECK(at.say("g1").orders.acknowledged == 0);
+    CHECK(at.core.shown(what.id) != job_state::succeeded);
+    at.turn();
+    CHECK(at.core.shown(what.id) == job_state::succeeded);
+    CHECK(at.say("g1").orders.acknowledged == 1);
+}
+
+TEST_CASE("steps wait for the steps they come after")
+{
+    holder at;
+    at.say("g1");
+    job_step second = step_of(1);
+    second.after = {0};
+    const job what = at.submit({step_of(2), second});
+    at.turn();
+    CHECK(at.runs(what.id + ".0.0.1"));
+    CHECK_FALSE(at.runs(what.id + ".0.1.0"));
+    at.end(what.id + ".0.0.0", run_end::done);
+    at.say("g1");
+    at.turn();
+    CHECK_FALSE(at.runs(what.id + ".0.1.0"));
+    at.end(what.id + ".0.0.1", run_end::done);
+    at.say("g1");
+    at.turn();
+    CHECK(at.runs(what.id + ".0.1.0"));
+}
+
+TEST_CASE("failures are counted to the bound, other ends are not")
+{
+    holder at;
+    at.say("g1");
+    at.say("g2");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    for (const run_end how :
+         {run_end::stopped, run_end::lapsed, run_end::failed})
+    {
+        at.end(task, how, "c");
+        at.say(at.where[task]);
+        at.turn();
+        CHECK(at.started[task].checkpoint == "c");
+        at.say("g1");
+        at.say("g2");
+    }
+    CHECK(at.started[task].run == 4);
+    CHECK(at.core.shown(what.id) == job_state::running);
+    at.end(task, run_end::failed);
+    at.say(at.where[task]);
+    at.turn();
+    CHECK(at.core.shown(what.id) == job_state::failed);
+}
+
+TEST_CASE("a failed task goes to another worker if there is one")
+{
+    holder at;
+    at.say("g1");
+    at.say("g2");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    const std::string first = at.where[task];
+    at.end(task, run_end::failed);
+    at.say(first);
+    at.turn();
+    CHECK(at.where[task] != first);
+}
+
+TEST_CASE("a cancelled job starts nothing, and what runs is stopped")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(6)});
+    at.turn();
+    CHECK(at.started.size() == 4); // the worker's room
+    at.core.cancel(what.id, at.now);
+    CHECK(at.core.shown(what.id) == job_state::cancelled);
+    at.turn();
+    CHECK(at.stopped.size() == 4);
+    at.end(what.id + ".0.0.0", run_end::stopped);
+    at.say("g1");
+    at.turn();
+    CHECK(at.started.size() == 4);
+}
+
+TEST_CASE("a worker's room is kept, and fills reserve no processors")
+{
+    holder at;
+    at.say("g1");
+    at.submit({step_of(9)});
+    at.turn();
+    CHECK(at.started.size() == 4);
+    CHECK(at.core.workers().at("g1").room().cpu_millis == 0);
+
+    holder other;
+    other.say("g1");
+    job_step fill = step_of(3);
+    fill.fills = true;
+    fill.image = "f";
+    other.submit({fill});
+    other.turn();
+    CHECK(other.started.size() == 3);
+    CHECK(other.core.workers().at("g1").room().cpu_millis == 4000);
+    CHECK(other.core.workers().at("g1").room().memory_mb == 3700);
+}
+
+TEST_CASE("service, label and bound a worker are kept")
+{
+    holder at;
+    at.say("g1");
+    at.worker("g2").worker.labels = {"big"};
+    at.say("g2");
+    const job elsewhere = at.submit({step_of(1)}, "other");
+    job_step labelled = step_of(1);
+    labelled.label = "big";
+    const job big = at.submit({labelled});
+    job_step apart = step_of(4, 100);
+    apart.most_per_worker = 1;
+    const job spread = at.submit({apart});
+    at.turn();
+    CHECK_FALSE(at.runs(elsewhere.id + ".0.0.0"));
+    CHECK(at.where.at(big.id + ".0.0.0") == "g2");
+    CHECK(at.runs(spread.id + ".0.0.1"));
+    CHECK_FALSE(at.runs(spread.id + ".0.0.2"));
+    CHECK(at.where.at(spread.id + ".0.0.0") !=
+          at.where.at(spread.id + ".0.0.1"));
+}
+
+TEST_CASE("priority goes first, then the earliest objective")
+{
+    holder at;
+    const job slow = at.submit({step_of(1, 4000)}, "slow");
+    job_step long_step = step_of(1, 4000);
+    long_step.estimate_ms = 60'000;
+    const job patient = at.submit({long_step});
+    const job brief = at.submit({step_of(1, 4000)});
+    at.say("g1");
+    at.turn();
+    CHECK(at.runs(brief.id + ".0.0.0"));
+    CHECK_FALSE(at.runs(patient.id + ".0.0.0"));
+    CHECK_FALSE(at.runs(slow.id + ".0.0.0"));
+}
+
+TEST_CASE("a gang starts whole or not at all, and ends together")
+{
+    holder at;
+    at.say("g1");
+    job_step gang = step_of(5);
+    gang.gang = true;
+    const job what = at.submit({gang});
+    at.turn();
+    CHECK(at.started.empty());
+    at.say("g1");
+    at.say("g2");
+    at.turn();
+    CHECK(at.started.size() == 5);
+    at.end(what.id + ".0.0.0", run_end::failed, "c");
+    at.say(at.where[what.id + ".0.0.0"]);
+    at.turn();
+    CHECK(at.stopped.size() == 4);
+    for (int index = 1; index < 5; ++index)
+    {
+        at.end(what.id + ".0.0." + std::to_string(index), run_end::broken);
+    }
+    at.say("g1");
+    at.say("g2");
+    at.turn();
+    for (const auto& [task, order] : at.started)
+    {
+        CHECK(order.run == 2);
+        CHECK(order.checkpoint == "c");
+    }
+    at.end(what.id + ".0.0.3", run_end::done);
+    at.say(at.where[what.id + ".0.0.3"]);
+    at.turn();
+    CHECK(at.core.shown(what.id) == job_state::succeeded);
+}
+
+TEST_CASE("rounds of a schedule start when they are due")
+{
+    holder at;
+    at.say("g1");
+    at.day_ms = 1'000'000;
+    job what{.id = "timed",
+             .queue = "q",
+             .steps = {step_of(1)},
+             .schedule = {.first_due_ms = 1'000'500,
+                          .interval_ms = 1000,
+                          .count = 2}};
+    at.core.accept(what, at.now);
+    at.turn();
+    CHECK(at.started.empty());
+    at.day_ms = 1'000'500;
+    at.turn();
+    CHECK(at.runs("timed.0.0.0"));
+    CHECK_FALSE(at.runs("timed.1.0.0"));
+    at.day_ms = 1'001'500;
+    at.turn();
+    CHECK(at.runs("timed.1.0.0"));
+}
+
+TEST_CASE("a guard that is cut off keeps its tasks until its lease is over")
+{
+    const scheduler_options options;
+    holder at(options);
+    at.say("g1");
+    at.say("g2");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    const std::string first = at.where[task];
+    const std::string second = first == "g1" ? "g2" : "g1";
+    const report_answer answer = at.say(first);
+    CHECK(answer.permit_ms == to_milliseconds(options.permit));
+    const time_point given = at.now;
+    while (at.where[task] == first)
+    {
+        at.turn(milliseconds(100));
+        at.say(second);
+        REQUIRE(at.now - given < seconds(10));
+    }
+    CHECK(at.now - given > options.permit * 102 / 100);
+    CHECK(at.started[task].run == 2);
+}
+
+TEST_CASE("a worker that says its lease ran out gives its tasks back at once")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    worker_report& report = at.worker("g1");
+    report.answering = false;
+    report.lapsed = true;
+    at.say("g1");
+    at.say("g2");
+    at.turn();
+    CHECK(at.where[task] == "g2");
+}
+
+TEST_CASE("another life of an executor has none of its predecessor's runs")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    worker_report& report = at.worker("g1");
+    report.worker.life = "g1-2";
+    report.running.clear();
+    at.say("g1");
+    at.turn();
+    CHECK(at.started[task].run == 2);
+}
+
+TEST_CASE("a start that waits for its order is not sent to another life")
+{
+    holder at;
+    at.say("g1");
+    at.submit({step_of(1)});
+    at.core.tick(at.now, 0);
+    const auto batch = at.core.next_commit(at.now);
+    REQUIRE(batch.has_value());
+    at.core.committed(*batch, 9, at.now);
+    at.worker("g1").worker.life = "g1-2";
+    const report_answer answer = at.say("g1");
+    CHECK(answer.orders.starts.empty());
+    CHECK(at.core.take_orders().empty());
+}
+
+TEST_CASE("permits end with the office's reach")
+{
+    const scheduler_options options;
+    holder at(options);
+    at.say("g1");
+    at.now += options.office_reach - milliseconds(500);
+    CHECK(at.say("g1").permit_ms == 500);
+    at.now += seconds(1);
+    CHECK(at.say("g1").permit_ms == 0);
+}
+
+TEST_CASE("a successor waits for guards that it cannot reach")
+{
+    const scheduler_options options;
+    holder first(options);
+    first.say("g1");
+    const job what = first.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    first.core.tick(first.now, 0);
+    const auto batch = first.core.next_commit(first.now);
+    REQUIRE(batch.has_value());
+
+    holder second(options);
+    second.core.take_office(8, second.now);
+    second.core.set_table(holder::table());
+    second.core.adopt(what, decode_progress(batch->front().text), 9, second.now,
+                      0);
+    second.core.begin(second.now);
+    const time_point since = second.now;
+    while (!second.runs(task))
+    {
+        second.say("g2");
+        second.turn(milliseconds(100));
+        REQUIRE(second.now - since < seconds(20));
+    }
+    CHECK(second.now - since > options.office_reach);
+    CHECK(second.started[task].run == 2);
+}
+
+TEST_CASE("a successor finds runs where they are")
+{
+    holder first;
+    first.say("g1");
+    const job what = first.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    first.core.tick(first.now, 0);
+    const auto batch = first.core.next_commit(first.now);
+    REQUIRE(batch.has_value());
+
+    holder second;
+    second.core.take_office(8, second.now);
+    second.core.set_table(holder::table());
+    second.core.adopt(what, decode_progress(batch->front().text), 9, second.now,
+                      0);
+    second.core.begin(second.now);
+    second.worker("g1").running = {{.task = task, .run = 1}};
+    second.started[task] = {.task = task, .run = 1};
+    second.where[task] = "g1";
+    second.say("g1");
+    CHECK(second.core.workers().at("g1").room().cpu_millis == 3000);
+    second.end(task, run_end::done);
+    second.say("g1");
+    second.turn();
+    CHECK(second.core.shown(what.id) == job_state::succeeded);
+}
+
+TEST_CASE("a start that the successor does not find is sent again")
+{
+    holder first;
+    first.say("g1");
+    const job what = first.submit({step_of(1)});
+    first.core.tick(first.now, 0);
+    const auto batch = first.core.next_commit(first.now);
+    REQUIRE(batch.has_value());
+
+    holder second;
+    second.core.take_office(8, second.now);
+    second.core.set_table(holder::table());
+    second.core.adopt(what, decode_progress(batch->front().text), 9, second.now,
+                      0);
+    second.core.begin(second.now);
+    second.say("g1");
+    second.turn(seconds(2));
+    second.say("g1");
+    CHECK(second.started[what.id + ".0.0.0"].run == 1);
+}
+
+TEST_CASE("draining workers get nothing, and what lasts leaves in time")
+{
+    holder at;
+    at.say("g1");
+    job_step lasting = step_of(1);
+    lasting.lasting = true;
+    const job what = at.submit({lasting});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    at.worker("g1").worker.draining = true;
+    at.worker("g1").worker.leaves_ms = 5000;
+    at.say("g1"); // shows it running
+    at.say("g1");
+    CHECK(at.stopped.contains(task));
+    at.end(task, run_end::stopped);
+    at.say("g1");
+    at.turn();
+    CHECK(at.started[task].run == 1);
+    at.say("g2");
+    at.turn();
+    CHECK(at.where[task] == "g2");
+}
+
+TEST_CASE("a worker that fails different jobs in a row is left alone")
+{
+    holder at;
+    at.say("g1");
+    for (int count = 0; count < 3; ++count)
+    {
+        const job what = at.submit({step_of(1)});
+        at.turn();
+        at.end(what.id + ".0.0.0", run_end::failed);
+        at.say("g1");
+        at.core.cancel(what.id, at.now);
+        at.turn();
+    }
+    const job next = at.submit({step_of(1)});
+    at.say("g1");
+    at.turn();
+    CHECK_FALSE(at.runs(next.id + ".0.0.0"));
+    at.now += seconds(3);
+    at.say("g1");
+    at.turn();
+    CHECK(at.runs(next.id + ".0.0.0"));
+}
+
+TEST_CASE("a run without progress is stopped and avoids its worker")
+{
+    holder at;
+    at.say("g1");
+    at.say("g2");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    const std::string first = at.where[task];
+    for (int count = 0; count < 8; ++count)
+    {
+        at.turn(milliseconds(500));
+        at.say(first);
+    }
+    CHECK(at.stopped.contains(task));
+    at.end(task, run_end::stopped);
+    at.say("g1");
+    at.say("g2");
+    at.turn();
+    CHECK(at.where[task] != first);
+}
+
+TEST_CASE("reports that were overtaken on their way change nothing")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    worker_report old = at.worker("g1");
+    old.sequence = 1;
+    old.worker.life = "g1-0";
+    at.core.report(old, at.now, at.now);
+    CHECK(at.core.workers().at("g1").what.life == "g1-1");
+    CHECK(at.core.workers().at("g1").held.size() == 1);
+}
+
+TEST_CASE("jobs of which nothing has begun are counted by queue")
+{
+    holder at;
+    const job what = at.submit({step_of(1)});
+    at.submit({step_of(1)}, "slow");
+    CHECK(at.core.waiting("q") == 1);
+    at.say("g1");
+    at.turn();
+    at.say("g1");
+    CHECK(at.core.waiting("q") == 0);
+    CHECK(at.core.shown(what.id) == job_state::running);
+    CHECK_FALSE(at.core.shown("nobody").has_value());
+}
+
+TEST_CASE("an older table is passed over")
+{
+    holder at;
+    queue_table old = holder::table(0);
+    old.queues.clear();
+    at.core.set_table(old);
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    CHECK(at.runs(what.id + ".0.0.0"));
+}
