Holder: learns harm from changes of headroom, and hands it to its successor

Traces of both sites show why. A tail is about base / (1 - load - harm), so target by tail (headroom) falls linearly, and each serving task's own load swings. Levels of the logarithm, the model before, gave R2 0.03 to 0.24; differences of headroom 0.18 to 0.33 for the images that suffer.

Ruled out: counts of tasks or their pace in place of processors used (R2 lower); asked instead of used processors (lower).

--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -326,6 +326,18 @@
         {
             carry_out(action);
         }
+        for (const pace_change& one : keeper_.take_pace_changes())
+        {
+            log_event(event_id::worker_paced,
+                      {{"filling", one.filling},
+                       {"pace", std::to_string(static_cast<int>(one.pace))},
+                       {"serving", one.serving},
+                       {"headroom_percent",
+                        std::to_string(static_cast<int>(100 * one.headroom))},
+                       {"pair_known", one.known ? "yes" : "no"},
+                       {"use_percent",
+                        std::to_string(static_cast<int>(100 * one.use))}});
+        }
         if (keeper_.take_news() && failures_ == 0)
         {
             next_report_ = std::min(next_report_, now + report_gap);
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -18,6 +18,8 @@
 constexpr duration watch_wait = std::chrono::milliseconds(700);
 constexpr duration watch_gap = std::chrono::milliseconds(400);
 constexpr duration pause = std::chrono::milliseconds(100);
+// A successor's knowledge may be so old; each write is a priced call.
+constexpr duration harms_every = std::chrono::seconds(3);
 // An order is repeated by the next reports; waiting longer helps nobody.
 constexpr duration order_timeout = std::chrono::milliseconds(600);
 
@@ -97,12 +99,55 @@
         return;
     }
     page_after_.clear();
-    if (at_ == stage::reading_jobs)
+    at_ = at_ == stage::reading_jobs ? stage::reading_progress
+                                     : stage::reading_harms;
+}
+
+// Harms are a help, not a need: whatever the store says, the office begins.
+void job_holder::read_harms()
+{
+    reading_ = true;
+    store_.read(harms_key, timeout_.value(),
+                process_.on_control<store_result>(
+                    [this, term = term_](const store_result& result)
+                    {
+                        if (term != term_)
+                        {
+                            return;
+                        }
+                        reading_ = false;
+                        const json value =
+                            result.items.empty()
+                                ? json()
+                                : json::parse(result.items.front().value,
+                                              nullptr, false);
+                        if (value.is_array())
+                        {
+                            kept_harms_ =
+                                value.get<std::vector<pair_harm>>();
+                            core_.adopt_harms(kept_harms_);
+                        }
+                        adopt_all();
+                    }));
+}
+
+// Written without a condition: a late copy only says a little less.
+void job_holder::keep_harms(time_point now)
+{
+    if (now < next_harms_)
+    {
+        return;
+    }
+    next_harms_ = now + harms_every;
+    std::vector<pair_harm> harms = core_.known_harms();
+    if (harms == kept_harms_)
     {
-        at_ = stage::reading_progress;
         return;
     }
-    adopt_all();
+    kept_harms_ = std::move(harms);
+    store_.transact(
+        {.puts = {{.key = harms_key, .value = json(kept_harms_).dump()}}},
+        timeout_.value(), [](const store_result&) {});
 }
 
 void job_holder::take_item(const store_item& item)
@@ -430,7 +475,7 @@
     {
         if (!reading_ && now >= next_read_)
         {
-            read_page();
+            at_ == stage::reading_harms ? read_harms() : read_page();
         }
         return;
     }
@@ -440,6 +485,7 @@
     }
     core_.tick(now, day_milliseconds());
     write();
+    keep_harms(now);
     send_orders();
     log_decisions();
 }
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -50,11 +50,14 @@
         idle,
         reading_jobs,
         reading_progress,
+        reading_harms,
         holding
     };
 
     // Reading what is kept.
     void read_page();
+    void read_harms();
+    void keep_harms(time_point now);
     void on_page(const platform::store_result& result);
     void take_item(const platform::store_item& item);
     void adopt_all();
@@ -95,6 +98,8 @@
     std::optional<commit_batch> batch_; ///< being written
     bool writing_ = false;
     time_point next_write_{};
+    time_point next_harms_{};
+    std::vector<pair_harm> kept_harms_;
 };
 
 } // namespace springstair
--- a/packages/guard/include/springstair/detail/guard/interference.hpp
+++ b/packages/guard/include/springstair/detail/guard/interference.hpp
@@ -11,27 +11,31 @@
 {
 
 /// @brief Bounds of the control of tasks that fill beside tasks that serve.
-/// The shares of a target are below it because the figures are rough.
+///
+/// A serving task's headroom is its target divided by its tail. The bounds
+/// lie above 1 because the figures are rough and of the half second before.
 struct interference_options
 {
-    /// Above this share of its target, a serving task's tail slows fills.
-    double slow_above = 0.85;
-    /// What a slowed down tail should come to, as a share of its target.
-    double slow_to = 0.7;
-    /// Below this share, fills that were slowed get faster; apart from the
-    /// bound above so that the pace does not swing.
-    double raise_below = 0.7;
+    /// Below this headroom, fills that are known to harm are slowed.
+    double slow_below = 1.2;
+    /// What the headroom should come to by that.
+    double slow_to = 1.4;
+    /// Below this headroom all fills are slowed, if those that are known to
+    /// harm do not explain it.
+    double blind_below = 1.0;
+    /// Fills get faster if that leaves this headroom to all whom they harm.
+    double raise_above = 1.4;
     /// A step up, in percent of the full pace.
-    double raise_by = 20;
+    double raise_by = 25;
     /// Least factor of one step for fills that are known to harm, and the
     /// factor for all of them while it is not known which ones do.
     double least_factor = 0.1;
-    double blind_factor = 0.5;
-    /// Known harm below this share of the excess does not explain it.
-    double explained = 0.4;
+    double blind_factor = 0.6;
+    /// Known harm below this share of what is missing does not explain it.
+    double explained = 0.3;
     /// A pair's harm below this is noise (trials on both sites: harmless
-    /// pairs come out below 1, harmful ones above 3).
-    double harmful = 1.0;
+    /// pairs come out below 1, harmful ones at 4 and more).
+    double harmful = 1.2;
     /// Below this pace, in percent, fills stand still: a crawl harms and
     /// hardly helps.
     double least_pace = 10;
@@ -50,6 +54,17 @@
     std::string image;
 };
 
+/// @brief A change of pace and what decided it.
+struct pace_change
+{
+    std::string filling;
+    double pace = 100;    ///< percent, from now on
+    std::string serving;  ///< whose tail decided; empty: all bear it
+    double headroom = 0;  ///< of that one
+    bool known = false;   ///< the pair is known to harm
+    double use = 0;       ///< by these fills, share of the processors
+};
+
 /// @brief Sets the pace of one worker's fills, by image, from the tails of
 /// the tasks that serve there and the harm that is known of pairs of images.
 class interference
@@ -67,6 +82,9 @@
                  const std::map<std::string, run_traits>& traits,
                  std::int64_t capacity, time_point now);
 
+    /// @brief Changes since the last call.
+    std::vector<pace_change> take_changes();
+
     /// @brief The pace of fills of an image, in percent.
     [[nodiscard]] std::int64_t pace(const std::string& image) const;
 
@@ -74,17 +92,19 @@
     /// What one look says.
     struct figures
     {
-        std::map<std::string, double> tails; ///< worst by target, by image
+        std::map<std::string, double> headroom; ///< least, by image
         std::map<std::string, double> use;   ///< by fills, share of capacity
     };
 
     [[nodiscard]] double harm_of(const std::string& serving,
                                  const std::string& filling) const;
-    void slow_for(const std::string& serving, double tail, const figures& now);
+    void slow_for(const std::string& serving, double headroom,
+                  const figures& now);
     void raise_all(const figures& now);
 
     interference_options options_;
     std::map<std::string, std::map<std::string, double>> harms_;
+    std::vector<pace_change> changes_;
     std::map<std::string, double> pace_; ///< only images that are slowed
     time_point next_step_{};
     std::optional<time_point> over_since_;
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -171,6 +171,11 @@
     {
         return worker_;
     }
+    /// @brief Changes of the fills' pace since the last call, for the log.
+    std::vector<pace_change> take_pace_changes()
+    {
+        return interference_.take_changes();
+    }
     /// @brief Whether ends are listed that the holder has not acknowledged.
     [[nodiscard]] bool has_ends() const noexcept
     {
--- a/packages/guard/src/interference.cpp
+++ b/packages/guard/src/interference.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace springstair
 {
@@ -12,6 +13,9 @@
 constexpr double full_pace = 100;
 // Paces are rounded to this, so that small changes cost no orders.
 constexpr double pace_grain = 5;
+// Share of a worker's processors that a fill is taken to use at full pace
+// while it stands still and shows no figure.
+constexpr double unknown_use = 0.1;
 
 } // namespace
 
@@ -72,23 +76,25 @@
         }
         else if (of.latency_target_ms > 0)
         {
-            double& tail = seen.tails[of.image];
-            tail =
-                std::max(tail, static_cast<double>(row.load) /
-                                   static_cast<double>(of.latency_target_ms));
+            const double headroom = static_cast<double>(of.latency_target_ms) /
+                                    static_cast<double>(
+                                        std::max<std::int64_t>(row.load, 1));
+            const auto [least, fresh] =
+                seen.headroom.try_emplace(of.image, headroom);
+            least->second = std::min(least->second, headroom);
         }
     }
-    double worst = 0;
     raise_all(seen);
-    for (const auto& [serving, tail] : seen.tails)
+    bool over = false;
+    for (const auto& [serving, headroom] : seen.headroom)
     {
-        worst = std::max(worst, tail);
-        if (tail > options_.slow_above)
+        over = over || headroom < 1;
+        if (headroom < options_.slow_below)
         {
-            slow_for(serving, tail, seen);
+            slow_for(serving, headroom, seen);
         }
     }
-    if (worst <= 1)
+    if (!over)
     {
         over_since_.reset();
         return;
@@ -103,18 +109,22 @@
     }
 }
 
-// Known harm adds up in the logarithm of the tail: what has to go is shared
-// by the fills that do it. Without such knowledge all fills are slowed.
-void interference::slow_for(const std::string& serving, double tail,
+// What is missing is shared by the fills that are known to harm. If they do
+// not explain it, all fills are slowed, but only once a target is missed.
+void interference::slow_for(const std::string& serving, double headroom,
                             const figures& now)
 {
-    const double excess = std::log(tail / options_.slow_to);
+    const double missing = options_.slow_to - headroom;
     double known = 0;
     for (const auto& [filling, use] : now.use)
     {
         known += harm_of(serving, filling) * use;
     }
-    const bool explained = known >= options_.explained * excess;
+    const bool explained = known >= options_.explained * missing;
+    if (!explained && headroom >= options_.blind_below)
+    {
+        return;
+    }
     for (const auto& [filling, use] : now.use)
     {
         const bool blamed = harm_of(serving, filling) > 0;
@@ -122,33 +132,53 @@
         {
             continue;
         }
-        const double factor = explained ? std::clamp(1 - excess / known,
-                                                     options_.least_factor, 1.0)
-                                        : options_.blind_factor;
+        const double factor =
+            explained
+                ? std::clamp(1 - missing / known, options_.least_factor, 1.0)
+                : options_.blind_factor;
         const auto [found, fresh] = pace_.try_emplace(filling, full_pace);
         found->second *= factor;
         if (found->second < options_.least_pace)
         {
             found->second = 0;
         }
+        changes_.push_back({.filling = filling,
+                            .pace = found->second,
+                            .serving = serving,
+                            .headroom = headroom,
+                            .known = explained,
+                            .use = use});
     }
 }
 
+std::vector<pace_change> interference::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
 void interference::raise_all(const figures& now)
 {
     for (auto at = pace_.begin(); at != pace_.end();)
     {
+        const auto found = now.use.find(at->first);
+        const double use = found == now.use.end() ? 0 : found->second;
+        // A fill that stands still is taken to use a tenth at full pace.
+        const double more =
+            at->second > 0 ? use * options_.raise_by / at->second
+                           : unknown_use * options_.raise_by / full_pace;
         const bool bearable = std::all_of(
-            now.tails.begin(), now.tails.end(),
+            now.headroom.begin(), now.headroom.end(),
             [&](const auto& entry)
             {
-                const bool concerned = harm_of(entry.first, at->first) > 0;
-                return entry.second <
-                       (concerned ? options_.raise_below : options_.slow_above);
+                const double harm = harm_of(entry.first, at->first);
+                return harm > 0 ? entry.second - harm * more >=
+                                      options_.raise_above
+                                : entry.second >= options_.blind_below;
             });
         if (bearable)
         {
             at->second += options_.raise_by;
+            changes_.push_back({.filling = at->first, .pace = at->second});
         }
         at = at->second >= full_pace ? pace_.erase(at) : std::next(at);
     }
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -22,15 +22,17 @@
     /// Share of their reserved processors that serving tasks use at their
     /// busiest, as an estimate of what is left for tasks that fill.
     double serving_use = 0.6;
-    /// A serving task's tail, as a share of its target, up to which a fill
-    /// may be placed beside it by the learnt harm.
-    double bearable_tail = 0.85;
-    /// What a tail is taken to be without fills, where nothing is known yet:
-    /// the middle of both sites' figures.
-    double usual_tail = 0.5;
+    /// Headroom (target by tail) that a serving task must keep, by the learnt
+    /// harm, for a fill to be placed beside it: the load moves meanwhile.
+    double least_headroom = 1.5;
+    /// Headroom without fills where no figure is known yet: the middle of
+    /// both sites' figures.
+    double usual_headroom = 2.0;
     /// Score taken off a worker that has serving tasks of the same image:
     /// the fewer images serve there, the more images may fill.
     double same_image_bonus = 0.4;
+    /// Score added for each other image that serves there.
+    double other_image_penalty = 0.1;
     /// Score added for work away from its data, which takes longer there.
     double far_penalty = 0.5;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -118,6 +118,16 @@
     /// @brief Adds a job that an earlier holder kept, before begin().
     void adopt(job what, const std::optional<job_progress>& kept,
                std::int64_t revision, time_point now, std::int64_t day_ms);
+    /// @brief Begins with the harms that an earlier holder knew.
+    void adopt_harms(const std::vector<pair_harm>& harms)
+    {
+        harm_.adopt(harms);
+    }
+    /// @brief What is known of harms, for a successor.
+    [[nodiscard]] std::vector<pair_harm> known_harms() const
+    {
+        return harm_.known();
+    }
     /// @brief All kept jobs are adopted: workers may report.
     void begin(time_point now);
 
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -49,7 +49,9 @@
     /// Processors that fills ask for, by image, by the ledger.
     std::map<std::string, std::int64_t> fill_cpu_of;
     time_point learnt{}; ///< when its figures were last learnt from
-    std::map<std::string, double> serving; ///< newest worst tail by target
+    /// Least headroom (target by tail) that serving tasks of an image would
+    /// have without fills, by the newest figures.
+    std::map<std::string, double> headroom_alone;
     std::map<std::string, double> filling; ///< newest use, share of capacity
 
     /// @brief What is left, by the ledger.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -1,7 +1,7 @@
 #include <springstair/scheduler.hpp>
 
 #include <algorithm>
-#include <cmath>
+#include <optional>
 
 namespace springstair
 {
@@ -12,8 +12,10 @@
 // Added to the score of a worker that the task should avoid: more than any
 // other difference can make.
 constexpr double avoided_penalty = 1000;
-// A fill that lets a tail grow by less than this share does not matter.
-constexpr double small_growth = 0.03;
+// A fill that costs less headroom than this does not matter.
+constexpr double small_cost = 0.03;
+// Headroom where a fill harms nobody: above any that a tail can have.
+constexpr double no_harm = 10;
 
 bool has_label(const worker_record& at, const std::string& label)
 {
@@ -60,32 +62,34 @@
            (static_cast<double>(at.used.cpu_millis) - serving);
 }
 
-// The worst tail, as a share of its target, that serving tasks would have
-// with one more fill beside them.
-double tail_with(const worker_record& at, const placement_query& query,
-                 const placement_options& options)
+// The least headroom that serving tasks would have with one more fill, among
+// those that it harms; nothing if it harms none.
+std::optional<double> headroom_with(const worker_record& at,
+                                    const placement_query& query,
+                                    const placement_options& options)
 {
     const auto whole = static_cast<double>(at.what.capacity.cpu_millis);
-    double worst = 0;
+    std::optional<double> least;
     for (const auto& [serving, runs] : at.serving_runs)
     {
-        double growth = query.harm.harm(serving, query.step.image) *
-                        static_cast<double>(query.step.demand.cpu_millis) /
-                        whole;
-        if (growth < small_growth)
+        double cost = query.harm.harm(serving, query.step.image) *
+                      static_cast<double>(query.step.demand.cpu_millis) / whole;
+        if (cost < small_cost)
         {
-            continue; // this fill would not be the cause
+            continue;
         }
         for (const auto& [filling, cpu] : at.fill_cpu_of)
         {
-            growth += query.harm.harm(serving, filling) *
-                      static_cast<double>(cpu) / whole;
+            cost += query.harm.harm(serving, filling) *
+                    static_cast<double>(cpu) / whole;
         }
-        const double alone =
-            query.harm.tail_alone(serving).value_or(options.usual_tail);
-        worst = std::max(worst, alone * std::exp(growth));
+        const auto known = at.headroom_alone.find(serving);
+        const double alone = known == at.headroom_alone.end()
+                                 ? options.usual_headroom
+                                 : known->second;
+        least = std::min(least.value_or(alone - cost), alone - cost);
     }
-    return worst;
+    return least;
 }
 
 bool has_fill_room(const worker_record& at, const placement_query& query,
@@ -94,16 +98,19 @@
     const auto asked =
         static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
     return asked <= fill_room(at, options) &&
-           tail_with(at, query, options) <= options.bearable_tail;
+           headroom_with(at, query, options).value_or(no_harm) >=
+               options.least_headroom;
 }
 
+// Where fills compete least, and where they harm least.
 double fill_pressure(const worker_record& at, const placement_query& query,
                      const placement_options& options)
 {
     const auto asked =
         static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
-    return asked / std::max(fill_room(at, options), 1.0) +
-           tail_with(at, query, options);
+    const double headroom =
+        headroom_with(at, query, options).value_or(no_harm);
+    return asked / std::max(fill_room(at, options), 1.0) + 1 / headroom;
 }
 
 // Lower is better. Fills go where they compete least for processors, all
@@ -125,9 +132,13 @@
                          share(at.used.memory_mb + step.demand.memory_mb,
                                capacity.memory_mb));
     }
-    if (step.latency_target_ms > 0 && at.serving_runs.contains(step.image))
+    if (step.latency_target_ms > 0)
     {
-        value -= options.same_image_bonus;
+        const bool same = at.serving_runs.contains(step.image);
+        const auto others =
+            static_cast<double>(at.serving_runs.size()) - (same ? 1 : 0);
+        value += options.other_image_penalty * others;
+        value -= same ? options.same_image_bonus : 0;
     }
     if (!step.data_rack.empty() && step.data_rack != at.what.rack)
     {
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -322,9 +322,14 @@
         return;
     }
     at.learnt = now;
+    struct figure
+    {
+        std::string task;
+        std::string image;
+        double headroom = 0;
+    };
     harm_sample beside;
-    at.serving.clear();
-    std::vector<std::pair<std::string, double>> tails;
+    std::vector<figure> figures;
     for (const running_task& row : from.running)
     {
         const auto name = task_name::parse(row.task);
@@ -342,16 +347,22 @@
         }
         else if (step.latency_target_ms > 0 && row.load > 0)
         {
-            tails.emplace_back(step.image,
-                               static_cast<double>(row.load) /
-                                   static_cast<double>(step.latency_target_ms));
+            figures.push_back(
+                {.task = row.task,
+                 .image = step.image,
+                 .headroom = static_cast<double>(step.latency_target_ms) /
+                             static_cast<double>(row.load)});
         }
     }
-    for (const auto& [image, tail] : tails)
+    at.headroom_alone.clear();
+    for (const figure& one : figures)
     {
-        harm_.observe(image, tail, beside);
-        double& worst = at.serving[image];
-        worst = std::max(worst, tail);
+        harm_.observe(one.task, one.image, one.headroom, beside, now);
+        const double alone =
+            one.headroom + harm_.harm_of(one.image, beside);
+        const auto [found, fresh] =
+            at.headroom_alone.try_emplace(one.image, alone);
+        found->second = std::min(found->second, alone);
     }
     at.filling = std::move(beside);
 }
@@ -359,7 +370,7 @@
 std::vector<pair_harm> scheduler_core::harms_at(const worker_record& at) const
 {
     std::vector<pair_harm> out;
-    for (const auto& [serving, tail] : at.serving)
+    for (const auto& [serving, alone] : at.headroom_alone)
     {
         for (const auto& [filling, use] : at.filling)
         {
