--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -47,6 +47,7 @@
     run_refused = 1633,
     run_stuck = 1634,
     order_failed = 1635,
+    run_moved = 1636,
     worker_known = 1641,
     worker_lost = 1642,
     worker_ejected = 1643,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -18,7 +18,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 43> catalogue{{
+constexpr std::array<event_description, 44> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -89,6 +89,8 @@
      "A run made no progress for too long and is stopped."},
     {event_id::order_failed, severity::warning, "order_failed",
      "A worker's answer to an order, when it was not taken."},
+    {event_id::run_moved, severity::info, "run_moved",
+     "A run that is slowed for others' sake is stopped to resume elsewhere."},
     {event_id::worker_known, severity::info, "worker_known",
      "A guard's first report to this holder."},
     {event_id::worker_lost, severity::warning, "worker_lost",
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -123,8 +123,7 @@
                                               nullptr, false);
                         if (value.is_array())
                         {
-                            kept_harms_ =
-                                value.get<std::vector<pair_harm>>();
+                            kept_harms_ = value.get<std::vector<pair_harm>>();
                             core_.adopt_harms(kept_harms_);
                         }
                         adopt_all();
--- a/packages/guard/include/springstair/detail/guard/interference.hpp
+++ b/packages/guard/include/springstair/detail/guard/interference.hpp
@@ -58,11 +58,11 @@
 struct pace_change
 {
     std::string filling;
-    double pace = 100;    ///< percent, from now on
-    std::string serving;  ///< whose tail decided; empty: all bear it
-    double headroom = 0;  ///< of that one
-    bool known = false;   ///< the pair is known to harm
-    double use = 0;       ///< by these fills, share of the processors
+    double pace = 100;   ///< percent, from now on
+    std::string serving; ///< whose tail decided; empty: all bear it
+    double headroom = 0; ///< of that one
+    bool known = false;  ///< the pair is known to harm
+    double use = 0;      ///< by these fills, share of the processors
 };
 
 /// @brief Sets the pace of one worker's fills, by image, from the tails of
@@ -85,6 +85,9 @@
     /// @brief Changes since the last call.
     std::vector<pace_change> take_changes();
 
+    /// @brief The paces of all images that are slowed, in percent.
+    [[nodiscard]] std::map<std::string, std::int64_t> paces() const;
+
     /// @brief The pace of fills of an image, in percent.
     [[nodiscard]] std::int64_t pace(const std::string& image) const;
 
@@ -93,7 +96,7 @@
     struct figures
     {
         std::map<std::string, double> headroom; ///< least, by image
-        std::map<std::string, double> use;   ///< by fills, share of capacity
+        std::map<std::string, double> use;      ///< by fills, share of capacity
     };
 
     [[nodiscard]] double harm_of(const std::string& serving,
--- a/packages/guard/src/interference.cpp
+++ b/packages/guard/src/interference.cpp
@@ -37,6 +37,16 @@
                                      pace_grain);
 }
 
+std::map<std::string, std::int64_t> interference::paces() const
+{
+    std::map<std::string, std::int64_t> out;
+    for (const auto& [image, pace_now] : pace_)
+    {
+        out[image] = pace(image);
+    }
+    return out;
+}
+
 double interference::harm_of(const std::string& serving,
                              const std::string& filling) const
 {
@@ -76,9 +86,9 @@
         }
         else if (of.latency_target_ms > 0)
         {
-            const double headroom = static_cast<double>(of.latency_target_ms) /
-                                    static_cast<double>(
-                                        std::max<std::int64_t>(row.load, 1));
+            const double headroom =
+                static_cast<double>(of.latency_target_ms) /
+                static_cast<double>(std::max<std::int64_t>(row.load, 1));
             const auto [least, fresh] =
                 seen.headroom.try_emplace(of.image, headroom);
             least->second = std::min(least->second, headroom);
@@ -132,10 +142,9 @@
         {
             continue;
         }
-        const double factor =
-            explained
-                ? std::clamp(1 - missing / known, options_.least_factor, 1.0)
-                : options_.blind_factor;
+        const double factor = explained ? std::clamp(1 - missing / known,
+                                                     options_.least_factor, 1.0)
+                                        : options_.blind_factor;
         const auto [found, fresh] = pace_.try_emplace(filling, full_pace);
         found->second *= factor;
         if (found->second < options_.least_pace)
@@ -163,17 +172,17 @@
         const auto found = now.use.find(at->first);
         const double use = found == now.use.end() ? 0 : found->second;
         // A fill that stands still is taken to use a tenth at full pace.
-        const double more =
-            at->second > 0 ? use * options_.raise_by / at->second
-                           : unknown_use * options_.raise_by / full_pace;
+        const double more = at->second > 0
+                                ? use * options_.raise_by / at->second
+                                : unknown_use * options_.raise_by / full_pace;
         const bool bearable = std::all_of(
             now.headroom.begin(), now.headroom.end(),
             [&](const auto& entry)
             {
                 const double harm = harm_of(entry.first, at->first);
-                return harm > 0 ? entry.second - harm * more >=
-                                      options_.raise_above
-                                : entry.second >= options_.blind_below;
+                return harm > 0
+                           ? entry.second - harm * more >= options_.raise_above
+                           : entry.second >= options_.blind_below;
             });
         if (bearable)
         {
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -87,9 +87,8 @@
 // The permit may still be used; what was asked for may be in force.
 std::int64_t run_keeper::lease_left(time_point now) const
 {
-    const duration permitted =
-        from_seconds(to_seconds(permit_until_ - now) *
-                     (1 + options_.clock_drift));
+    const duration permitted = from_seconds(to_seconds(permit_until_ - now) *
+                                            (1 + options_.clock_drift));
     return to_milliseconds(
         std::max({duration{0}, permitted, leased_until_ - now}));
 }
@@ -508,7 +507,8 @@
                       .lease_ms = lease_left(now),
                       .running = running_,
                       .ended = ended_,
-                      .refused = refused_};
+                      .refused = refused_,
+                      .paces = interference_.paces()};
     for (const auto& [task, kept] : runs_)
     {
         if (kept.at != stage::running)
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -111,6 +111,7 @@
     std::vector<running_task> running;
     std::vector<ended_task> ended;
     std::vector<refused_run> refused;
+    std::map<std::string, std::int64_t> paces; ///< of images that are slowed
     std::vector<std::string> starting; ///< ordered, not yet seen running
     std::vector<std::string> unknown;  ///< running, but never described to it
 
@@ -197,8 +198,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
                                                 worker, looked, answering,
-                                                lapsed, lease_ms, running, ended,
-                                                refused, starting, unknown)
+                                                lapsed, lease_ms, running,
+                                                ended, refused, paces, starting,
+                                                unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -59,6 +59,11 @@
     /// A job is worth less up to this many times its latency objective, and
     /// nothing later (platform).
     std::int64_t late_factor = 3;
+    /// A fill that is slowed below this pace, in percent, moves to a worker
+    /// that bears it, if it can be resumed there.
+    std::int64_t move_below = 50;
+    /// Runs that move at one report: figures follow only half a second later.
+    std::size_t most_moves = 3;
     /// Harm below this is not worth telling a guard.
     double harm_told = 0.8;
 };
@@ -206,6 +211,8 @@
                        const running_task& row, time_point now);
     void repeat_missing(worker_record& at, const worker_report& from,
                         guard_orders& out, time_point now);
+    void move_slowed(worker_record& at, const worker_report& from,
+                     guard_orders& out, time_point now);
     void leave_in_time(worker_record& at, guard_orders& out, time_point now);
     void learn_harm(worker_record& at, const worker_report& from,
                     time_point now);
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -108,8 +108,7 @@
 {
     const auto asked =
         static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
-    const double headroom =
-        headroom_with(at, query, options).value_or(no_harm);
+    const double headroom = headroom_with(at, query, options).value_or(no_harm);
     return asked / std::max(fill_room(at, options), 1.0) + 1 / headroom;
 }
 
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -37,9 +37,9 @@
         from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
     // What an earlier holder permitted may still be in force.
     const duration before = std::chrono::milliseconds(from.lease_ms);
-    at.lease_ends = std::max({at.lease_ends,
-                              now + drifted + options_.lease_slack,
-                              now + before + options_.lease_slack});
+    at.lease_ends =
+        std::max({at.lease_ends, now + drifted + options_.lease_slack,
+                  now + before + options_.lease_slack});
     if (!from.worker.life.empty())
     {
         change_life(at, from.worker.life, now);
@@ -61,6 +61,7 @@
         learn_harm(at, from, now);
         answer.harms = harms_at(at);
         repeat_missing(at, from, answer.orders, now);
+        move_slowed(at, from, answer.orders, now);
         leave_in_time(at, answer.orders, now);
     }
     answer.orders.life = at.what.life;
@@ -358,8 +359,7 @@
     for (const figure& one : figures)
     {
         harm_.observe(one.task, one.image, one.headroom, beside, now);
-        const double alone =
-            one.headroom + harm_.harm_of(one.image, beside);
+        const double alone = one.headroom + harm_.harm_of(one.image, beside);
         const auto [found, fresh] =
             at.headroom_alone.try_emplace(one.image, alone);
         found->second = std::min(found->second, alone);
@@ -385,6 +385,57 @@
     return out;
 }
 
+// Fills that stand in the way here may be welcome elsewhere. Only runs that
+// lose nothing by a stop move.
+void scheduler_core::move_slowed(worker_record& at, const worker_report& from,
+                                 guard_orders& out, time_point now)
+{
+    std::size_t moves = 0;
+    for (const auto& [image, pace] : from.paces)
+    {
+        if (pace >= options_.move_below)
+        {
+            continue;
+        }
+        for (const task_name& name : at.held)
+        {
+            job_record& of = *job_of(name.job);
+            const job_step& step = of.step_at(name.at);
+            task_run& run = *of.find(name.at)->run;
+            const queue_row* const queue = table_.queue(of.what().queue);
+            const bool may_move = step.fills && step.checkpoints &&
+                                  step.image == image && run.seen &&
+                                  !run.stopping && queue != nullptr;
+            if (!may_move || moves >= options_.most_moves)
+            {
+                continue;
+            }
+            const std::string group = step_group(name.job, name.at);
+            const std::set<std::string> here{at.guard};
+            const worker_record* const other =
+                choose_worker(workers_,
+                              {.step = step,
+                               .service = queue->service,
+                               .group = group,
+                               .avoided = here,
+                               .harm = harm_,
+                               .now = now},
+                              options_.placement);
+            if (other == nullptr || other == &at)
+            {
+                break; // its siblings find none either
+            }
+            ++moves;
+            run.stopping = true;
+            out.stops.push_back({.task = name.text(), .run = run.number});
+            note(event_id::run_moved, {{"task", name.text()},
+                                       {"run", std::to_string(run.number)},
+                                       {"guard", at.guard},
+                                       {"pace", std::to_string(pace)}});
+        }
+    }
+}
+
 // A worker that leaves takes down what runs there: what lasts moves at once,
 // the rest when little time remains.
 void scheduler_core::leave_in_time(worker_record& at, guard_orders& out,
