Entry: while its store is away, it hands jobs to another entry or refuses at once

Cause: with the store away, each submission was tried until near the caller's time limit and ended as 504, though nothing of most of them had been sent; and an entry that the store turned away alone refused work while others could take it. An entry now knows that the store gives it no answer, finds out with a small read every 250 ms whether it is back, hands submissions to another entry meanwhile, and answers 503 with when to come back if that one cannot write either. What may have been written is still resolved, never refused.

--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -18,6 +18,13 @@
 // A store that refuses this often in a row is away: the caller is told.
 constexpr std::int64_t most_refusals = 3;
 constexpr duration holder_timeout = std::chrono::milliseconds(250);
+// Ample for another entry's write to the store.
+constexpr duration forward_timeout = std::chrono::milliseconds(1000);
+constexpr duration probe_every = std::chrono::milliseconds(250);
+constexpr duration probe_timeout = std::chrono::milliseconds(600);
+constexpr int good_status = 200;
+constexpr int bad_request_status = 400;
+constexpr int unavailable_status = 503;
 
 } // namespace
 
@@ -74,6 +81,7 @@
 
 void job_desk::tick(time_point now)
 {
+    probe(now);
     while (!later_.empty() && later_.front().first <= now)
     {
         const auto what = std::move(later_.front().second);
@@ -98,13 +106,162 @@
     const queue_row* const queue = table_.queue(what.what.queue);
     if (queue->advice)
     {
-        answer(to, platform::not_taken_answer(
-                       come_back, "queues with advice are not served yet"));
+        refuse_submission(what.what, to,
+                          "queues with advice are not served yet");
         return;
     }
     job taken = what.what;
     taken.accepted_ms = day_milliseconds();
-    submit(taken, to);
+    // The store may turn away this VM only: another entry can write the job.
+    store_away_since_ ? forward(taken, to) : submit(taken, to);
+}
+
+// ---------------------------------------------------------------------------
+// While the store is away
+// ---------------------------------------------------------------------------
+
+std::string job_desk::other_entry()
+{
+    const std::string own = internal_address(process_.from);
+    if (!office_.holder().empty() && office_.holder() != own)
+    {
+        return office_.holder();
+    }
+    const auto& entries = process_.from.entries;
+    for (std::size_t tried = 0; tried < entries.size(); ++tried)
+    {
+        const std::string& one = entries[++forwarded_ % entries.size()];
+        if (one != own)
+        {
+            return one;
+        }
+    }
+    return {};
+}
+
+void job_desk::forward(const job& what, const request_ptr& to)
+{
+    const std::string address = other_entry();
+    if (address.empty())
+    {
+        refuse_submission(what, to, "the store is away");
+        return;
+    }
+    process_.client.send({.method = "POST",
+                          .url = "http://" + address + forward_path,
+                          .headers = {{"content-type", "application/json"}},
+                          .body = make_body(json(what).dump()),
+                          .timeout = forward_timeout,
+                          .connect_timeout = holder_timeout},
+                         process_.on_control<http_result>(
+                             [this, what, to](const http_result& result)
+                             { on_forward_ended(what, to, result); }));
+}
+
+void job_desk::on_forward_ended(const job& what, const request_ptr& to,
+                                const http_result& result)
+{
+    const bool answered = result.how == delivery::answered;
+    if (answered && result.response.status == good_status)
+    {
+        answer(to, platform::accepted_answer());
+        return;
+    }
+    const bool surely_not =
+        result.how == delivery::not_sent ||
+        (answered && result.response.status == unavailable_status);
+    if (surely_not)
+    {
+        refuse_submission(what, to, "the store is away, here and there");
+        return;
+    }
+    to->may_be_done = true;
+    again(to, [this, what, to] { submit(what, to); });
+}
+
+void job_desk::on_forwarded(const http_arrival& arrival)
+{
+    const time_point now = boot_clock::now();
+    auto request = std::make_shared<open_request>(
+        open_request{.responder = arrival.responder,
+                     .arrived = now,
+                     .give_up = now + forward_timeout - answer_margin});
+    ++open_;
+    try
+    {
+        const job what = json::parse(*arrival.request.body).get<job>();
+        if (store_away_since_)
+        {
+            refuse_submission(what, request, "the store is away");
+            return;
+        }
+        submit(what, request);
+    }
+    catch (const json::exception& error)
+    {
+        answer(request,
+               json_response(bad_request_status, {{"error", error.what()}}));
+    }
+}
+
+// Finds out whether the store is back without a caller's request at stake.
+void job_desk::probe(time_point now)
+{
+    if (!store_away_since_ || probing_ || now < next_probe_)
+    {
+        return;
+    }
+    probing_ = true;
+    next_probe_ = now + probe_every;
+    store_.read(holder_key, probe_timeout,
+                process_.on_control<store_result>(
+                    [this](const store_result& result)
+                    {
+                        probing_ = false;
+                        note_store(result);
+                    }));
+}
+
+void job_desk::refuse_submission(const job& what, const request_ptr& to,
+                                 const char* why)
+{
+    const duration away = store_away_since_
+                              ? boot_clock::now() - *store_away_since_
+                              : duration{0};
+    log_event(event_id::job_not_taken,
+              {{"job", what.id},
+               {"why", why},
+               {"tries", std::to_string(to->tries)},
+               {"store_away_ms", std::to_string(to_milliseconds(away))}});
+    answer(to, platform::not_taken_answer(come_back, why));
+}
+
+// One thing is known of the store: whether it answers this process.
+void job_desk::note_store(const store_result& result)
+{
+    const bool away = result.status == store_status::unknown ||
+                      result.status == store_status::refused;
+    if (!away)
+    {
+        timeout_.answered(result.took);
+        if (store_away_since_)
+        {
+            log_event(event_id::store_back);
+        }
+        store_away_since_.reset();
+        return;
+    }
+    if (result.status == store_status::unknown)
+    {
+        timeout_.unanswered();
+    }
+    if (!store_away_since_)
+    {
+        store_away_since_ = boot_clock::now();
+        log_event(event_id::store_lost,
+                  {{"refused",
+                    result.status == store_status::refused ? "yes" : "no"}});
+    }
 }
 
 void job_desk::submit(const job& what, const request_ptr& to)
@@ -121,10 +278,10 @@
 void job_desk::on_submitted(const job& what, const request_ptr& to,
                             const store_result& result)
 {
+    note_store(result);
     if (result.status == store_status::done ||
         result.status == store_status::conflict)
     {
-        timeout_.answered(result.took);
         log_event(event_id::job_accepted,
                   {{"job", what.id},
                    {"queue", what.queue},
@@ -139,17 +296,10 @@
         }
         return;
     }
-    if (result.status == store_status::unknown)
-    {
-        timeout_.unanswered();
-        to->may_be_done = true;
-    }
-    const bool surely_not = !to->may_be_done;
-    if (surely_not && to->tries >= most_refusals)
+    to->may_be_done = to->may_be_done || result.status == store_status::unknown;
+    if (!to->may_be_done && to->tries >= most_refusals)
     {
-        log_event(event_id::job_not_taken,
-                  {{"job", what.id}, {"why", "the store refuses"}});
-        answer(to, platform::not_taken_answer(come_back, "the store is away"));
+        refuse_submission(what, to, "the store refuses");
         return;
     }
     again(to, [this, what, to] { submit(what, to); });
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -10,6 +10,9 @@
 namespace springstair
 {
 
+/// Where an entry takes jobs that another one cannot write.
+inline constexpr const char* forward_path = "/internal/jobs";
+
 /// Takes callers' requests. Any entry accepts a job by writing it to the
 /// store; what became of it is asked of the holder, or read from the store.
 class job_desk
@@ -20,6 +23,8 @@
 
     void set_table(const queue_table& table);
     void on_request(http_arrival arrival);
+    /// A job that another entry took but cannot write.
+    void on_forwarded(const http_arrival& arrival);
     void tick(time_point now);
 
     /// Requests without an answer yet.
@@ -56,6 +61,11 @@
     void submit(const job& what, const request_ptr& to);
     void on_submitted(const job& what, const request_ptr& to,
                       const platform::store_result& result);
+    void forward(const job& what, const request_ptr& to);
+    void on_forward_ended(const job& what, const request_ptr& to,
+                          const http_result& result);
+    [[nodiscard]] std::string other_entry();
+    void probe(time_point now);
     void tell_holder(const job& what);
     void show_from_store(const std::string& id, const request_ptr& to);
     void on_job_read(const std::string& id, const request_ptr& to,
@@ -73,6 +83,9 @@
     void ask_holder(const char* method, const json& message,
                     std::function<void(std::optional<json>)> done);
     [[nodiscard]] duration call_time(const request_ptr& to) const;
+    void note_store(const platform::store_result& result);
+    void refuse_submission(const job& what, const request_ptr& to,
+                           const char* why);
 
     job_process& process_;
     platform::store_client& store_;
@@ -80,6 +93,11 @@
     job_holder& holder_;
     queue_table table_;
     adaptive_timeout timeout_;
+    /// Since when the store has given no answer here; nothing while it does.
+    std::optional<time_point> store_away_since_;
+    bool probing_ = false; ///< a read finds out whether it is back
+    time_point next_probe_{};
+    std::size_t forwarded_ = 0; ///< counts, to take other entries in turn
     std::int64_t open_ = 0;
     std::deque<std::pair<time_point, std::function<void()>>> later_;
     std::map<std::string, std::int64_t> last_counts_;
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -170,6 +170,11 @@
             answer_metrics(*arrival.responder, process_.numbers);
             return;
         }
+        if (arrival.request.path == forward_path)
+        {
+            desk_.on_forwarded(arrival);
+            return;
+        }
         if (arrival.request.path != wire::rpc_path)
         {
             answer_not_found(*arrival.responder);
