Guard: asks the lost holder itself too; bounded logs on standard output; metrics

Now every other report goes to the lost holder itself.

Metrics at the address of the settings: histograms of accepting, of a job's first start and end by queue and outcome, figures of the office.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -93,7 +93,12 @@
 /// @copydoc log_event
 void log_event(event_id id, std::span<const event_field> fields);
 
-/// @brief Sends the log to standard error, one line an event.
+/// @brief Lines that were not written because there were too many, or because
+/// nobody read them.
+std::int64_t dropped_log_lines() noexcept;
+
+/// @brief Sends the log to standard output, one line an event. It never waits
+/// for a reader.
 /// @param process name put into each line
 void start_log(const std::string& process);
 
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -5,10 +5,13 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <mutex>
 
 namespace springstair
 {
@@ -131,6 +134,45 @@
     return trivial::error;
 }
 
+// A pipe that polls writable takes a line of up to PIPE_BUF at once.
+bool output_takes_a_line() noexcept
+{
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+struct log_state
+{
+    std::mutex mutex;
+    log_budget budget;
+    bool started = false;
+    std::int64_t told = 0; ///< dropped lines that the log mentions
+};
+
+log_state& shared_log()
+{
+    static log_state state;
+    return state;
+}
+
+// Whether a line may be written, and how many were left out before it.
+std::pair<bool, std::int64_t> admit_line()
+{
+    log_state& log = shared_log();
+    const std::lock_guard<std::mutex> lock(log.mutex);
+    if (!log.started)
+    {
+        return {true, 0}; // a test, or a tool
+    }
+    if (!log.budget.admit(boot_clock::now(), output_takes_a_line()))
+    {
+        return {false, 0};
+    }
+    const std::int64_t missing = log.budget.dropped() - log.told;
+    log.told = log.budget.dropped();
+    return {true, missing};
+}
+
 std::string& process_name()
 {
     static std::string name;
@@ -151,6 +193,11 @@
 
 void log_event(event_id id, std::span<const event_field> fields)
 {
+    const auto [admitted, missing] = admit_line();
+    if (!admitted)
+    {
+        return;
+    }
     const event_description& row = describe(id);
     nlohmann::ordered_json line;
     line["event"] = static_cast<int>(id);
@@ -160,16 +207,30 @@
     {
         line[std::string(field.name)] = field.value;
     }
+    if (missing > 0)
+    {
+        line["lines_left_out_before"] = missing;
+    }
     boost::log::sources::severity_logger_mt<trivial::severity_level> logger;
     BOOST_LOG_SEV(logger, to_boost(row.level)) << line.dump(
         -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+std::int64_t dropped_log_lines() noexcept
+{
+    const std::lock_guard<std::mutex> lock(shared_log().mutex);
+    return shared_log().budget.dropped();
+}
+
 void start_log(const std::string& process)
 {
     process_name() = process;
     boost::log::add_common_attributes();
-    boost::log::add_console_log(std::clog,
+    {
+        const std::lock_guard<std::mutex> lock(shared_log().mutex);
+        shared_log().started = true;
+    }
+    boost::log::add_console_log(std::cout,
                                 boost::log::keywords::format =
                                     "%TimeStamp% %Severity% %Message%",
                                 boost::log::keywords::auto_flush = true);
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -33,6 +33,7 @@
     std::string readiness;            ///< an entry's address for the balancer
     std::string executors; ///< where an executor sends its heartbeats
     std::string executor;  ///< the executor beside a guard
+    std::string metrics;   ///< where figures are told; empty: nowhere
 
     bool operator==(const job_settings&) const = default;
 };
--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -39,7 +39,7 @@
     table_ = table;
 }
 
-void job_desk::on_request(http_arrival arrival)
+void job_desk::on_request(const http_arrival& arrival)
 {
     const time_point now = boot_clock::now();
     auto request = std::make_shared<open_request>(
@@ -225,6 +225,7 @@
 void job_desk::refuse_submission(const job& what, const request_ptr& to,
                                  const char* why)
 {
+    process_.numbers.count("job_not_taken", {what.queue, "job"}, why);
     const duration away = store_away_since_
                               ? boot_clock::now() - *store_away_since_
                               : duration{0};
@@ -289,6 +290,8 @@
                    {"revision", std::to_string(result.revision)},
                    {"took_ms", std::to_string(to_milliseconds(
                                    boot_clock::now() - to->arrived))}});
+        process_.numbers.observe("accept", {what.queue, "job"},
+                                 boot_clock::now() - to->arrived);
         answer(to, platform::accepted_answer());
         if (result.status == store_status::done)
         {
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -22,7 +22,7 @@
              office_keeper& office, job_holder& holder);
 
     void set_table(const queue_table& table);
-    void on_request(http_arrival arrival);
+    void on_request(const http_arrival& arrival);
     /// A job that another entry took but cannot write.
     void on_forwarded(const http_arrival& arrival);
     void tick(time_point now);
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -74,7 +74,7 @@
     void run()
     {
         const http_server callers(server_at(process_.from.callers),
-                                  handler([this](http_arrival arrival)
+                                  handler([this](const http_arrival& arrival)
                                           { desk_.on_request(arrival); }));
         const http_server readiness(
             server_at(process_.from.readiness),
@@ -83,6 +83,8 @@
         const http_server internal(server_at(internal_address(process_.from)),
                                    handler([this](http_arrival arrival)
                                            { answer_internal(arrival); }));
+        const auto figures =
+            serve_metrics(process_.from.metrics, process_.numbers);
         log_event(event_id::process_started,
                   {{"role", "job_entry"}, {"address", process_.from.callers}});
         while (!process_.parts.stopping())
@@ -165,11 +167,6 @@
 
     void answer_internal(http_arrival& arrival)
     {
-        if (arrival.request.path == "/metrics")
-        {
-            answer_metrics(*arrival.responder, process_.numbers);
-            return;
-        }
         if (arrival.request.path == forward_path)
         {
             desk_.on_forwarded(arrival);
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -43,7 +43,7 @@
           holder_watch_(process, store_, holder_watch_wait,
                         [this](const std::optional<platform::store_item>& item)
                         { on_holder(item); }),
-          keeper_(keeper_options(process.from)),
+          keeper_(keeper_options(process.from)), holder_(process.from.entries),
           executor_(process.from.executor),
           incarnation_(random_hex(incarnation_bytes_of_guard))
     {
@@ -59,6 +59,8 @@
         const http_server internal(
             server_at(internal_address(process_.from)),
             handler([this](http_arrival arrival) { on_internal(arrival); }));
+        const auto figures =
+            serve_metrics(process_.from.metrics, process_.numbers);
         log_event(
             event_id::process_started,
             {{"role", "job_guard"}, {"address", process_.from.executors}});
@@ -224,14 +226,11 @@
 
     void follow(const std::string& address)
     {
-        if (address == holder_)
+        if (holder_.follow(address))
         {
-            return;
+            log_event(event_id::holder_found, {{"holder", address}});
+            next_report_ = {};
         }
-        log_event(event_id::holder_found, {{"holder", address}});
-        holder_ = address;
-        next_report_ = {};
-        failures_ = 0;
     }
 
     json take_orders(const guard_orders& orders)
@@ -242,11 +241,6 @@
 
     void on_internal(http_arrival& arrival)
     {
-        if (arrival.request.path == "/metrics")
-        {
-            answer_metrics(*arrival.responder, process_.numbers);
-            return;
-        }
         if (arrival.request.path != wire::rpc_path)
         {
             answer_not_found(*arrival.responder);
@@ -255,22 +249,9 @@
         answer_rpc(arrival, rpc_);
     }
 
-    // Without a holder that answers, the entries of the settings are asked in
-    // turn; each one names the holder that it knows.
-    std::string report_target()
-    {
-        const auto& entries = process_.from.entries;
-        const bool ask_others = holder_.empty() || failures_ > 1;
-        if (!ask_others || entries.empty())
-        {
-            return holder_;
-        }
-        return entries[static_cast<std::size_t>(asked_++) % entries.size()];
-    }
-
     void send_report(time_point now)
     {
-        const std::string target = report_target();
+        const std::string target = holder_.target();
         if (target.empty())
         {
             return;
@@ -300,7 +281,7 @@
         const auto answer = rpc_answer_of<report_answer>(result);
         if (answer && answer->holds)
         {
-            failures_ = 0;
+            holder_.answered();
             next_report_ =
                 sent + (keeper_.has_ends() ? ends_report_every : report_every);
             follow(target);
@@ -308,12 +289,12 @@
             return;
         }
         next_report_ = now + report_retry;
-        if (++failures_ == 2)
+        if (holder_.failed())
         {
             log_event(event_id::holder_lost,
                       {{"target", target}, {"why", result.error}});
         }
-        if (answer && !answer->holder.empty() && answer->holder != holder_)
+        if (answer)
         {
             follow(answer->holder);
         }
@@ -338,7 +319,7 @@
                        {"use_percent",
                         std::to_string(static_cast<int>(100 * one.use))}});
         }
-        if (keeper_.take_news() && failures_ == 0)
+        if (keeper_.take_news() && !holder_.has_failed())
         {
             next_report_ = std::min(next_report_, now + report_gap);
         }
@@ -357,15 +338,13 @@
     platform::store_client store_;
     holder_watch holder_watch_;
     run_keeper keeper_;
+    holder_finder holder_;
     rpc_dispatcher rpc_;
     std::string executor_; ///< address of the present incarnation
     std::set<std::string> past_lives_;
     std::int64_t sequence_ = 0;
     std::string incarnation_;
     std::int64_t report_sequence_ = 0;
-    std::string holder_;
-    std::int64_t failures_ = 0;
-    std::int64_t asked_ = 0;
     bool reporting_ = false;
     time_point next_report_{};
 };
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -20,6 +20,8 @@
 constexpr duration pause = std::chrono::milliseconds(100);
 // A successor's knowledge may be so old; each write is a priced call.
 constexpr duration harms_every = std::chrono::seconds(3);
+// Below any scrape's interval.
+constexpr duration figures_every = std::chrono::seconds(1);
 // An order is repeated by the next reports; waiting longer helps nobody.
 constexpr duration order_timeout = std::chrono::milliseconds(600);
 
@@ -487,6 +489,7 @@
     keep_harms(now);
     send_orders();
     log_decisions();
+    count_figures(now);
 }
 
 void job_holder::log_decisions()
@@ -495,6 +498,30 @@
     {
         log_event(one.id, one.fields);
     }
+    for (const finished_job& one : core_.take_finished())
+    {
+        const class_name of{one.queue, std::string(to_string(one.state))};
+        process_.numbers.observe("job", of, one.age);
+        process_.numbers.observe("job_to_start", of, one.to_start);
+    }
+}
+
+void job_holder::count_figures(time_point now)
+{
+    if (now < next_figures_)
+    {
+        return;
+    }
+    next_figures_ = now + figures_every;
+    const scheduler_figures figures = core_.figures();
+    metrics& to = process_.numbers;
+    to.set("runs_placed", static_cast<double>(figures.starts));
+    to.set("runs_refused", static_cast<double>(figures.refused));
+    to.set("runs_lost", static_cast<double>(figures.lost));
+    to.set("runs_failed", static_cast<double>(figures.failed_runs));
+    to.set("jobs_open", static_cast<double>(figures.jobs_open));
+    to.set("workers", static_cast<double>(figures.workers));
+    to.set("office_epoch", static_cast<double>(core_.epoch()));
 }
 
 } // namespace springstair
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -78,6 +78,7 @@
 
     void send_orders();
     void log_decisions();
+    void count_figures(time_point now);
 
     job_process& process_;
     platform::store_client& store_;
@@ -99,6 +100,7 @@
     bool writing_ = false;
     time_point next_write_{};
     time_point next_harms_{};
+    time_point next_figures_{};
     std::vector<pair_harm> kept_harms_;
 };
 
--- a/packages/daemon/src/job_process.cpp
+++ b/packages/daemon/src/job_process.cpp
@@ -9,6 +9,28 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
+std::unique_ptr<http_server> serve_metrics(const std::string& endpoint,
+                                           metrics& numbers)
+{
+    if (endpoint.empty())
+    {
+        return nullptr;
+    }
+    return std::make_unique<http_server>(
+        server_at(endpoint),
+        [&numbers](const http_request& request, http_responder responder)
+        {
+            if (request.path != "/metrics")
+            {
+                answer_not_found(responder);
+                return;
+            }
+            numbers.set("log_lines_dropped",
+                        static_cast<double>(dropped_log_lines()));
+            answer_metrics(responder, numbers);
+        });
+}
+
 http_server_options server_at(const std::string& endpoint)
 {
     const std::size_t colon = endpoint.find(':');
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -46,6 +46,10 @@
 /// The time of day, in milliseconds since 1970. It may jump.
 std::int64_t day_milliseconds();
 
+/// Serves the metrics at an endpoint; nothing for an empty one.
+std::unique_ptr<http_server> serve_metrics(const std::string& endpoint,
+                                           metrics& numbers);
+
 /// Splits an endpoint into a server's options.
 http_server_options server_at(const std::string& endpoint);
 
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -116,6 +116,7 @@
     to.readiness = endpoint(reader, "readiness", entry);
     to.executors = endpoint(reader, "executors", !entry);
     to.executor = endpoint(reader, "executor", !entry);
+    to.metrics = endpoint(reader, "metrics", false);
     reader.reject_unknown();
     if (!all.empty())
     {
@@ -140,7 +141,8 @@
         {"callers", from.callers},
         {"readiness", from.readiness},
         {"executors", from.executors},
-        {"executor", from.executor}};
+        {"executor", from.executor},
+        {"metrics", from.metrics}};
 }
 
 } // namespace springstair
--- a/packages/jobs/include/springstair/detail/jobs/job.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/job.hpp
@@ -95,7 +95,7 @@
     std::int64_t step = 0;
     std::int64_t index = 0;
 
-    auto operator<=>(const task_position&) const = default;
+    auto operator<=>(const task_position&) const = default; // NOLINT
 };
 
 /// @brief Names a task in the fleet: `job.round.step.index`.
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -90,7 +90,8 @@
         std::int64_t begin = 0;
         for (const std::size_t before : step.after)
         {
-            begin = std::max(begin, before < ends.size() ? ends[before] : 0);
+            const bool known = before < ends.size();
+            begin = std::max(begin, known ? ends[before] : std::int64_t{0});
         }
         ends.push_back(begin + step.estimate_ms);
         longest = std::max(longest, ends.back());
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -96,11 +96,12 @@
     std::int64_t change = 0;   ///< counts changes worth keeping
     std::int64_t kept = 0;     ///< the newest change that the store has
     std::int64_t revision = 0; ///< of the stored progress; 0: none
-    job_state shown = job_state::pending; ///< what callers may see
-    std::int64_t order = 0;               ///< in which jobs were accepted
-    time_point accepted{};                ///< when this holder learnt of it
-    bool begun = false;                   ///< some task was seen running
-    std::int64_t chain_ms = 0;            ///< its longest chain, by the guesses
+    job_state shown = job_state::pending;  ///< what callers may see
+    std::int64_t order = 0;                ///< in which jobs were accepted
+    time_point accepted{};                 ///< when this holder learnt of it
+    std::optional<time_point> first_start; ///< when a task was first placed
+    bool begun = false;                    ///< some task was seen running
+    std::int64_t chain_ms = 0; ///< its longest chain, by the guesses
 
 private:
     job what_;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -90,6 +90,15 @@
     std::vector<event_field> fields;
 };
 
+/// @brief A job that reached its last state, for the metrics.
+struct finished_job
+{
+    std::string queue;
+    job_state state = job_state::succeeded;
+    duration age{0};      ///< since it was accepted
+    duration to_start{0}; ///< from then to its first start
+};
+
 /// @brief Orders for one guard and where it takes them.
 struct addressed_orders
 {
@@ -163,6 +172,9 @@
     /// @brief Decisions since the last call.
     std::vector<decision> take_decisions();
 
+    /// @brief Jobs that ended since the last call.
+    std::vector<finished_job> take_finished();
+
     /// @brief What callers may be shown of a job; nothing if unknown.
     [[nodiscard]] std::optional<job_state> shown(const std::string& id) const;
     /// @brief Jobs of a queue of which no task has begun.
@@ -231,7 +243,9 @@
                        time_point now);
     void judge_worker(worker_record& at, const job_record& of,
                       const task_run& run, run_end how, time_point now);
-    void finish_if_done(job_record& of);
+    void finish(job_record& of, job_state state, time_point now,
+                std::vector<event_field> why);
+    void finish_if_done(job_record& of, time_point now);
     void stop_all(job_record& of);
     void want(job_record& of);
     void lose_worker(worker_record& at, const char* why, time_point now);
@@ -256,6 +270,7 @@
     std::map<std::string, std::set<task_name>> awaited_;
     std::map<std::string, guard_orders> outbox_;
     std::vector<decision> decisions_;
+    std::vector<finished_job> finished_;
     std::int64_t accepted_jobs_ = 0;
     scheduler_figures counts_;
     bool place_again_ = false;
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -15,10 +15,7 @@
 
 } // namespace
 
-scheduler_core::scheduler_core(scheduler_options options)
-    : options_(std::move(options))
-{
-}
+scheduler_core::scheduler_core(scheduler_options options) : options_(options) {}
 
 void scheduler_core::take_office(std::int64_t epoch, time_point now)
 {
@@ -60,7 +57,7 @@
     office_since_ = now;
     for (const auto& [id, of] : jobs_)
     {
-        finish_if_done(*of);
+        finish_if_done(*of, now);
     }
 }
 
@@ -95,15 +92,14 @@
     place_again_ = true;
 }
 
-void scheduler_core::cancel(const std::string& id, time_point /*now*/)
+void scheduler_core::cancel(const std::string& id, time_point now)
 {
     job_record* const of = job_of(id);
     if (of == nullptr || is_final(of->state()))
     {
         return;
     }
-    note(event_id::job_ended, {{"job", id}, {"state", "cancelled"}});
-    of->enter(job_state::cancelled);
+    finish(*of, job_state::cancelled, now, {});
     of->shown = job_state::cancelled; // the store has the cancellation
     want(*of);
     stop_all(*of);
@@ -255,6 +251,11 @@
     decisions_.push_back({id, std::move(fields)});
 }
 
+std::vector<finished_job> scheduler_core::take_finished()
+{
+    return std::exchange(finished_, {});
+}
+
 std::vector<decision> scheduler_core::take_decisions()
 {
     return std::exchange(decisions_, {});
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -42,7 +42,7 @@
     {
         close_gang(of, where, how, now);
     }
-    finish_if_done(of);
+    finish_if_done(of, now);
     want(of);
 }
 
@@ -93,16 +93,12 @@
     {
         return;
     }
-    note(event_id::job_ended,
-         {{"job", of.what().id},
-          {"state", "failed"},
-          {"task", task_name{of.what().id, of.position_of(task)}.text()},
-          {"failures", std::to_string(task.failures)},
-          {"most_attempts", std::to_string(queue->most_attempts)},
-          {"table_version", std::to_string(table_.version)}});
-    of.enter(job_state::failed);
+    finish(of, job_state::failed, now,
+           {{"task", task_name{of.what().id, of.position_of(task)}.text()},
+            {"failures", std::to_string(task.failures)},
+            {"most_attempts", std::to_string(queue->most_attempts)},
+            {"table_version", std::to_string(table_.version)}});
     stop_all(of);
-    static_cast<void>(now);
 }
 
 // A worker that fails different jobs in a row gets no work for a while. A
@@ -148,14 +144,30 @@
           {"for_ms", std::to_string(to_milliseconds(pause))}});
 }
 
-void scheduler_core::finish_if_done(job_record& of)
+void scheduler_core::finish(job_record& of, job_state state, time_point now,
+                            std::vector<event_field> why)
+{
+    const duration age = now - of.accepted;
+    of.enter(state);
+    finished_.push_back(
+        {.queue = of.what().queue,
+         .state = state,
+         .age = age,
+         .to_start = of.first_start.value_or(now) - of.accepted});
+    why.insert(why.begin(), {{"job", of.what().id},
+                             {"queue", of.what().queue},
+                             {"state", std::string(to_string(state))},
+                             {"age_ms", std::to_string(to_milliseconds(age))}});
+    note(event_id::job_ended, std::move(why));
+}
+
+void scheduler_core::finish_if_done(job_record& of, time_point now)
 {
     if (is_final(of.state()) || !of.all_done())
     {
         return;
     }
-    note(event_id::job_ended, {{"job", of.what().id}, {"state", "succeeded"}});
-    of.enter(job_state::succeeded);
+    finish(of, job_state::succeeded, now, {});
     want(of);
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -169,6 +169,7 @@
     const task_name name{of.what().id, where};
     reserve(at, of.step_at(where), name);
     of.enter(job_state::running);
+    of.first_start = of.first_start.value_or(now);
     want(of);
     ++counts_.starts;
     note(event_id::run_placed,
--- a/tests/unit/run_keeper_tests.cpp
+++ b/tests/unit/run_keeper_tests.cpp
@@ -6,6 +6,7 @@
 #include <springstair/guard.hpp>
 
 #include <algorithm>
+#include <set>
 
 using namespace springstair; // NOLINT: a test
 
@@ -230,6 +231,28 @@
     CHECK_FALSE(report.looked);
 }
 
+TEST_CASE("a holder that is back at its address is found again")
+{
+    holder_finder finder({"a:1", "b:1"});
+    CHECK(finder.target() == "a:1");
+    CHECK(finder.follow("c:1"));
+    CHECK(finder.target() == "c:1");
+    CHECK_FALSE(finder.failed());
+    CHECK(finder.failed());
+    // The others still name the same holder; it is asked itself as well.
+    std::set<std::string> asked;
+    for (int count = 0; count < 4; ++count)
+    {
+        asked.insert(finder.target());
+        CHECK_FALSE(finder.follow("c:1"));
+        CHECK_FALSE(finder.failed());
+    }
+    CHECK(asked.contains("c:1"));
+    CHECK(asked.size() > 1);
+    finder.answered();
+    CHECK(finder.target() == "c:1");
+}
+
 TEST_CASE("fills are slowed while a tail is high, known ones first")
 {
     interference control;
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -85,7 +85,7 @@
     {
         worker_report& report = worker(guard);
         ++report.sequence;
-        const report_answer answer = core.report(report, now, verified);
+        report_answer answer = core.report(report, now, verified);
         take(answer.orders, guard);
         return answer;
     }
