--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -127,7 +128,7 @@
 
 json to_document(const job_settings& from)
 {
-    return {
+    json document{
         {"role", from.role == job_role::job_entry ? "job_entry" : "job_guard"},
         {"name", from.name},
         {"data_centre", from.data_centre},
@@ -137,12 +138,21 @@
         {"entries", from.entries},
         {"longest_lease_ms", to_milliseconds(from.longest_lease)},
         {"stop_ms", to_milliseconds(from.stop_time)},
-        {"grace_s", to_seconds(from.grace)},
+        {"grace_s", to_seconds(from.grace)}};
+    const std::map<std::string, std::string> endpoints{
         {"callers", from.callers},
         {"readiness", from.readiness},
         {"executors", from.executors},
         {"executor", from.executor},
         {"metrics", from.metrics}};
+    for (const auto& [key, endpoint] : endpoints)
+    {
+        if (!endpoint.empty())
+        {
+            document[key] = endpoint;
+        }
+    }
+    return document;
 }
 
 } // namespace springstair
