Holder: a fill waits for a bearing worker 1.5 s at most; HTTP server ends clean

A job with nothing running now gets one fill placed on the least harmful worker after 1.5 s; its guard slows it, and a run that is slowed does not count as stuck.

Reproduced: a case of 400 servers that end right after an answer, six programs at once, died in 1 of 6; closing the socket later alone: 1 of 18; with shutdown() of the listener in place of quiescing: 0 of 18.

--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -46,6 +46,9 @@
     const std::set<std::string>& avoided;
     const harm_model& harm;
     time_point now;
+    /// It has waited too long for a worker that bears it: the least harmful
+    /// one that has room takes it, and the guard there slows it.
+    bool despite_harm = false;
 };
 
 /// @brief Whether a worker may be given new runs at all.
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -59,6 +59,9 @@
     /// A job is worth less up to this many times its latency objective, and
     /// nothing later (platform).
     std::int64_t late_factor = 3;
+    /// A fill of a job that has nothing running waits no longer than this for
+    /// a worker whose serving tasks bear it; half of what the platform allows.
+    duration longest_harm_wait = std::chrono::milliseconds(1500);
     /// A fill that is slowed below this pace, in percent, moves to a worker
     /// that bears it, if it can be resumed there.
     std::int64_t move_below = 50;
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -48,6 +48,7 @@
     std::int64_t serving_cpu = 0; ///< reserved by tasks that serve
     /// Processors that fills ask for, by image, by the ledger.
     std::map<std::string, std::int64_t> fill_cpu_of;
+    std::map<std::string, std::int64_t> paces; ///< of images slowed there
     time_point learnt{}; ///< when its figures were last learnt from
     /// Least headroom (target by tail) that serving tasks of an image would
     /// have without fills, by the newest figures.
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -43,7 +43,8 @@
 {
     return takes_runs(at, query.service, query.now, options) &&
            reserved_by(query.step).fits(at.room()) &&
-           (!query.step.fills || has_fill_room(at, query, options)) &&
+           (!query.step.fills || query.despite_harm ||
+            has_fill_room(at, query, options)) &&
            has_label(at, query.step.label) && below_step_bound(at, query);
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -144,7 +144,9 @@
              .group = group,
              .avoided = task.avoided,
              .harm = harm_,
-             .now = now},
+             .now = now,
+             .despite_harm = !of.has_runs() && now - task.ready_since >
+                                                   options_.longest_harm_wait},
             options_.placement);
         if (at == nullptr)
         {
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -47,6 +47,7 @@
         adopt_awaited(at, now);
     }
     at.answering = from.answering;
+    at.paces = from.paces;
     const bool lapsed =
         from.lapsed && !at.held.empty() && from.worker.life == at.what.life;
     if (lapsed)
@@ -259,7 +260,10 @@
     }
     const duration bound =
         step.fills ? options_.stuck_fill_after : options_.stuck_after;
-    if (now - run.moved_at <= bound || run.stopping || step.gang)
+    const auto pace = at.paces.find(step.image);
+    const bool slowed = step.fills && pace != at.paces.end() &&
+                        pace->second < options_.move_below;
+    if (now - run.moved_at <= bound || run.stopping || step.gang || slowed)
     {
         return;
     }
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -319,8 +320,12 @@
 
 http_server::~http_server()
 {
-    // From here on new connections are refused rather than kept waiting.
-    close(MHD_quiesce_daemon(state_->daemon));
+    // From here on new connections are refused rather than kept waiting. Not
+    // by MHD_quiesce_daemon: it takes the socket out of the epoll set while
+    // the library's own thread may do the same, which ends the process.
+    const MHD_DaemonInfo* const info =
+        MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    shutdown(info->listen_fd, SHUT_RDWR);
     state_->answer_all();
     state_->await_sent();
     MHD_stop_daemon(state_->daemon);
--- a/tests/unit/edge_tests.cpp
+++ b/tests/unit/edge_tests.cpp
@@ -74,6 +74,18 @@
     kept.clear();
 }
 
+TEST_CASE("servers that end right after an answer end clean")
+{
+    http_client client;
+    for (int count = 0; count < 400; ++count)
+    {
+        const http_server brief({}, [](const http_request&, http_responder to)
+                                { to.respond({.status = 200}); });
+        const http_result got = client.send_and_wait({.url = url_of(brief)});
+        CHECK(got.how == delivery::answered);
+    }
+}
+
 TEST_CASE("a responder that is dropped answers unknown, not nothing")
 {
     const http_server server({}, [](const http_request&, http_responder) {});
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -294,6 +294,32 @@
     CHECK(other.core.workers().at("g1").room().memory_mb == 3700);
 }
 
+TEST_CASE("a fill waits for a worker that bears it, but not for ever")
+{
+    holder at;
+    at.core.adopt_harms({{.serving = "s", .filling = "f", .harm = 40}});
+    at.say("g1");
+    job_step serving = step_of(1);
+    serving.lasting = true;
+    serving.image = "s";
+    serving.latency_target_ms = 10;
+    at.submit({serving});
+    at.turn();
+    job_step fill = step_of(2);
+    fill.fills = true;
+    fill.image = "f";
+    const job what = at.submit({fill});
+    at.turn();
+    CHECK_FALSE(at.runs(what.id + ".0.0.0"));
+    for (int count = 0; count < 4; ++count)
+    {
+        at.turn(milliseconds(450));
+        at.say("g1");
+    }
+    CHECK(at.runs(what.id + ".0.0.0"));
+    CHECK_FALSE(at.runs(what.id + ".0.0.1")); // one keeps the job running
+}
+
 TEST_CASE("service, label and bound a worker are kept")
 {
     holder at;
