--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -53,42 +53,23 @@
 
     void run()
     {
-        const http_server executors(server_at(process_.from.executors),
-                                    handler([this](const http_arrival& arrival)
-                                            { on_executor(arrival); }));
+        const http_server executors(
+            server_at(process_.from.executors),
+            process_.on_request([this](const http_arrival& arrival)
+                                { on_executor(arrival); }));
         const http_server internal(
             server_at(internal_address(process_.from)),
-            handler([this](http_arrival arrival) { on_internal(arrival); }));
+            process_.on_request([this](http_arrival arrival)
+                                { on_internal(arrival); }));
         const auto figures =
             serve_metrics(process_.from.metrics, process_.numbers);
         log_event(
             event_id::process_started,
             {{"role", "job_guard"}, {"address", process_.from.executors}});
-        while (!process_.parts.stopping())
-        {
-            for (const control_work& work : process_.work.drain(timer_step))
-            {
-                work();
-            }
-            tick(boot_clock::now());
-        }
+        process_.run_control(timer_step, [this](time_point now) { tick(now); });
     }
 
 private:
-    http_handler handler(std::function<void(http_arrival)> then)
-    {
-        return [this, then = std::move(then)](http_request request,
-                                              http_responder responder)
-        {
-            auto shared =
-                std::make_shared<http_responder>(std::move(responder));
-            process_.work.post(
-                [then, request = std::move(request), shared] {
-                    then({request, shared});
-                });
-        };
-    }
-
     // The executor -----------------------------------------------------------
 
     void on_executor(const http_arrival& arrival)
--- a/packages/daemon/src/job_process.cpp
+++ b/packages/daemon/src/job_process.cpp
@@ -3,6 +3,19 @@
 namespace springstair
 {
 
+http_handler job_process::on_request(std::function<void(http_arrival)> then)
+{
+    return [this, then = std::move(then)](http_request request,
+                                          http_responder responder)
+    {
+        auto shared = std::make_shared<http_responder>(std::move(responder));
+        work.post(
+            [then, request = std::move(request), shared] {
+                then({request, shared});
+            });
+    };
+}
+
 std::int64_t day_milliseconds()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -31,6 +31,24 @@
     {
     }
 
+    /// Hands each request to the control thread.
+    http_handler on_request(std::function<void(http_arrival)> then);
+
+    /// Does the control thread's work until the parts are to stop, and calls
+    /// @p tick after each batch, at least once in a @p step.
+    template <class Tick>
+    void run_control(duration step, Tick tick)
+    {
+        while (!parts.stopping())
+        {
+            for (const control_work& one : work.drain(step))
+            {
+                one();
+            }
+            tick(boot_clock::now());
+        }
+    }
+
     /// Wraps a completion so that it runs on the control thread.
     template <class... Arguments, class Done>
     std::function<void(Arguments...)> on_control(Done done)
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -276,7 +276,6 @@
     std::vector<finished_job> finished_;
     std::int64_t accepted_jobs_ = 0;
     scheduler_figures counts_;
-    bool place_again_ = false;
 };
 
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -66,7 +66,6 @@
     if (table.version > table_.version)
     {
         table_ = table;
-        place_again_ = true;
     }
 }
 
@@ -89,7 +88,6 @@
                                {"queue", of.what().queue},
                                {"tasks", std::to_string(of.tasks().size())}});
     wanting_.insert(of.what().id);
-    place_again_ = true;
 }
 
 void scheduler_core::cancel(const std::string& id, time_point now)
@@ -121,7 +119,6 @@
 {
     const std::string& id = of.what().id;
     wanting_.insert(id);
-    place_again_ = true;
     if (of.change > of.kept && is_dirty_.insert(id).second)
     {
         dirty_.push_back(id);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -82,7 +82,6 @@
             wanting_.erase(of->what().id);
         }
     }
-    place_again_ = false;
 }
 
 // Gives whether the job may have more to place later.
