--- a/packages/transport/include/springstair/detail/transport/rpc.hpp
+++ b/packages/transport/include/springstair/detail/transport/rpc.hpp
@@ -34,7 +34,7 @@
 };
 
 /// @brief The text of a JSON-RPC request.
-std::string rpc_request(const std::string& method, const json& message);
+std::string rpc_request(const std::string& method, json message);
 
 /// @brief The result in the text of a JSON-RPC answer.
 /// @throw rpc_error 301 if it is an error or cannot be read
--- a/packages/transport/src/rpc.cpp
+++ b/packages/transport/src/rpc.cpp
@@ -1,14 +1,7 @@
-#include "rpc_client_codec.hpp"
-
 #include <springstair/transport.hpp>
 
-#include <jsonrpccpp/common/errors.h>
-#include <jsonrpccpp/common/exception.h>
-#include <jsonrpccpp/common/procedure.h>
-#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
-#include <jsonrpccpp/server/requesthandlerfactory.h>
-
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace springstair
@@ -17,51 +10,56 @@
 namespace
 {
 
-std::string to_text(const Json::Value& value)
+constexpr const char* protocol_version = "2.0";
+// A call on one connection at a time needs no ids to tell answers apart.
+constexpr int only_id = 1;
+
+// Error codes of JSON-RPC 2.0.
+constexpr int unreadable_text = -32700;
+constexpr int invalid_request = -32600;
+constexpr int unknown_method = -32601;
+constexpr int method_failed = -32602;
+
+std::string error_answer(int code, const std::string& why, const json& id)
 {
-    Json::StreamWriterBuilder writer;
-    writer["indentation"] = "";
-    return Json::writeString(writer, value);
+    return json{{"jsonrpc", protocol_version},
+                {"id", id},
+                {"error", {{"code", code}, {"message", why}}}}
+        .dump();
 }
 
-Json::Value from_text(const std::string& text)
+std::string result_answer(json result, const json& id)
 {
-    Json::Value value;
-    Json::Reader().parse(text, value);
-    return value;
+    json answer{{"jsonrpc", protocol_version}, {"id", id}};
+    answer["result"] = std::move(result);
+    return answer.dump();
 }
 
-} // namespace
-
-struct rpc_dispatcher::state : jsonrpc::IProcedureInvokationHandler
+bool is_request(const json& request)
 {
-    std::map<std::string, rpc_method> methods;
-    std::unique_ptr<jsonrpc::IProtocolHandler> protocol{
-        jsonrpc::RequestHandlerFactory::createProtocolHandler(
-            jsonrpc::JSONRPC_SERVER_V2, *this)};
+    return request.is_object() &&
+           request.value("jsonrpc", json()) == protocol_version &&
+           request.value("method", json()).is_string() &&
+           request.contains("id");
+}
 
-    void HandleMethodCall( // NOLINT: the library's name
-        jsonrpc::Procedure& procedure, const Json::Value& input,
-        Json::Value& output) override
+// The parameter of every method; null if the request has none.
+json message_of(json& request)
+{
+    const auto params = request.find("params");
+    if (params == request.end() || !params->is_object())
     {
-        try
-        {
-            const json message = json::parse(to_text(input["message"]));
-            const rpc_method& method = methods.at(procedure.GetProcedureName());
-            output = from_text(method(message).dump());
-        }
-        catch (const std::exception& error)
-        {
-            throw jsonrpc::JsonRpcException(
-                jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, error.what());
-        }
+        return {};
     }
+    const auto message = params->find("message");
+    return message == params->end() ? json() : std::move(*message);
+}
 
-    void HandleNotificationCall( // NOLINT: the library's name
-        jsonrpc::Procedure& /*procedure*/,
-        const Json::Value& /*input*/) override
-    {
-    }
+} // namespace
+
+struct rpc_dispatcher::state
+{
+    std::map<std::string, rpc_method> methods;
 };
 
 rpc_dispatcher::rpc_dispatcher() : state_(std::make_unique<state>()) {}
@@ -71,31 +69,69 @@
 void rpc_dispatcher::add(const std::string& name, rpc_method method)
 {
     state_->methods[name] = std::move(method);
-    state_->protocol->AddProcedure(
-        jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
-                           "message", jsonrpc::JSON_OBJECT, nullptr));
 }
 
-std::string rpc_dispatcher::handle(const std::string& request)
+std::string rpc_dispatcher::handle(const std::string& text)
 {
-    std::string answer;
-    state_->protocol->HandleRequest(request, answer);
-    return answer;
+    json request = json::parse(text, nullptr, false);
+    if (request.is_discarded())
+    {
+        return error_answer(unreadable_text, "this is not JSON", nullptr);
+    }
+    if (!is_request(request))
+    {
+        return error_answer(invalid_request, "this is no JSON-RPC 2.0 request",
+                            nullptr);
+    }
+    const json id = request["id"];
+    const auto method =
+        state_->methods.find(request["method"].get_ref<const std::string&>());
+    if (method == state_->methods.end())
+    {
+        return error_answer(unknown_method, "there is no such method", id);
+    }
+    const json message = message_of(request);
+    if (!message.is_object())
+    {
+        return error_answer(method_failed, "the parameter message is missing",
+                            id);
+    }
+    try
+    {
+        return result_answer(method->second(message), id);
+    }
+    catch (const std::exception& error)
+    {
+        return error_answer(method_failed, error.what(), id);
+    }
 }
 
-std::string rpc_request(const std::string& method, const json& message)
+std::string rpc_request(const std::string& method, json message)
 {
-    return encode_rpc_request(method, message.dump());
+    json request{
+        {"jsonrpc", protocol_version}, {"id", only_id}, {"method", method}};
+    request["params"]["message"] = std::move(message);
+    return request.dump();
 }
 
-json rpc_result(const std::string& answer)
+json rpc_result(const std::string& text)
 {
-    const decoded_answer decoded = decode_rpc_answer(answer);
-    if (!decoded.good)
+    json answer = json::parse(text, nullptr, false);
+    if (!answer.is_object())
+    {
+        throw rpc_error("the answer is not a JSON object");
+    }
+    if (const auto error = answer.find("error"); error != answer.end())
+    {
+        throw rpc_error(error->is_object() ? error->value("message", "")
+                                           : error->dump());
+    }
+    const auto result = answer.find("result");
+    if (result == answer.end())
     {
-        throw rpc_error(decoded.text);
+        throw rpc_error("the answer has no result");
     }
-    return json::parse(decoded.text);
+    return std::move(*result);
 }
 
 } // namespace springstair
