Holder: reads little and waits long enough; a large VM asks a small one for the office

Changes: of a job that has ended everywhere its state alone is kept; a page is waited for up to 6 s; an entry with 1.5 times the holder's processors asks for the office, which is handed over (an event, a setting); a claim is not begun on a lease older than half its time.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -21,7 +21,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 44> catalogue{{
+constexpr std::array<event_description, 45> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -68,6 +68,8 @@
      "The entry takes callers' requests."},
     {event_id::entry_unready, severity::warning, "entry_unready",
      "The entry asks for no new connections; why follows."},
+    {event_id::office_asked_for, severity::info, "office_asked_for",
+     "This entry asks a holder on a much smaller VM for the office."},
     {event_id::configuration_in_force, severity::info, "configuration_in_force",
      "A newer configuration is in force here."},
     {event_id::configuration_refused, severity::error, "configuration_refused",
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -34,6 +34,7 @@
     std::string executors; ///< where an executor sends its heartbeats
     std::string executor;  ///< the executor beside a guard
     std::string metrics;   ///< where figures are told; empty: nowhere
+    double processors = 1; ///< of the VM, in cores; the largest entries hold
 
     bool operator==(const job_settings&) const = default;
 };
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -67,6 +67,12 @@
                      holder_.job_was_cancelled(message.value("id", ""));
                      return json::object();
                  });
+        rpc_.add(wire::hand_over_method,
+                 [this](const json& message) -> json
+                 {
+                     const auto epoch = message.value("epoch", std::int64_t{0});
+                     return {{"done", office_.hand_over(epoch)}};
+                 });
         rpc_.add("count", [this](const json& message)
                  { return desk_.count_for_peer(message); });
     }
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -18,6 +18,9 @@
 constexpr duration watch_wait = std::chrono::milliseconds(700);
 constexpr duration watch_gap = std::chrono::milliseconds(400);
 constexpr duration pause = std::chrono::milliseconds(100);
+// A page is up to 1 MB, in base64: 1.1 s on the thinnest link seen (10 Mbit/s)
+// if nothing else is on it, 5.4 s on a fifth of that.
+constexpr duration longest_page = std::chrono::milliseconds(6000);
 // A successor's knowledge may be so old; each write is a priced call.
 constexpr duration harms_every = std::chrono::seconds(3);
 // Below any scrape's interval.
@@ -29,7 +32,8 @@
 
 job_holder::job_holder(job_process& process, platform::store_client& store,
                        office_keeper& office)
-    : process_(process), store_(store), office_(office)
+    : process_(process), store_(store), office_(office),
+      page_timeout_(longest_page)
 {
 }
 
@@ -66,7 +70,7 @@
     reading_ = true;
     const char* const prefix =
         at_ == stage::reading_jobs ? jobs_prefix : progress_prefix;
-    store_.range(prefix, page_after_, timeout_.value(),
+    store_.range(prefix, page_after_, page_timeout_.value(),
                  process_.on_control<store_result>(
                      [this, term = term_](const store_result& result)
                      {
@@ -82,11 +86,11 @@
     reading_ = false;
     if (result.status != store_status::done)
     {
-        timeout_.unanswered();
+        page_timeout_.unanswered();
         next_read_ = boot_clock::now() + pause;
         return;
     }
-    timeout_.answered(result.took);
+    page_timeout_.answered(result.took);
     if (jobs_since_ == 0)
     {
         jobs_since_ = result.revision; // later pages may be newer
@@ -271,7 +275,7 @@
 void job_holder::read_again()
 {
     watching_ = true;
-    store_.range(jobs_prefix, page_after_, timeout_.value(),
+    store_.range(jobs_prefix, page_after_, page_timeout_.value(),
                  process_.on_control<store_result>(
                      [this, term = term_](const store_result& result)
                      {
@@ -287,13 +291,13 @@
     watching_ = false;
     if (result.status != store_status::done)
     {
-        timeout_.unanswered();
+        page_timeout_.unanswered();
         page_after_.clear();
         next_watch_ = boot_clock::now() + pause;
         jobs_since_ = 0; // a watch from here has no history: read again
         return;
     }
-    timeout_.answered(result.took);
+    page_timeout_.answered(result.took);
     if (page_after_.empty())
     {
         jobs_since_ = result.revision;
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -87,6 +87,7 @@
     stage at_ = stage::idle;
     std::int64_t term_ = 0; ///< counts offices; ends of older calls are void
     adaptive_timeout timeout_;
+    adaptive_timeout page_timeout_;
     time_point next_read_{};
     bool reading_ = false;
     std::string page_after_;
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -83,23 +83,27 @@
     /// Ample beside the store's usual few milliseconds, short beside a
     /// caller's patience of seconds.
     static constexpr duration least = std::chrono::milliseconds(250);
-    static constexpr duration most = std::chrono::milliseconds(1500);
+    static constexpr duration usual_most = std::chrono::milliseconds(1500);
     static constexpr int factor = 4; ///< of the newest answer's time
 
+    /// @param most how long to wait in the end, if nothing is answered
+    explicit adaptive_timeout(duration most = usual_most) : most_(most) {}
+
     [[nodiscard]] duration value() const noexcept
     {
         return value_;
     }
     void answered(duration took) noexcept
     {
-        value_ = std::clamp<duration>(took * factor, least, most);
+        value_ = std::clamp<duration>(took * factor, least, most_);
     }
     void unanswered() noexcept
     {
-        value_ = std::min<duration>(value_ * 2, most);
+        value_ = std::min<duration>(value_ * 2, most_);
     }
 
 private:
+    duration most_;
     duration value_ = least;
 };
 
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -17,6 +17,7 @@
 constexpr std::int64_t most_port = 65'535;
 constexpr std::int64_t most_milliseconds = 600'000;
 constexpr double usual_grace_s = 6;           // the platform's own figure
+constexpr double usual_processors = 1;
 constexpr std::int64_t usual_stop_ms = 400;   // the larger of both sites
 constexpr std::int64_t usual_lease_ms = 6000; // the smaller of both sites
 
@@ -118,6 +119,7 @@
     to.executors = endpoint(reader, "executors", !entry);
     to.executor = endpoint(reader, "executor", !entry);
     to.metrics = endpoint(reader, "metrics", false);
+    to.processors = reader.positive("processors", usual_processors);
     reader.reject_unknown();
     if (!all.empty())
     {
@@ -138,7 +140,8 @@
         {"entries", from.entries},
         {"longest_lease_ms", to_milliseconds(from.longest_lease)},
         {"stop_ms", to_milliseconds(from.stop_time)},
-        {"grace_s", to_seconds(from.grace)}};
+        {"grace_s", to_seconds(from.grace)},
+        {"processors", from.processors}};
     const std::map<std::string, std::string> endpoints{
         {"callers", from.callers},
         {"readiness", from.readiness},
--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -20,12 +20,23 @@
 constexpr duration watch_wait = std::chrono::seconds(8);
 constexpr duration pause = std::chrono::milliseconds(150);
 constexpr int nonce_bytes = 6;
+// An entry with this many times the holder's processors asks for the office:
+// the holder's work grows with the fleet, and a small VM falls behind.
+constexpr double much_larger = 1.5;
+// A new holder is left alone for this long: others may start just now.
+constexpr duration settling = std::chrono::milliseconds(500);
+// Between two requests to the same holder.
+constexpr duration request_every = std::chrono::seconds(5);
+constexpr duration request_timeout = std::chrono::milliseconds(300);
+// Who gave the office up leaves it to others for this long: three lookups.
+constexpr duration stand_back = std::chrono::seconds(3);
 
 json holder_value(const job_process& process, const std::string& nonce)
 {
     return {{"entry", process.from.name},
             {"address", internal_address(process.from)},
-            {"nonce", nonce}};
+            {"nonce", nonce},
+            {"processors", process.from.processors}};
 }
 
 } // namespace
@@ -56,9 +67,19 @@
         return;
     }
     watch_.tick(now);
-    if (at_ == stage::taking && !busy_ && now >= next_)
+    if (busy_)
     {
-        lease_ == 0 ? take() : claim();
+        return;
+    }
+    if (at_ == stage::taking && now >= next_)
+    {
+        const bool usable = lease_ != 0 && now < lease_fresh_until_;
+        usable ? claim() : take();
+    }
+    if (at_ == stage::watching && !holder_.empty() && now >= next_request_ &&
+        process_.from.processors >= much_larger * holder_processors_)
+    {
+        ask_for_office();
     }
 }
 
@@ -111,10 +132,70 @@
         hold(item->revision, boot_clock::now());
         return;
     }
-    holder_ = document.value("address", "");
+    note_holder(*item, document);
     at_ = stage::watching;
 }
 
+void office_keeper::note_holder(const platform::store_item& item,
+                                const json& document)
+{
+    if (item.revision != holder_epoch_)
+    {
+        next_request_ = boot_clock::now() + settling;
+    }
+    holder_ = document.value("address", "");
+    holder_epoch_ = item.revision;
+    holder_processors_ = document.value("processors", process_.from.processors);
+}
+
+// ---------------------------------------------------------------------------
+// From a small VM to a large one
+// ---------------------------------------------------------------------------
+
+// A lease first: it shows that the store answers here, and the claim that
+// follows needs it.
+void office_keeper::ask_for_office()
+{
+    next_request_ = boot_clock::now() + request_every;
+    busy_ = true;
+    store_.grant_lease(lease_ttl, timeout_.value(),
+                       process_.on_control<store_result>(
+                           [this](const store_result& result)
+                           {
+                               on_lease(result);
+                               if (lease_ != 0 && at_ == stage::watching)
+                               {
+                                   send_request();
+                               }
+                           }));
+}
+
+void office_keeper::send_request()
+{
+    log_event(event_id::office_asked_for,
+              {{"holder", holder_}, {"epoch", std::to_string(holder_epoch_)}});
+    process_.client.send(
+        {.method = "POST",
+         .url = "http://" + holder_ + wire::rpc_path,
+         .headers = {{"content-type", "application/json"}},
+         .body = make_body(
+             rpc_request(wire::hand_over_method, {{"epoch", holder_epoch_}})),
+         .timeout = request_timeout},
+        [](const http_result&) {}); // the key tells what came of it
+}
+
+bool office_keeper::hand_over(std::int64_t epoch)
+{
+    if (at_ != stage::holding || epoch != epoch_)
+    {
+        return false;
+    }
+    store_.end_lease(lease_, timeout_.value(), [](const store_result&) {});
+    lose("a larger entry takes over");
+    next_ = boot_clock::now() + stand_back;
+    return true;
+}
+
 // ---------------------------------------------------------------------------
 // Taking the office
 // ---------------------------------------------------------------------------
@@ -138,7 +219,7 @@
         return;
     }
     lease_ = result.lease;
-    next_ = {};
+    lease_fresh_until_ = boot_clock::now() + lease_ttl / 2;
 }
 
 // The same claim is repeated until its outcome is known: it is conditioned
--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -27,6 +27,9 @@
     void tick(time_point now);
     /// Gives the office up and takes it no more.
     void retire();
+    /// Gives the office of an epoch up to a larger entry that asks for it.
+    /// @return whether that office was held
+    bool hand_over(std::int64_t epoch);
     /// A write conditioned on the office succeeded; it was sent at a time.
     void verified(time_point sent);
     /// A write conditioned on the office found another one.
@@ -66,6 +69,9 @@
     };
 
     void follow(const std::optional<platform::store_item>& item);
+    void note_holder(const platform::store_item& item, const json& document);
+    void ask_for_office();
+    void send_request();
     void take();
     void on_lease(const platform::store_result& result);
     void claim();
@@ -85,10 +91,14 @@
     adaptive_timeout timeout_;
     std::string nonce_; ///< tells this attempt's key from any other
     std::string holder_;
+    std::int64_t holder_epoch_ = 0;
+    double holder_processors_ = 0;
+    time_point next_request_{}; ///< when to ask a smaller holder again
     bool busy_ = false; ///< a claim is under way
     bool renewing_ = false;
     bool checking_ = false;
     std::int64_t lease_ = 0;
+    time_point lease_fresh_until_{}; ///< too old to begin an office on
     std::int64_t epoch_ = 0;
     time_point verified_{};
     time_point next_{};
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -86,7 +86,8 @@
     /// @brief Whether any run may still be at a worker.
     [[nodiscard]] bool has_runs() const;
 
-    /// @brief What is to be kept of it.
+    /// @brief What is to be kept of it: of a job that has ended everywhere
+    /// its state alone, so that a successor reads little.
     [[nodiscard]] job_progress progress() const;
     /// @brief Takes over what an earlier holder kept.
     void restore(const job_progress& kept);
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -105,6 +105,10 @@
 job_progress job_record::progress() const
 {
     job_progress kept{.state = state_};
+    if (is_final(state_) && !has_runs())
+    {
+        return kept; // nothing is left to do: its tasks need no record
+    }
     for (const job_task& task : tasks_)
     {
         if (task.runs == 0)
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -398,16 +398,19 @@
               {"data_centre", "d"},           {"address", "10.0.0.1"},
               {"internal_port", 7720},        {"store", "10.0.0.2:1"},
               {"entries", {"10.0.0.3:8166"}}, {"grace_s", 2.5},
+              {"processors", 0.25},
               {"executors", "10.0.0.1:8166"}, {"executor", "10.0.0.1:8165"}};
     CHECK(is_job_settings(good));
     const job_settings read = parse_job_settings(good);
     CHECK(read.entries.at(0) == "10.0.0.3:7720");
     CHECK(read.grace == std::chrono::milliseconds(2500));
+    CHECK(read.processors == 0.25);
     CHECK(parse_job_settings(to_document(read)) == read);
 
     json bad = good;
     bad["store"] = "here";
     bad["internal_port"] = 0;
+    bad["processors"] = 0;
     bad["extra"] = 1;
     bad.erase("executor");
     try
@@ -423,7 +426,8 @@
             places.insert(one.place);
         }
         CHECK(places == std::set<std::string>{"/store", "/internal_port",
-                                              "/extra", "/executor"});
+                                              "/extra", "/executor",
+                                              "/processors"});
     }
 }
 
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -550,6 +550,55 @@
     CHECK(second.core.shown(what.id) == job_state::succeeded);
 }
 
+TEST_CASE("of a job that has ended everywhere its state alone is kept")
+{
+    holder first;
+    first.say("g1");
+    const job what = first.submit({step_of(2)});
+    first.turn();
+    const auto kept_after_end = [&](const char* index)
+    {
+        first.end(what.id + ".0.0." + index, run_end::done);
+        first.say("g1");
+        const auto batch = first.core.next_commit(first.now += seconds(1));
+        first.core.committed(batch.value(), ++first.revision, first.now);
+        return decode_progress(batch->front().text);
+    };
+    CHECK(kept_after_end("0").tasks.size() == 2);
+    const job_progress whole = kept_after_end("1");
+    CHECK(whole.state == job_state::succeeded);
+    CHECK(whole.tasks.empty());
+
+    holder second;
+    second.core.take_office(8, second.now);
+    second.core.set_table(holder::table());
+    second.core.adopt(what, whole, 9, second.now, 0);
+    second.core.begin(second.now);
+    second.say("g1");
+    second.turn();
+    CHECK(second.started.empty());
+    CHECK(second.core.shown(what.id) == job_state::succeeded);
+    CHECK(second.core.waiting("q") == 0);
+}
+
+TEST_CASE("a cancelled job's runs are kept until they have ended")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    at.core.cancel(what.id, at.now);
+    const auto running = at.core.next_commit(at.now += seconds(1));
+    REQUIRE(running.has_value());
+    CHECK(decode_progress(running->front().text).tasks.size() == 1);
+    at.core.committed(*running, ++at.revision, at.now);
+    at.end(what.id + ".0.0.0", run_end::stopped);
+    at.say("g1");
+    const auto ended = at.core.next_commit(at.now += seconds(1));
+    REQUIRE(ended.has_value());
+    CHECK(decode_progress(ended->front().text).tasks.empty());
+}
+
 TEST_CASE("a start that the successor does not find is sent again")
 {
     holder first;
