Soak: the real job programs under faults from outside, checked by what callers see

A stand-in of the platform's store and of executors with their workers, a loopback proxy before every port that others connect to, signals to processes (kill, stop, pause, in turn, all at once), and a record that checks the promises at each start, end, acknowledgement and answer. A process may be reached at another address than its own (setting announced_address), which the proxies need.

--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -23,6 +23,8 @@
     std::string name; ///< of its VM
     std::string data_centre;
     std::string address;              ///< an IP number
+    std::string announced_address;    ///< where other processes reach it, if
+                                      ///< not at its own address
     std::uint16_t internal_port = 0;  ///< between our own processes
     std::string store;                ///< address of the platform's store
     std::vector<std::string> entries; ///< internal addresses to begin with
--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -122,7 +122,7 @@
 
 std::string job_desk::other_entry()
 {
-    const std::string own = internal_address(process_.from);
+    const std::string own = announced_address(process_.from);
     if (!office_.holder().empty() && office_.holder() != own)
     {
         return office_.holder();
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -240,7 +240,7 @@
         reporting_ = true;
         worker_report report = keeper_.report(now);
         report.guard = process_.from.name;
-        report.address = internal_address(process_.from);
+        report.address = announced_address(process_.from);
         report.incarnation = incarnation_;
         report.sequence = ++report_sequence_;
         process_.client.send(
--- a/packages/daemon/src/job_process.cpp
+++ b/packages/daemon/src/job_process.cpp
@@ -58,4 +58,9 @@
     return of.address + ":" + std::to_string(of.internal_port);
 }
 
+std::string announced_address(const job_settings& of)
+{
+    return of.announced_address + ":" + std::to_string(of.internal_port);
+}
+
 } // namespace springstair
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -71,9 +71,12 @@
 /// Splits an endpoint into a server's options.
 http_server_options server_at(const std::string& endpoint);
 
-/// The internal address of this process.
+/// Where this process listens for others.
 std::string internal_address(const job_settings& of);
 
+/// Where others reach it.
+std::string announced_address(const job_settings& of);
+
 /// How long to wait for the store: it answers within milliseconds, but there
 /// are times when it is a hundred times slower, and times when answers are
 /// lost and waiting is vain.
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -107,6 +107,8 @@
     to.name = reader.text("name");
     to.data_centre = reader.text("data_centre");
     to.address = reader.text("address");
+    to.announced_address =
+        reader.text("announced_address", std::optional(to.address));
     to.internal_port = static_cast<std::uint16_t>(reader.integer(
         "internal_port", std::nullopt, {.least = 1, .most = most_port}));
     to.store = endpoint(reader, "store", true);
@@ -135,6 +137,7 @@
         {"name", from.name},
         {"data_centre", from.data_centre},
         {"address", from.address},
+        {"announced_address", from.announced_address},
         {"internal_port", from.internal_port},
         {"store", from.store},
         {"entries", from.entries},
--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -34,7 +34,7 @@
 json holder_value(const job_process& process, const std::string& nonce)
 {
     return {{"entry", process.from.name},
-            {"address", internal_address(process.from)},
+            {"address", announced_address(process.from)},
             {"nonce", nonce},
             {"processors", process.from.processors}};
 }
@@ -277,7 +277,7 @@
     epoch_ = revision;
     verified_ = sent;
     next_renewal_ = sent + renew_every;
-    holder_ = internal_address(process_.from);
+    holder_ = announced_address(process_.from);
     then_.taken(epoch_);
 }
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,107 @@
+"""Callers: they submit jobs, ask for them and cancel some, through whichever
+entry, on connections that they keep open."""
+
+import asyncio
+import json
+
+from fleet import HOST
+from record import Submission
+
+ASK_EVERY_S = 0.5
+TRIES = 6
+
+
+class Caller:
+    def __init__(self, fleet, record, draw):
+        self.fleet = fleet
+        self.record = record
+        self.draw = draw
+        self.idle = [[] for _ in fleet.entries]
+
+    async def call(self, method, job, document=None):
+        headers = {"Host": HOST, "Content-Type": "application/json",
+                   "Deadline-Ms": "2500"}
+        path = f"/{job.queue}/{job.ident}"
+        number = self.draw.randrange(len(self.idle))
+        idle = self.idle[number]
+        connection = idle.pop() if idle else self.fleet.connection(number)
+        status, answer = await connection.call(method, path, document, headers)
+        idle.append(connection)
+        return status, answer
+
+    def make_job(self):
+        draw = self.draw
+        kind = draw.choices(("quick", "heavy", "lasting"), (70, 25, 5))[0]
+        poison = draw.random() < 0.03
+        steps = []
+        for number in range(1 if kind == "lasting" else draw.randint(1, 3)):
+            heavy = kind == "heavy"
+            step = {"count": draw.randint(1, 4 if heavy else 3),
+                    "cpu": 2500 if heavy else draw.randrange(200, 1500),
+                    "mem_mb": draw.randrange(100, 3000),
+                    "est_duration_ms": 500, "image": f"{kind}{number}"}
+            if number:
+                step["depends_on"] = [number - 1]
+            if kind == "lasting":
+                step |= {"long_running": True, "cpu": 500}
+            step["traits"] = {"fails": poison, "seconds":
+                              draw.uniform(0.1, 1.5 if heavy else 0.5)}
+            steps.append(step)
+        job = Submission(f"{draw.getrandbits(64):016x}", "", steps)
+        job.spec = json.dumps({"of": job.ident})
+        job.queue = kind
+        self.record.jobs[job.ident] = job
+        return job
+
+    async def submit(self, job):
+        """As the platform's clients: again after no answer or a refusal."""
+        visible = [{name: value for name, value in step.items()
+                    if name != "traits"} for step in job.steps]
+        for _ in range(TRIES):
+            status, _ = await self.call(
+                "POST", job, {"spec": job.spec, "steps": visible})
+            self.record.answered(job, status)
+            if status == 200:
+                return True
+            await asyncio.sleep(self.draw.uniform(0.1, 0.6))
+        return False
+
+    async def cancel(self, job):
+        job.cancel_sent = True
+        for _ in range(TRIES):
+            status, _ = await self.call("DELETE", job)
+            if status in (200, 410):
+                self.record.cancelled(job)
+                return
+            await asyncio.sleep(0.3)
+
+    async def follow(self, job, until):
+        """Submits a job and asks for it until it has ended."""
+        if not await self.submit(job):
+            return
+        if self.draw.random() < 0.1:
+            await asyncio.sleep(self.draw.uniform(0, 1.5))
+            await self.cancel(job)
+        while not until.is_set() and job.shown in ("pending", "running"):
+            await asyncio.sleep(ASK_EVERY_S)
+            await self.ask(job)
+
+    async def ask(self, job):
+        status, answer = await self.call("GET", job)
+        self.record.shown(job, status, answer.get("state"))
+
+    async def run(self, seconds, a_second, until):
+        """Submits jobs for some time, then follows them until told."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        followed = []
+        while loop.time() < end:
+            followed.append(asyncio.create_task(
+                self.follow(self.make_job(), until)))
+            await asyncio.sleep(self.draw.expovariate(a_second))
+        await asyncio.gather(*followed)
+
+    def close(self):
+        for idle in self.idle:
+            for one in idle:
+                one.close()
--- /dev/null
+++ b/tests/soak/executor.py
@@ -0,0 +1,192 @@
+"""A stand-in of an executor and its worker: it runs tasks under a lease, on
+orders that it may carry out late, and tells every start and end to the
+soak's record."""
+
+import asyncio
+import time
+
+from wire import Connection, Silence, serve
+
+HEARTBEAT_S = 1.0
+TICK_S = 0.02
+LONGEST_HOLD_MS = 6000
+STOP_S = 0.1
+
+
+class Run:
+    def __init__(self, number, checkpoint, traits, now):
+        self.number = number
+        self.checkpoint = checkpoint
+        self.traits = traits
+        self.began = now
+        self.stopping = None  # when a stop takes effect
+
+
+class Executor:
+    def __init__(self, name, draw, record, guard, capacity):
+        self.name = name
+        self.draw = draw
+        self.record = record
+        self.guard = Connection(guard)
+        self.capacity = capacity
+        self.lives = 0
+        self.down = False
+        self.late_share = 0.0
+        self.fails_all = False
+        self.still = False
+        self.begin_life()
+
+    def begin_life(self):
+        self.lives += 1
+        self.life = f"{self.name}-{self.lives}"
+        self.clock_offset = self.draw.randrange(10**6)
+        self.runs = {}
+        self.highest = {}  # task: highest run stopped or ended here
+        self.ended = []
+        self.count = 0
+        self.fence = 0
+        self.deadline = 0
+        self.sequence = 0
+        self.news = asyncio.Event()
+
+    def clock_ms(self):
+        return int(time.monotonic() * 1000) + self.clock_offset
+
+    async def start(self, address, port):
+        self.address = f"{address}:{port}"
+        self.server = await serve(address, port, self.handle)
+        self.tasks = [asyncio.create_task(self.beat()),
+                      asyncio.create_task(self.work())]
+
+    def crash(self, back_after_s):
+        """All that runs is gone; another life begins later."""
+        for task in self.runs:
+            self.record.vanished(self, task)
+        self.down = True
+        self.begin_life()
+        asyncio.get_running_loop().call_later(
+            back_after_s, lambda: setattr(self, "down", False))
+
+    # -- by itself -------------------------------------------------------------
+
+    async def beat(self):
+        while True:
+            if not self.down:
+                self.sequence += 1
+                await self.guard.call(
+                    "POST", f"/springstair/executors/{self.life}/heartbeat",
+                    {"service": "s", "address": self.address, "zone": "dc-1",
+                     "slots": 8, "state": "ready", "seq": self.sequence,
+                     "capacity": self.capacity, "labels": ["a", "r1"],
+                     "clock_ms": self.clock_ms()}, timeout=1)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def work(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            lapsed = self.clock_ms() >= self.deadline
+            for task, run in list(self.runs.items()):
+                if lapsed:
+                    self.end(task, run, "lapsed")
+                elif run.stopping and now >= run.stopping:
+                    self.end(task, run, "stopped")
+                elif self.still or run.traits["lasts"]:
+                    continue
+                elif now - run.began >= run.traits["seconds"]:
+                    failed = self.fails_all or run.traits["fails"] or (
+                        self.draw.random() < 0.03)
+                    self.end(task, run, "failed" if failed else "done")
+
+    def end(self, task, run, how):
+        del self.runs[task]
+        self.highest[task] = max(self.highest.get(task, 0), run.number)
+        self.count += 1
+        self.ended.append([self.count, task, run.number, how, run.checkpoint])
+        self.record.ended(self, task, run.number, how)
+        self.news.set()
+        self.news = asyncio.Event()
+
+    # -- orders ----------------------------------------------------------------
+
+    async def handle(self, _method, path, _query, headers, document):
+        if self.down:
+            raise Silence
+        life = headers.get("target-executor", self.life)
+        if self.draw.random() < self.late_share:
+            asyncio.get_running_loop().call_later(
+                self.draw.uniform(1, 5), self.carry_out, path, life, document)
+            raise Silence
+        status, answer = self.carry_out(path, life, document)
+        if path.endswith("/hold") and status == 200:
+            await self.wait_for_end(document)
+            if self.down or life != self.life:
+                raise Silence
+            answer = self.lists()
+        return status, answer | {"clock_ms": self.clock_ms()}
+
+    def carry_out(self, path, life, order):
+        if self.down or life != self.life:
+            return 421, {}
+        if order.get("fencing_token", 0) < self.fence:
+            return 409, {"reason": "fence"}
+        self.fence = order.get("fencing_token", 0)
+        if path.endswith("/run-start"):
+            return self.start_run(order)
+        if path.endswith("/run-stop"):
+            self.stop_run(order["task"], order["run"])
+        if path.endswith("/hold"):
+            self.extend(order)
+            seen = order.get("last_seen", 0)
+            for row in [row for row in self.ended if row[0] <= seen]:
+                self.record.acknowledged(self, row[1], row[2], row[3])
+            self.ended = [row for row in self.ended if row[0] > seen]
+        return 200, {}
+
+    def extend(self, order):
+        asked = order.get("deadline_ms", 0)
+        most = self.clock_ms() + LONGEST_HOLD_MS
+        self.deadline = max(self.deadline, min(asked, most))
+
+    def start_run(self, order):
+        task, number = order["task"], order["run"]
+        if order["deadline_ms"] <= self.clock_ms():
+            return 409, {"reason": "late"}
+        here = self.runs.get(task)
+        if here and here.number == number:
+            self.extend(order)
+            return 200, {}
+        if here or number <= self.highest.get(task, 0):
+            self.extend(order)
+            return 409, {"reason": "old"}
+        traits = self.record.starts(self, task, number, order)
+        self.extend(order)
+        self.runs[task] = Run(number, order.get("checkpoint", ""), traits,
+                              time.monotonic())
+        return 200, {}
+
+    def stop_run(self, task, number):
+        run = self.runs.get(task)
+        if run and run.number <= number:
+            run.stopping = run.stopping or time.monotonic() + STOP_S
+        self.highest[task] = max(self.highest.get(task, 0), number)
+
+    async def wait_for_end(self, order):
+        seen = order.get("last_seen", 0)
+        if any(row[0] > seen for row in self.ended):
+            return
+        try:
+            async with asyncio.timeout(order.get("wait_ms", 0) / 1000):
+                await self.news.wait()
+        except TimeoutError:
+            pass
+
+    def lists(self):
+        now = time.monotonic()
+        running = []
+        for task, run in self.runs.items():
+            share = (now - run.began) / run.traits["seconds"]
+            percent = 100 if run.traits["lasts"] else min(99, int(100 * share))
+            running.append([task, run.number, run.checkpoint,
+                            0 if self.still else percent, 100])
+        return {"running": running, "ended": self.ended[:500]}
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,182 @@
+"""The real programs as separate processes, with the stand-ins around them.
+Each process has loopback addresses of its own: one it listens on, and one
+with a proxy that all others use. Processes are ended by their own ids."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+
+from executor import Executor
+from links import Link
+from store import Store
+from wire import Connection
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__))))
+BUILD = os.environ.get("SPRINGSTAIR_BUILD", os.path.join(ROOT, "build"))
+INTERNAL, CALLERS, READINESS, HEARTBEATS, EXECUTOR, STORE = range(17001, 17007)
+GRACE_S = 6
+HOST = "jobs.example"
+CAPACITY = {"cpu": 8000, "mem_mb": 16000, "gpu": 0}
+
+
+class Process:
+    """One of our programs, started again whenever it is not there."""
+
+    def __init__(self, name, settings, directory):
+        self.name = name
+        self.settings = settings
+        self.path = os.path.join(directory, name + ".json")
+        self.log = os.path.join(directory, name + ".log")
+        with open(self.path, "w", encoding="utf-8") as out:
+            json.dump(settings, out)
+        self.child = None
+        self.ended_by_us = False
+        self.paused = False
+        self.own_exits = 0
+
+    def start(self):
+        self.ended_by_us = False
+        with open(self.log, "a", encoding="utf-8") as out:
+            self.child = subprocess.Popen(
+                [os.path.join(BUILD, "springstaird"), "--settings", self.path],
+                stdout=out, stderr=out)
+
+    def runs(self):
+        return self.child is not None and self.child.poll() is None
+
+    def signal(self, which):
+        if not self.runs():
+            return
+        if which in (signal.SIGTERM, signal.SIGKILL):
+            self.ended_by_us = True
+        self.paused = which == signal.SIGSTOP or (
+            self.paused and which != signal.SIGCONT)
+        self.child.send_signal(which)
+
+    def revive(self):
+        """Starts it again if it has ended; counts ends of its own."""
+        if self.runs():
+            return
+        if self.child is not None and not self.ended_by_us:
+            self.own_exits += 1
+        self.start()
+
+    def end(self):
+        if self.runs():
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+        if self.child:
+            self.child.wait()
+
+
+class Fleet:
+    def __init__(self, draw, record, directory, entries=3, guards=5):
+        self.draw = draw
+        self.record = record
+        self.directory = directory
+        number = os.getpid()
+        self.network = f"127.{20 + number // 250 % 200}.{1 + number % 250}"
+        self.store = Store(draw)
+        self.links = []
+        self.processes = []
+        self.entries = [f"entry-{n}" for n in range(entries)]
+        self.guards = [f"guard-{n}" for n in range(guards)]
+        self.executors = []
+        self.version = 0
+        self.keeper = None
+
+    def ip(self, kind, number):
+        """Kinds: 0 a process's own, 1 its proxy, 2 executors, 3 the store."""
+        return f"{self.network}.{1 + 50 * kind + number}"
+
+    async def start(self):
+        await self.store.start(self.ip(3, 0), STORE)
+        self.configure()
+        names = self.entries + self.guards
+        for number, name in enumerate(names):
+            await self.add(number, name)
+        self.keeper = asyncio.create_task(self.keep())
+
+    async def add(self, number, name):
+        own, seen = self.ip(0, number), self.ip(1, number)
+        await self.link("to " + name, f"{own}:{INTERNAL}", seen, INTERNAL)
+        await self.link("store of " + name, f"{self.ip(3, 0)}:{STORE}", seen,
+                        STORE)
+        settings = {
+            "name": name, "data_centre": "dc-1", "address": own,
+            "announced_address": seen, "internal_port": INTERNAL,
+            "store": f"{seen}:{STORE}", "longest_lease_ms": 6000,
+            "stop_ms": 200, "grace_s": GRACE_S,
+            "entries": [f"{self.ip(1, n)}:{INTERNAL}"
+                        for n in range(len(self.entries))]}
+        if name in self.entries:
+            settings |= {"role": "job_entry", "callers": f"{own}:{CALLERS}",
+                         "readiness": f"{own}:{READINESS}",
+                         "processors": 1 if number else 2}
+            await self.link("callers of " + name, f"{own}:{CALLERS}", seen,
+                            CALLERS)
+        else:
+            settings |= {"role": "job_guard",
+                         "executors": f"{own}:{HEARTBEATS}",
+                         "executor": f"{seen}:{EXECUTOR}"}
+            await self.add_executor(number, own, seen)
+        process = Process(name, settings, self.directory)
+        process.start()
+        self.processes.append(process)
+
+    async def add_executor(self, number, own, seen):
+        one = Executor(f"x{number}", self.draw, self.record,
+                       f"{own}:{HEARTBEATS}", CAPACITY)
+        await one.start(self.ip(2, number), EXECUTOR)
+        await self.link(f"executor {number}", one.address, seen, EXECUTOR)
+        one.address = f"{seen}:{EXECUTOR}"  # as its heartbeats say
+        self.executors.append(one)
+
+    async def link(self, name, target, address, port):
+        one = Link(name, target)
+        await one.start(address, port)
+        self.links.append(one)
+
+    def configure(self):
+        """A newer configuration: the operator's own write to the store."""
+        self.version += 3
+        routes = [{"name": f"r{n}", "host": HOST, "path_prefix": f"/{queue}/",
+                   "service": "s", "priority": n, "max_attempts": 3,
+                   "stretch": 2, "target_latency_ms": 1000}
+                  for n, queue in enumerate(("quick", "heavy", "lasting"))]
+        document = {"version": self.version, "routes": routes,
+                    "services": [{"name": "s", "enforces_capacity": False}]}
+        self.store.configure(document)
+
+    async def keep(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for one in self.processes:
+                if not one.paused:
+                    one.revive()
+
+    def calm(self):
+        """Ends every fault."""
+        for link in self.links:
+            link.heal()
+        for one in self.processes:
+            if one.paused:
+                one.signal(signal.SIGCONT)
+        store = self.store
+        store.away = None
+        store.delay_s = store.lost_share = store.late_share = 0.0
+        for one in self.executors:
+            one.late_share = 0.0
+            one.fails_all = one.still = False
+
+    def connection(self, number):
+        return Connection(f"{self.ip(1, number)}:{CALLERS}")
+
+    def end(self):
+        if self.keeper:
+            self.keeper.cancel()
+        for one in self.processes:
+            one.end()
--- /dev/null
+++ b/tests/soak/record.py
@@ -0,0 +1,203 @@
+"""What callers and executors saw, checked against the promises. A breach is
+kept with its moment; the soak fails if there is any."""
+
+import time
+
+CANCEL_S = 3.0  # after a cancellation nothing starts any more
+CALM_S = 4.0  # bounds on time hold once nothing was disturbed for so long
+MOST_ATTEMPTS = 3
+
+
+class Submission:
+    def __init__(self, ident, spec, steps):
+        self.ident = ident
+        self.spec = spec
+        self.steps = steps  # as submitted, with hidden traits beside
+        self.answers = []  # statuses; None: unknown
+        self.accepted = None
+        self.cancelled = None
+        self.cancel_sent = False
+        self.started = False
+        self.shown = "pending"
+
+    def tasks(self):
+        for step, traits in enumerate(self.steps):
+            for index in range(traits["count"]):
+                yield f"{self.ident}.0.{step}.{index}"
+
+    def lasts(self):
+        return any(step.get("long_running") for step in self.steps)
+
+
+class Record:
+    def __init__(self):
+        self.began = time.monotonic()
+        self.jobs = {}
+        self.live = {}  # task: executors that run it now
+        self.done = set()  # tasks of which an end "done" was listed
+        self.seen_done = set()  # ... and taken note of
+        self.failed = {}  # task: failures taken note of
+        self.restarted = {}  # task: starts after an unacknowledged done
+        self.disturbed = self.began
+        self.start_count = 0
+        self.breaches = []
+        self.story = []
+
+    def note(self, *words):
+        stamp = time.monotonic() - self.began
+        self.story.append(f"{stamp:8.3f} " + " ".join(str(w) for w in words))
+
+    def breach(self, promise, *words):
+        self.note("BREACH", promise, *words)
+        self.breaches.append(f"{promise}: " + " ".join(str(w) for w in words))
+
+    def disturb(self, *words):
+        self.disturbed = time.monotonic()
+        self.note("fault", *words)
+
+    def calm(self):
+        return time.monotonic() - self.disturbed > CALM_S
+
+    # -- executors ---------------------------------------------------------------
+
+    def starts_as(self, task):
+        ident, _, step, _ = task.split(".")
+        job = self.jobs.get(ident)
+        return job, (job.steps[int(step)] if job else None)
+
+    def starts(self, executor, task, number, order):
+        """A run begins. Gives what it is to do."""
+        self.start_count += 1
+        self.note("start", task, number, executor.life)
+        job, step = self.starts_as(task)
+        if job is None or job.spec != order["spec"]:
+            self.breach("UNASKED", task, "was not submitted so")
+            return {"lasts": False, "seconds": 0.1, "fails": False}
+        job.started = True
+        self.check_start(executor, job, step, task)
+        self.live.setdefault(task, []).append(executor)
+        return {"lasts": step.get("long_running", False),
+                "seconds": step["traits"]["seconds"],
+                "fails": step["traits"]["fails"]}
+
+    def check_start(self, executor, job, step, task):
+        others = [one.life for one in self.live.get(task, [])]
+        if others:
+            self.breach("TWICE", task, "runs already at", others)
+        if task in self.seen_done:
+            self.breach("TWICE", task, "was done")
+        elif task in self.done:
+            self.restarted.setdefault(task, executor.life)
+        for before in step.get("depends_on", []):
+            for index in range(job.steps[before]["count"]):
+                if f"{job.ident}.0.{before}.{index}" not in self.done:
+                    self.breach("ORDER", task, "before step", before)
+        if self.failed.get(task, 0) >= MOST_ATTEMPTS and not job.lasts():
+            self.breach("BUDGET", task, "after", self.failed[task])
+        late = job.cancelled and time.monotonic() - job.cancelled > CANCEL_S
+        if late and self.calm():
+            self.breach("UNASKED", task, "was cancelled")
+        self.check_room(executor, step, task)
+
+    def check_room(self, executor, step, task):
+        used = {"cpu": 0, "mem_mb": 0}
+        for other in [*executor.runs, task]:
+            _, of = self.starts_as(other)
+            for what in used:
+                used[what] += of[what] if of else 0
+        for what, amount in used.items():
+            if amount > executor.capacity[what]:
+                self.breach("LIMIT", executor.life, what, amount)
+
+    def gone(self, executor, task):
+        here = self.live.get(task, [])
+        if executor in here:
+            here.remove(executor)
+
+    def vanished(self, executor, task):
+        self.gone(executor, task)
+        self.note("vanished", task, executor.life)
+
+    def ended(self, executor, task, number, how):
+        self.gone(executor, task)
+        self.note("end", task, number, executor.life, how)
+        if how == "done":
+            self.done.add(task)
+
+    def acknowledged(self, executor, task, number, how):
+        self.note("acknowledged", task, number, executor.life, how)
+        if how == "done":
+            self.seen_done.add(task)
+            if task in self.restarted:
+                self.breach("TWICE", task, "started after its end")
+        if how == "failed":
+            self.failed[task] = self.failed.get(task, 0) + 1
+
+    # -- callers -----------------------------------------------------------------
+
+    def answered(self, job, status):
+        job.answers.append(status)
+        if status == 200 and job.accepted is None:
+            job.accepted = time.monotonic()
+            self.note("accepted", job.ident)
+
+    def cancelled(self, job):
+        job.cancelled = job.cancelled or time.monotonic()
+        self.note("cancelled", job.ident)
+
+    def shown(self, job, status, state):
+        if status == 410 and job.accepted and not job.cancel_sent:
+            self.breach("LOST", job.ident, "is not known any more")
+        if status != 200:
+            return
+        if state != job.shown:
+            self.note("shown", job.ident, state)
+        if job.shown in ("succeeded", "failed", "cancelled") \
+                and state != job.shown:
+            self.breach("MIXED", job.ident, job.shown, "then", state)
+        job.shown = state
+        self.check_state(job, state)
+
+    def check_state(self, job, state):
+        missing = [task for task in job.tasks() if task not in self.done]
+        if state == "succeeded" and missing:
+            self.breach("MIXED", job.ident, "succeeded without", missing)
+        if state == "cancelled" and not job.cancel_sent:
+            self.breach("LOST", job.ident, "was never cancelled")
+        bound_met = any(self.failed.get(task, 0) >= MOST_ATTEMPTS
+                        for task in job.tasks())
+        if state == "failed" and not bound_met:
+            # Its last failure is taken note of within moments.
+            self.note("failed before its failures were taken note of",
+                      job.ident)
+
+    # -- in the end --------------------------------------------------------------
+
+    def open_jobs(self):
+        """Accepted jobs that are not where they should be in the end."""
+        out = []
+        for job in self.jobs.values():
+            if not job.accepted or job.cancelled:
+                continue
+            if job.lasts():
+                away = [task for task in job.tasks() if not self.live.get(task)]
+                out += [job] if away else []
+            elif job.shown not in ("succeeded", "failed", "cancelled"):
+                out.append(job)
+        return out
+
+    def check_end(self):
+        for job in self.open_jobs():
+            self.breach("LOST", job.ident, "is", job.shown, "in the end")
+        for job in self.jobs.values():
+            refused = job.answers and all(
+                status in (429, 503, 0) for status in job.answers)
+            if refused and job.started:
+                self.breach("REFUSED", job.ident, "ran though refused")
+            bound_met = any(self.failed.get(task, 0) >= MOST_ATTEMPTS
+                            for task in job.tasks())
+            if job.shown == "failed" and not bound_met:
+                self.breach("LOST", job.ident, "failed without cause")
+            running = [task for task in job.tasks() if self.live.get(task)]
+            if job.cancelled and running:
+                self.breach("UNASKED", "cancelled, but runs:", running)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,142 @@
+"""A randomized soak of the job system: the real programs, faults from
+outside, and a check of what callers and executors saw.
+
+    soak.py --seed 7                    one seed
+    soak.py --seeds 50 --from 1 --jobs 4    many, a few at a time
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from callers import Caller  # noqa: E402
+from faults import Faults  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from record import Record  # noqa: E402
+
+READY_S = 20  # to a first accepted job; ends a fleet that does not come up
+SETTLE_S = 25  # after the last fault every job has ended; leases are 10 s
+QUIET_S = 1.5  # what must not happen after the end gets this long to happen
+
+
+async def come_up(fleet, record, draw):
+    caller = Caller(fleet, record, draw)
+    for _ in range(READY_S * 4):
+        if await caller.submit(caller.make_job()):
+            return caller
+        await asyncio.sleep(0.25)
+    record.breach("START", "no job was accepted")
+    return caller
+
+
+async def play(seed, options, directory):
+    draw = random.Random(seed)
+    record = Record()
+    fleet = Fleet(random.Random(seed + 1), record, directory,
+                  options.entries, options.guards)
+    until = asyncio.Event()
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: record.breach("HARNESS", context.get("exception")))
+    try:
+        await fleet.start()
+        caller = await come_up(fleet, record, draw)
+        load = asyncio.create_task(
+            caller.run(options.seconds, options.rate, until))
+        await Faults(fleet, record, random.Random(seed + 2)).run(
+            options.seconds, options.gap)
+        fleet.calm()
+        record.disturb("calm from here on")
+        await settle(fleet, record, caller)
+        until.set()
+        await load
+        await asyncio.sleep(QUIET_S)
+        record.check_end()
+        caller.close()
+        for one in fleet.processes:
+            if one.own_exits:
+                record.breach("EXIT", one.name, "ended by itself")
+    finally:
+        fleet.end()
+    return record
+
+
+async def settle(fleet, record, caller):
+    """Every job reaches its end, and jobs of lost answers are asked for."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + SETTLE_S
+    while record.open_jobs() and loop.time() < end:
+        for job in record.open_jobs():
+            await caller.ask(job)
+        await asyncio.sleep(0.3)
+
+
+def tell(seed, record, directory):
+    with open(os.path.join(directory, "story.txt"), "w",
+              encoding="utf-8") as out:
+        out.write("\n".join(record.story) + "\n")
+    ended = sum(job.shown in ("succeeded", "failed", "cancelled")
+                for job in record.jobs.values())
+    accepted = sum(job.accepted is not None for job in record.jobs.values())
+    print(f"seed {seed}: {len(record.jobs)} jobs, {accepted} accepted, {ended} "
+          f"ended, {record.start_count} starts, {len(record.breaches)} breaches",
+          flush=True)
+    for one in record.breaches[:8]:
+        print("   ", one, flush=True)
+
+
+def play_one(options):
+    directory = options.keep or tempfile.mkdtemp(prefix="springstair-soak-")
+    os.makedirs(directory, exist_ok=True)
+    record = asyncio.run(play(options.seed, options, directory))
+    tell(options.seed, record, directory)
+    if record.breaches:
+        print("    logs:", directory, flush=True)
+        return 1
+    if not options.keep:
+        shutil.rmtree(directory)
+    return 0
+
+
+def play_many(options):
+    """Each seed in a process of its own, a few side by side."""
+    waiting = list(range(options.first, options.first + options.seeds))
+    running, failed = [], []
+    while waiting or running:
+        while waiting and len(running) < options.jobs:
+            seed = waiting.pop(0)
+            line = [sys.executable, __file__, "--seed", str(seed),
+                    "--seconds", str(options.seconds)]
+            running.append((seed, subprocess.Popen(line)))
+        seed, child = running.pop(0)
+        if child.wait():
+            failed.append(seed)
+    print(f"{options.seeds - len(failed)} passed, {len(failed)} failed",
+          failed or "")
+    return 1 if failed else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=0)
+    parser.add_argument("--from", dest="first", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--rate", type=float, default=6)
+    parser.add_argument("--gap", type=float, default=1.2)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--guards", type=int, default=5)
+    parser.add_argument("--keep", help="directory for logs and the story")
+    options = parser.parse_args()
+    return play_many(options) if options.seeds else play_one(options)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,96 @@
+"""HTTP/1.1 with keep-alive for the stand-ins and the soak's callers."""
+
+import asyncio
+import json
+import urllib.parse
+
+
+class Silence(Exception):
+    """The server says nothing more on this connection."""
+
+
+class Reset(Exception):
+    """The server breaks the connection off."""
+
+
+async def read_message(reader):
+    """One request or answer: its first line, headers and body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return lines[0], headers, body
+
+
+async def serve(address, port, handler):
+    """Serves @handler(method, path, query, headers, document), which gives a
+    status and a document, or raises Silence or Reset."""
+
+    async def connection(reader, writer):
+        try:
+            while True:
+                first, headers, body = await read_message(reader)
+                method, target, _ = first.split(" ", 2)
+                parts = urllib.parse.urlsplit(target)
+                query = dict(urllib.parse.parse_qsl(parts.query))
+                document = json.loads(body) if body else {}
+                status, answer = await handler(
+                    method, urllib.parse.unquote(parts.path), query, headers,
+                    document)
+                text = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json"
+                             b"\r\nContent-Length: %d\r\n\r\n"
+                             % (status, len(text)) + text)
+                await writer.drain()
+        except Silence:
+            await asyncio.sleep(3600)
+        except Reset:
+            writer.transport.abort()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(connection, address, port)
+
+
+class Connection:
+    """A caller's connection, kept open until its peer ends it."""
+
+    def __init__(self, address):
+        self.address = address
+        self.stream = None
+
+    async def call(self, method, path, document=None, headers=None, timeout=3):
+        """Gives the status and document; None if the outcome is unknown,
+        0 if nothing was sent."""
+        sent = False
+        try:
+            async with asyncio.timeout(timeout):
+                if self.stream is None:
+                    host, port = self.address.split(":")
+                    self.stream = await asyncio.open_connection(host, int(port))
+                reader, writer = self.stream
+                body = b"" if document is None else json.dumps(
+                    document).encode()
+                lines = [f"{method} {path} HTTP/1.1",
+                         f"Content-Length: {len(body)}"]
+                lines += [f"{name}: {value}"
+                          for name, value in (headers or {}).items()]
+                sent = True
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+                await writer.drain()
+                first, _, answer = await read_message(reader)
+                return int(first.split()[1]), json.loads(answer or b"{}")
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            self.close()
+            return (None if sent else 0), {}
+
+    def close(self):
+        if self.stream is not None:
+            self.stream[1].transport.abort()
+            self.stream = None
