--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -86,6 +86,8 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             lapsed = self.clock_ms() >= self.deadline
+            if lapsed:
+                self.record.lapsed(self)
             for task, run in list(self.runs.items()):
                 if lapsed:
                     self.end(task, run, "lapsed")
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -36,8 +36,10 @@
         self.live = {}  # task: executors that run it now
         self.done = set()  # tasks of which an end "done" was listed
         self.seen_done = set()  # ... and taken note of
-        self.failed = {}  # task: failures taken note of
-        self.restarted = {}  # task: starts after an unacknowledged done
+        self.failures = {}  # task: failures that were listed
+        self.noted_failures = {}  # task: ... and taken note of
+        self.listed = {}  # task: ends "done" that are not taken note of yet
+        self.restarted = set()  # ... and after which the task was started
         self.disturbed = self.began
         self.start_count = 0
         self.breaches = []
@@ -86,14 +88,14 @@
             self.breach("TWICE", task, "runs already at", others)
         if task in self.seen_done:
             self.breach("TWICE", task, "was done")
-        elif task in self.done:
-            self.restarted.setdefault(task, executor.life)
+        self.restarted |= self.listed.get(task, set())
         for before in step.get("depends_on", []):
             for index in range(job.steps[before]["count"]):
                 if f"{job.ident}.0.{before}.{index}" not in self.done:
                     self.breach("ORDER", task, "before step", before)
-        if self.failed.get(task, 0) >= MOST_ATTEMPTS and not job.lasts():
-            self.breach("BUDGET", task, "after", self.failed[task])
+        failures = self.noted_failures.get(task, 0)
+        if failures >= MOST_ATTEMPTS and not job.lasts():
+            self.breach("BUDGET", task, "after", failures)
         late = job.cancelled and time.monotonic() - job.cancelled > CANCEL_S
         if late and self.calm():
             self.breach("UNASKED", task, "was cancelled")
@@ -123,15 +125,27 @@
         self.note("end", task, number, executor.life, how)
         if how == "done":
             self.done.add(task)
+            self.listed.setdefault(task, set()).add(
+                (task, number, executor.life))
+        if how == "failed":
+            self.failures[task] = self.failures.get(task, 0) + 1
 
     def acknowledged(self, executor, task, number, how):
         self.note("acknowledged", task, number, executor.life, how)
-        if how == "done":
+        end = (task, number, executor.life)
+        if how == "done" and end in self.listed.get(task, set()):
+            self.listed[task].discard(end)
             self.seen_done.add(task)
-            if task in self.restarted:
+            if end in self.restarted:
                 self.breach("TWICE", task, "started after its end")
         if how == "failed":
-            self.failed[task] = self.failed.get(task, 0) + 1
+            self.noted_failures[task] = self.noted_failures.get(task, 0) + 1
+
+    def lapsed(self, executor):
+        """Ends listed before a lease ran out count as taken note of no more
+        (the platform's rule)."""
+        for ends in self.listed.values():
+            ends -= {end for end in ends if end[2] == executor.life}
 
     # -- callers -----------------------------------------------------------------
 
@@ -164,12 +178,12 @@
             self.breach("MIXED", job.ident, "succeeded without", missing)
         if state == "cancelled" and not job.cancel_sent:
             self.breach("LOST", job.ident, "was never cancelled")
-        bound_met = any(self.failed.get(task, 0) >= MOST_ATTEMPTS
-                        for task in job.tasks())
-        if state == "failed" and not bound_met:
-            # Its last failure is taken note of within moments.
-            self.note("failed before its failures were taken note of",
-                      job.ident)
+        if state == "failed" and not self.has_cause(job):
+            self.breach("LOST", job.ident, "failed without cause")
+
+    def has_cause(self, job):
+        return any(self.failures.get(task, 0) >= MOST_ATTEMPTS
+                   for task in job.tasks())
 
     # -- in the end --------------------------------------------------------------
 
@@ -194,10 +208,6 @@
                 status in (429, 503, 0) for status in job.answers)
             if refused and job.started:
                 self.breach("REFUSED", job.ident, "ran though refused")
-            bound_met = any(self.failed.get(task, 0) >= MOST_ATTEMPTS
-                            for task in job.tasks())
-            if job.shown == "failed" and not bound_met:
-                self.breach("LOST", job.ident, "failed without cause")
             running = [task for task in job.tasks() if self.live.get(task)]
             if job.cancelled and running:
                 self.breach("UNASKED", "cancelled, but runs:", running)
