Holder: a pass over waiting tasks costs a search an image, and runs when something changed

Cause: waiting tasks were looked through on every tick (each 10 ms and after each message), with a search of all workers for each waiting step. Under load that is the holder's largest share of processor time, and it grows with workers times waiting jobs.

Now a search that found nothing covers every task of its kind that asks for as much, within a pass; and without a change of jobs or room a pass runs each 100 ms, or when a round becomes due.

Ruled out: passes only on change (figures of workers move without one).

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -4,6 +4,7 @@
 
 #include <springstair/entry.hpp>
 #include <springstair/guard.hpp>
+#include <springstair/scheduler.hpp>
 
 #include <malloc.h>
 
@@ -241,6 +242,81 @@
           static_cast<double>(json(step).dump().size()), "bytes");
 }
 
+constexpr int filling_images = 18;
+constexpr resources worker_room{.cpu_millis = 32000, .memory_mb = 128000};
+
+// A worker with nothing at work.
+worker_report worker_of(int index, int sequence)
+{
+    const std::string name = "guard-" + std::to_string(index);
+    worker_report report{
+        .guard = name,
+        .address = "10.0.0.1:7720",
+        .incarnation = "i",
+        .sequence = sequence,
+        .worker = {.life = name, .service = "s", .capacity = worker_room},
+        .looked = true,
+        .answering = true};
+    return report;
+}
+
+job filling_job(int index, std::int64_t tasks)
+{
+    return {.id = "fill-" + std::to_string(index),
+            .queue = "heavy",
+            .payload = "p",
+            .steps = {{.count = tasks,
+                       .demand = {.cpu_millis = 3500, .memory_mb = 6400},
+                       .estimate_ms = 1700,
+                       .image = "f" + std::to_string(index % filling_images),
+                       .fills = true}}};
+}
+
+void report_all(scheduler_core& core, int workers, int sequence, time_point now)
+{
+    for (int index = 0; index < workers; ++index)
+    {
+        core.report(worker_of(index, sequence), now, now);
+    }
+}
+
+// Passes over waiting fills that find nothing: the usual case under load.
+void measure_placing()
+{
+    for (const int workers : {30, 100, 300})
+    {
+        time_point now{std::chrono::hours(1)};
+        scheduler_core core;
+        core.take_office(1, now);
+        core.set_table(
+            {.version = 1, .queues = {{.name = "heavy", .service = "s"}}});
+        core.begin(now);
+        report_all(core, workers, 1, now);
+        const int jobs = workers * 3;
+        const double first =
+            micros_each(1,
+                        [&](int)
+                        {
+                            for (int index = 0; index < jobs; ++index)
+                            {
+                                core.accept(filling_job(index, 8), now);
+                            }
+                            core.tick(now, 0);
+                        });
+        const auto placed = static_cast<double>(core.figures().starts);
+        print("holder: a task placed, by workers", workers, first / placed,
+              "us");
+        print("holder: a pass that places nothing", workers,
+              micros_each(50,
+                          [&](int)
+                          {
+                              now += std::chrono::milliseconds(20);
+                              core.tick(now, 0);
+                          }),
+              "us a tick");
+    }
+}
+
 } // namespace
 
 int main()
@@ -250,4 +326,5 @@
     measure_table();
     measure_guard();
     measure_tasks();
+    measure_placing();
 }
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -3,6 +3,7 @@
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/vain_queries.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
 #include <map>
@@ -44,6 +45,9 @@
     duration refused_pause = std::chrono::milliseconds(300);
     /// Failures of different jobs in a row that take a worker out of use.
     std::int64_t eject_after = 3;
+    /// Without a change of jobs or room, waiting tasks are looked through so
+    /// often: figures of workers and clocks move slowly beside it.
+    duration placing_gap = std::chrono::milliseconds(100);
     /// How long it stays out at first; doubled each time, up to the most.
     duration eject_for = std::chrono::seconds(2);
     duration eject_most = std::chrono::seconds(10);
@@ -196,6 +200,7 @@
 
 private:
     // Placing (scheduler_placing.cpp).
+    void place_if_due(time_point now, std::int64_t day_ms);
     void place(time_point now, std::int64_t day_ms);
     bool place_job(job_record& of, time_point now, std::int64_t day_ms);
     bool place_step(job_record& of, const queue_row& queue, std::int64_t round,
@@ -269,6 +274,10 @@
     time_point last_commit_{};
     worker_map workers_;
     harm_model harm_;
+    vain_queries vain_;     ///< of this pass over the waiting tasks
+    bool may_place_ = true; ///< jobs or room changed since the last pass
+    time_point last_pass_{};
+    std::int64_t next_due_ms_ = 0; ///< time of day of the next round
     /// Runs that an earlier holder placed, by guard, until it reports.
     std::map<std::string, std::set<task_name>> awaited_;
     std::map<std::string, guard_orders> outbox_;
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -87,6 +87,7 @@
     note(event_id::job_known, {{"job", of.what().id},
                                {"queue", of.what().queue},
                                {"tasks", std::to_string(of.tasks().size())}});
+    may_place_ = true;
     wanting_.insert(of.what().id);
 }
 
@@ -118,6 +119,7 @@
 void scheduler_core::want(job_record& of)
 {
     const std::string& id = of.what().id;
+    may_place_ = true;
     wanting_.insert(id);
     if (of.change > of.kept && is_dirty_.insert(id).second)
     {
@@ -290,7 +292,7 @@
             }
         }
     }
-    place(now, day_ms);
+    place_if_due(now, day_ms);
 }
 
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -3,6 +3,7 @@
 #include <springstair/scheduler.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace springstair
@@ -37,6 +38,12 @@
     return std::min(due, schedule.count);
 }
 
+// When the first round that is not due yet will be.
+std::int64_t due_ms_of(const job& what, std::int64_t round)
+{
+    return what.schedule.first_due_ms + round * what.schedule.interval_ms;
+}
+
 } // namespace
 
 // Priority first. Then jobs that can still meet their objective, those that
@@ -64,6 +71,21 @@
     return {queue->priority, lateness, of.accepted + objective};
 }
 
+void scheduler_core::place_if_due(time_point now, std::int64_t day_ms)
+{
+    const bool due = may_place_ || day_ms >= next_due_ms_ ||
+                     now - last_pass_ >= options_.placing_gap;
+    if (!due)
+    {
+        return;
+    }
+    may_place_ = false;
+    next_due_ms_ = std::numeric_limits<std::int64_t>::max();
+    last_pass_ = now;
+    vain_.clear();
+    place(now, day_ms);
+}
+
 void scheduler_core::place(time_point now, std::int64_t day_ms)
 {
     std::vector<
@@ -99,6 +121,10 @@
     }
     const std::int64_t due = rounds_due(of.what(), day_ms);
     bool more = due < of.what().rounds();
+    if (more)
+    {
+        next_due_ms_ = std::min(next_due_ms_, due_ms_of(of.what(), due));
+    }
     const auto steps = static_cast<std::int64_t>(of.what().steps.size());
     for (std::int64_t round = 0; round < due; ++round)
     {
@@ -136,19 +162,22 @@
             left = true;
             continue;
         }
-        worker_record* const at = choose_worker(
-            workers_,
-            {.step = of.what().steps[static_cast<std::size_t>(step)],
-             .service = queue.service,
-             .group = group,
-             .avoided = task.avoided,
-             .harm = harm_,
-             .now = now,
-             .despite_harm = !of.has_runs() && now - task.ready_since >
-                                                   options_.longest_harm_wait},
-            options_.placement);
+        const placement_query query{
+            .step = of.what().steps[static_cast<std::size_t>(step)],
+            .service = queue.service,
+            .group = group,
+            .avoided = task.avoided,
+            .harm = harm_,
+            .now = now,
+            .despite_harm = !of.has_runs() && now - task.ready_since >
+                                                  options_.longest_harm_wait};
+        worker_record* const at =
+            vain_.covers(query)
+                ? nullptr
+                : choose_worker(workers_, query, options_.placement);
         if (at == nullptr)
         {
+            vain_.note(query);
             return true; // its siblings ask for the same
         }
         put(of, task, *at, task.runs + 1, now);
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -79,6 +79,7 @@
     {
         at.guard = from.guard;
         at.reported = now;
+        may_place_ = true;
         note(event_id::worker_known,
              {{"guard", from.guard}, {"life", from.worker.life}});
     }
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -294,6 +294,45 @@
     CHECK(other.core.workers().at("g1").room().memory_mb == 3700);
 }
 
+TEST_CASE("searches that found nothing cover those that ask for as much")
+{
+    const harm_model harm;
+    const std::set<std::string> avoided;
+    const std::string service = "s";
+    const std::string group = "j.0.0";
+    const auto asks = [&](const job_step& step,
+                          bool despite_harm = false) -> placement_query
+    {
+        return {.step = step,
+                .service = service,
+                .group = group,
+                .avoided = avoided,
+                .harm = harm,
+                .now = {},
+                .despite_harm = despite_harm};
+    };
+    const job_step small = step_of(1, 500);
+    const job_step middle = step_of(1, 1000);
+    const job_step large = step_of(1, 2000);
+    job_step fill = large;
+    fill.fills = true;
+    job_step elsewhere = large;
+    elsewhere.label = "b";
+    job_step bounded = large;
+    bounded.most_per_worker = 1;
+    vain_queries vain;
+    vain.note(asks(middle));
+    CHECK(vain.covers(asks(middle)));
+    CHECK(vain.covers(asks(large)));
+    CHECK_FALSE(vain.covers(asks(small)));
+    CHECK_FALSE(vain.covers(asks(fill)));
+    CHECK_FALSE(vain.covers(asks(elsewhere)));
+    CHECK_FALSE(vain.covers(asks(bounded)));
+    CHECK_FALSE(vain.covers(asks(large, true)));
+    vain.clear();
+    CHECK_FALSE(vain.covers(asks(large)));
+}
+
 TEST_CASE("a fill waits for a worker that bears it, but not for ever")
 {
     holder at;
