Command line: job explain puts a job's story together from logs

Reads the logs of any of our processes and prints, in order of time, what tells of a job and its tasks, and between the first and last of these what happened to the office, the store and the guards that ran it. It asks no process, so it works while nothing else does.

--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -1,4 +1,5 @@
 #include "commands.hpp"
+#include "explain.hpp"
 #include "session.hpp"
 
 #include <fstream>
@@ -380,10 +381,50 @@
     throw usage_error{"unknown: task " + verb};
 }
 
+// ---------------------------------------------------------------------------
+// Jobs
+// ---------------------------------------------------------------------------
+
+// Reads logs only: it works while nothing else does.
+int explain_job(const std::vector<std::string>& words, bool as_json)
+{
+    if (words.size() < 4 || words[1] != "explain")
+    {
+        throw usage_error{"job explain ID LOG...; see --help"};
+    }
+    std::vector<log_line> lines;
+    for (std::size_t index = 3; index < words.size(); ++index)
+    {
+        std::ifstream file(words[index]);
+        if (!file)
+        {
+            std::cerr << words[index] << ": cannot be read\n";
+            return exit_failed;
+        }
+        const auto of_file = read_log(file);
+        lines.insert(lines.end(), of_file.begin(), of_file.end());
+    }
+    const auto story = story_of(words[2], std::move(lines));
+    if (story.empty())
+    {
+        std::cerr << "no line of these logs tells of job " << words[2] << "\n";
+        return exit_failed;
+    }
+    for (const log_line& line : story)
+    {
+        std::cout << (as_json ? line.event.dump() : text_of(line)) << "\n";
+    }
+    return exit_good;
+}
+
 int dispatch(session& with)
 {
     const std::vector<std::string>& words = with.call().words;
     const std::string noun = words.empty() ? "" : words[0];
+    if (noun == "job")
+    {
+        return explain_job(words, with.call().as_json);
+    }
     if (with.call().entries.empty())
     {
         throw usage_error{"--entries or SPRINGSTAIR_ENTRIES is required"};
@@ -416,7 +457,8 @@
 {
     return "table show|history|get ROW COLUMN|set ROW COLUMN VALUE|"
            "add-row ROW JSON|remove-row ROW|import FILE|export FILE, "
-           "status, drain GUARD, task submit JSON|show ID|cancel ID|list";
+           "status, drain GUARD, task submit JSON|show ID|cancel ID|list, "
+           "job explain ID LOG...";
 }
 
 std::vector<std::string> split(const std::string& text, char at)
--- /dev/null
+++ b/packages/cli/explain.cpp
@@ -0,0 +1,141 @@
+#include "explain.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <regex>
+
+namespace springstair::cli
+{
+
+namespace
+{
+
+std::string text_field(const json& event, const char* name)
+{
+    const auto found = event.find(name);
+    const bool is_text = found != event.end() && found->is_string();
+    return is_text ? found->get<std::string>() : std::string();
+}
+
+bool is_about(const json& event, const std::string& job)
+{
+    return text_field(event, "job") == job ||
+           text_field(event, "task").starts_with(job + ".");
+}
+
+// Events that decide over many jobs at once.
+bool is_common(const json& event)
+{
+    static const std::set<std::string> names{"office_taken",
+                                             "office_lost",
+                                             "office_asked_for",
+                                             "store_lost",
+                                             "store_back",
+                                             "commit_uncertain",
+                                             "configuration_in_force"};
+    return names.contains(text_field(event, "name"));
+}
+
+// Events of a guard, told by itself or by the holder.
+bool is_of_guard(const json& event, const std::set<std::string>& guards)
+{
+    static const std::set<std::string> names{
+        "worker_known", "worker_lost",  "worker_ejected",
+        "worker_paced", "holder_lost",  "process_started",
+        "holder_found", "order_failed", "process_draining"};
+    return names.contains(text_field(event, "name")) &&
+           (guards.contains(text_field(event, "guard")) ||
+            guards.contains(text_field(event, "process")));
+}
+
+std::optional<log_line> parse_line(const std::string& text)
+{
+    static const std::regex time_pattern(
+        R"(\d{4}-\d\d-\d\d \d\d:\d\d:\d\d\.\d+)");
+    const std::size_t brace = text.find('{');
+    std::smatch time;
+    if (brace == std::string::npos ||
+        !std::regex_search(text.begin(),
+                           text.begin() + static_cast<std::ptrdiff_t>(brace),
+                           time, time_pattern))
+    {
+        return std::nullopt;
+    }
+    json event = json::parse(text.substr(brace), nullptr, false);
+    if (!event.is_object())
+    {
+        return std::nullopt;
+    }
+    return log_line{.time = time.str(), .event = std::move(event)};
+}
+
+} // namespace
+
+std::vector<log_line> read_log(std::istream& from)
+{
+    std::vector<log_line> lines;
+    std::string text;
+    while (std::getline(from, text))
+    {
+        if (auto line = parse_line(text))
+        {
+            lines.push_back(std::move(*line));
+        }
+    }
+    return lines;
+}
+
+std::vector<log_line> story_of(const std::string& job,
+                               std::vector<log_line> lines)
+{
+    std::stable_sort(lines.begin(), lines.end(),
+                     [](const log_line& left, const log_line& right)
+                     { return left.time < right.time; });
+    std::string first;
+    std::string last;
+    std::set<std::string> guards;
+    for (const log_line& line : lines)
+    {
+        if (!is_about(line.event, job))
+        {
+            continue;
+        }
+        first = first.empty() ? line.time : first;
+        last = line.time;
+        if (const std::string guard = text_field(line.event, "guard");
+            !guard.empty())
+        {
+            guards.insert(guard);
+        }
+    }
+    std::erase_if(lines,
+                  [&](const log_line& line)
+                  {
+                      const bool meanwhile = !first.empty() &&
+                                             line.time >= first &&
+                                             line.time <= last;
+                      const bool told = is_common(line.event) ||
+                                        is_of_guard(line.event, guards);
+                      return !is_about(line.event, job) && !(meanwhile && told);
+                  });
+    return lines;
+}
+
+std::string text_of(const log_line& line)
+{
+    static const std::set<std::string> shown{"event", "name", "process"};
+    std::string out = line.time + "  " + text_field(line.event, "process") +
+                      "  " + text_field(line.event, "name");
+    for (const auto& [name, value] : line.event.items())
+    {
+        if (!shown.contains(name))
+        {
+            out +=
+                "  " + name + "=" +
+                (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return out;
+}
+
+} // namespace springstair::cli
--- /dev/null
+++ b/tests/unit/explain_tests.cpp
@@ -0,0 +1,53 @@
+// A job's story from logs.
+
+#include "explain.hpp"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace springstair::cli; // NOLINT: a test
+
+namespace
+{
+
+// Two logs, one after the other, with lines that are no events.
+constexpr const char* logs = R"(
+2026-12-02 10:00:00.500000 info {"name":"office_taken","process":"entry-0"}
+ 12.5 entry-0 2026-12-02 10:00:01.000000 info {"name":"job_accepted","process":"entry-0","job":"aa"}
+2026-12-02 10:00:01.100000 info {"name":"run_placed","process":"entry-0","task":"aa.0.0.0","guard":"g-1"}
+2026-12-02 10:00:01.200000 info {"name":"run_placed","process":"entry-0","task":"aab.0.0.0","guard":"g-2"}
+2026-12-02 10:00:02.000000 info {"name":"job_ended","process":"entry-0","job":"aa","age_ms":"1000"}
+2026-12-02 10:00:03.000000 warning {"name":"office_lost","process":"entry-0"}
+no event at all {
+2026-12-02 10:00:01.300000 warning {"name":"store_lost","process":"entry-1"}
+2026-12-02 10:00:01.400000 info {"name":"worker_paced","process":"g-1"}
+2026-12-02 10:00:01.500000 info {"name":"worker_paced","process":"g-2"}
+)";
+
+std::vector<std::string> names_of(const std::vector<log_line>& story)
+{
+    std::vector<std::string> names;
+    for (const log_line& line : story)
+    {
+        names.push_back(line.event.at("name"));
+    }
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("a job's story: its own lines, and what happened around it")
+{
+    std::istringstream in(logs);
+    const auto lines = read_log(in);
+    CHECK(lines.size() == 9);
+    const auto story = story_of("aa", lines);
+    CHECK(names_of(story) ==
+          std::vector<std::string>{"job_accepted", "run_placed", "store_lost",
+                                   "worker_paced", "job_ended"});
+    CHECK(text_of(story.back()) ==
+          "2026-12-02 10:00:02.000000  entry-0  job_ended  age_ms=1000  "
+          "job=aa");
+    CHECK(story_of("a", lines).empty());
+}
