Entry: what the store leaves unanswered is passed on once, then told at once

Now a second try follows, with twice the time, for a store that is only slow; then another entry is asked to write the job; then the caller gets 504 at once and may ask elsewhere. An entry that was asked by another one passes nothing on, and what may have been written is never refused.

Holder: fills are placed down to a headroom of 1.3 (1.5 before).

--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -17,6 +17,9 @@
 constexpr duration come_back = std::chrono::seconds(1);
 // A store that refuses this often in a row is away: the caller is told.
 constexpr std::int64_t most_refusals = 3;
+// A store that is slow answers the second try, which waits twice as long. One
+// that leaves both unanswered is away here: another entry may reach it.
+constexpr std::int64_t most_unanswered = 2;
 constexpr duration holder_timeout = std::chrono::milliseconds(250);
 // Ample for another entry's write to the store.
 constexpr duration forward_timeout = std::chrono::milliseconds(1000);
@@ -141,10 +144,11 @@
 
 void job_desk::forward(const job& what, const request_ptr& to)
 {
+    to->passed_on = true;
     const std::string address = other_entry();
     if (address.empty())
     {
-        refuse_submission(what, to, "the store is away");
+        give_up(what, to, "the store is away");
         return;
     }
     process_.client.send({.method = "POST",
@@ -170,13 +174,15 @@
     const bool surely_not =
         result.how == delivery::not_sent ||
         (answered && result.response.status == unavailable_status);
-    if (surely_not)
-    {
-        refuse_submission(what, to, "the store is away, here and there");
-        return;
-    }
-    to->may_be_done = true;
-    again(to, [this, what, to] { submit(what, to); });
+    to->may_be_done = to->may_be_done || !surely_not;
+    give_up(what, to, "the store is away, here and there");
+}
+
+// What may have been written somewhere must not be refused.
+void job_desk::give_up(const job& what, const request_ptr& to, const char* why)
+{
+    to->may_be_done ? answer_unknown(what, to)
+                    : refuse_submission(what, to, why);
 }
 
 void job_desk::on_forwarded(const http_arrival& arrival)
@@ -185,7 +191,8 @@
     auto request = std::make_shared<open_request>(
         open_request{.responder = arrival.responder,
                      .arrived = now,
-                     .give_up = now + forward_timeout - answer_margin});
+                     .give_up = now + forward_timeout - answer_margin,
+                     .passed_on = true});
     ++open_;
     try
     {
@@ -299,7 +306,16 @@
         }
         return;
     }
-    to->may_be_done = to->may_be_done || result.status == store_status::unknown;
+    if (result.status == store_status::unknown)
+    {
+        to->may_be_done = true;
+        ++to->unanswered;
+    }
+    if (to->unanswered >= most_unanswered)
+    {
+        on_unanswered(what, to);
+        return;
+    }
     if (!to->may_be_done && to->tries >= most_refusals)
     {
         refuse_submission(what, to, "the store refuses");
@@ -308,6 +324,28 @@
     again(to, [this, what, to] { submit(what, to); });
 }
 
+// The job may be written here or not; written by another entry it is the same
+// job. If none can, the caller is told at once, and asks again elsewhere.
+void job_desk::on_unanswered(const job& what, const request_ptr& to)
+{
+    if (!to->passed_on)
+    {
+        forward(what, to);
+        return;
+    }
+    answer_unknown(what, to);
+}
+
+void job_desk::answer_unknown(const job& what, const request_ptr& to)
+{
+    process_.numbers.count("job_not_taken", {what.queue, "job"}, "unknown");
+    log_event(event_id::job_not_taken,
+              {{"job", what.id},
+               {"why", "the store gave no answer; it may have the job"},
+               {"tries", std::to_string(to->tries)}});
+    answer(to, platform::unknown_answer("the store gave no answer"));
+}
+
 // Saves the time until the holder finds the job in the store.
 void job_desk::tell_holder(const job& what)
 {
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -49,6 +49,8 @@
         time_point give_up;       ///< then the caller waits no longer
         bool may_be_done = false; ///< some write got no answer
         std::int64_t tries = 0;
+        std::int64_t unanswered = 0; ///< tries that the store left so
+        bool passed_on = false;      ///< another entry has tried, or asks us
     };
     using request_ptr = std::shared_ptr<open_request>;
 
@@ -61,6 +63,7 @@
     void submit(const job& what, const request_ptr& to);
     void on_submitted(const job& what, const request_ptr& to,
                       const platform::store_result& result);
+    void on_unanswered(const job& what, const request_ptr& to);
     void forward(const job& what, const request_ptr& to);
     void on_forward_ended(const job& what, const request_ptr& to,
                           const http_result& result);
@@ -84,6 +87,8 @@
                     std::function<void(std::optional<json>)> done);
     [[nodiscard]] duration call_time(const request_ptr& to) const;
     void note_store(const platform::store_result& result);
+    void give_up(const job& what, const request_ptr& to, const char* why);
+    void answer_unknown(const job& what, const request_ptr& to);
     void refuse_submission(const job& what, const request_ptr& to,
                            const char* why);
 
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -26,7 +26,7 @@
     double serving_use = 0.45;
     /// Headroom (target by tail) that a serving task must keep, by the learnt
     /// harm, for a fill to be placed beside it: the load moves meanwhile.
-    double least_headroom = 1.5;
+    double least_headroom = 1.3;
     /// Headroom without fills where no figure is known yet: the middle of
     /// both sites' figures.
     double usual_headroom = 2.0;
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -188,3 +188,5 @@
             self.keeper.cancel()
         for one in self.processes:
             one.end()
+        for one in [self.store, *self.links, *self.executors]:
+            one.server.close()
