Holder: queues with advice, one question at a time, a ticket with each start

What was refused before (503) is carried out: for a step of a queue with advice the holder asks the service that the settings name about the workers with most room, 30 at most, one question at a time; places only where a ticket holds, and sends it with the start. Verdicts stay, tickets are asked for again 0.4 s before they end or when a worker does not take one. Without a service in the settings such jobs are refused as before.

Stored jobs that cannot be read have an event of their own (1613).

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -38,6 +38,8 @@
     office_asked_for = 1605,
     configuration_in_force = 1611,
     configuration_refused = 1612,
+    record_unreadable = 1613,
+    advice_came = 1614,
     job_accepted = 1621,
     job_not_taken = 1622,
     job_known = 1623,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -21,7 +21,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 45> catalogue{{
+constexpr std::array<event_description, 47> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -74,6 +74,11 @@
      "A newer configuration is in force here."},
     {event_id::configuration_refused, severity::error, "configuration_refused",
      "A configuration cannot be read; the last stays."},
+    {event_id::record_unreadable, severity::error, "record_unreadable",
+     "A stored job or its progress cannot be read and is passed over."},
+    {event_id::advice_came, severity::info, "advice_came",
+     "The advice service told which workers may run a step, or gave no "
+     "answer."},
     {event_id::job_accepted, severity::info, "job_accepted",
      "A job is in the store and its caller was told so."},
     {event_id::job_not_taken, severity::warning, "job_not_taken",
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -35,6 +35,8 @@
     std::string readiness;            ///< an entry's address for the balancer
     std::string executors; ///< where an executor sends its heartbeats
     std::string executor;  ///< the executor beside a guard
+    std::string advice;    ///< the service that queues with advice ask; empty:
+                           ///< there is none
     std::string metrics;   ///< where figures are told; empty: nowhere
     double processors = 1; ///< of the VM, in cores; the largest entries hold
 
--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -107,10 +107,10 @@
                       const request_ptr& to)
 {
     const queue_row* const queue = table_.queue(what.what.queue);
-    if (queue->advice)
+    if (queue->advice && process_.from.advice.empty())
     {
         refuse_submission(what.what, to,
-                          "queues with advice are not served yet");
+                          "the settings name no service to ask for advice");
         return;
     }
     job taken = what.what;
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -176,7 +176,7 @@
     }
     catch (const document_error& error)
     {
-        log_event(event_id::configuration_refused,
+        log_event(event_id::record_unreadable,
                   {{"key", item.key}, {"why", error.what()}});
     }
 }
@@ -267,7 +267,7 @@
     }
     catch (const document_error& error)
     {
-        log_event(event_id::configuration_refused,
+        log_event(event_id::record_unreadable,
                   {{"key", item.key}, {"why", error.what()}});
     }
 }
@@ -428,6 +428,37 @@
     return answer;
 }
 
+void job_holder::ask_for_advice(time_point now)
+{
+    const auto question =
+        process_.from.advice.empty() ? std::nullopt : core_.next_question(now);
+    if (!question)
+    {
+        return;
+    }
+    process_.client.send(
+        platform::encode(*question, process_.from.advice),
+        process_.on_control<http_result>(
+            [this, step = question->step, sent = now,
+             term = term_](const http_result& result)
+            {
+                if (term != term_)
+                {
+                    return;
+                }
+                const time_point came = boot_clock::now();
+                const auto answer = platform::decode_advice(result);
+                log_event(
+                    event_id::advice_came,
+                    {{"step", step},
+                     {"good", answer ? std::to_string(answer->tickets.size())
+                                     : "no answer"},
+                     {"took_ms",
+                      std::to_string(to_milliseconds(came - sent))}});
+                core_.advised(answer, came);
+            }));
+}
+
 void job_holder::send_orders()
 {
     for (const addressed_orders& one : core_.take_orders())
@@ -491,6 +522,7 @@
     core_.tick(now, day_milliseconds());
     write();
     keep_harms(now);
+    ask_for_advice(now);
     send_orders();
     log_decisions();
     count_figures(now);
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -76,6 +76,7 @@
     std::optional<std::int64_t>
     written_before(const platform::store_result& result) const;
 
+    void ask_for_advice(time_point now);
     void send_orders();
     void log_decisions();
     void count_figures(time_point now);
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::int64_t most_port = 65'535;
 constexpr std::int64_t most_milliseconds = 600'000;
-constexpr double usual_grace_s = 6;           // the platform's own figure
+constexpr double usual_grace_s = 6; // the platform's own figure
 constexpr double usual_processors = 1;
 constexpr std::int64_t usual_stop_ms = 400;   // the larger of both sites
 constexpr std::int64_t usual_lease_ms = 6000; // the smaller of both sites
@@ -120,6 +120,7 @@
     to.readiness = endpoint(reader, "readiness", entry);
     to.executors = endpoint(reader, "executors", !entry);
     to.executor = endpoint(reader, "executor", !entry);
+    to.advice = endpoint(reader, "advice", false);
     to.metrics = endpoint(reader, "metrics", false);
     to.processors = reader.positive("processors", usual_processors);
     reader.reject_unknown();
@@ -146,11 +147,9 @@
         {"grace_s", to_seconds(from.grace)},
         {"processors", from.processors}};
     const std::map<std::string, std::string> endpoints{
-        {"callers", from.callers},
-        {"readiness", from.readiness},
-        {"executors", from.executors},
-        {"executor", from.executor},
-        {"metrics", from.metrics}};
+        {"callers", from.callers},     {"readiness", from.readiness},
+        {"executors", from.executors}, {"executor", from.executor},
+        {"advice", from.advice},       {"metrics", from.metrics}};
     for (const auto& [key, endpoint] : endpoints)
     {
         if (!endpoint.empty())
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -20,7 +20,7 @@
     case order_result::no_room:
         return "no_room";
     case order_result::no_ticket:
-        return "no_ticket";
+        return no_ticket_reason;
     case order_result::rejected:
         return "rejected";
     case order_result::unhealthy:
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -76,6 +76,9 @@
     bool operator==(const ended_task&) const = default;
 };
 
+/// @brief Why a worker refused a run: its ticket is missing or over.
+inline constexpr const char* no_ticket_reason = "no_ticket";
+
 /// @brief A run that a worker refused and will never begin.
 struct refused_run
 {
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -51,12 +51,17 @@
     /// It has waited too long for a worker that bears it: the least harmful
     /// one that has room takes it, and the guard there slows it.
     bool despite_harm = false;
+    /// By incarnation, if only workers with one may run it; else null.
+    const std::map<std::string, std::string>* tickets = nullptr;
 };
 
 /// @brief Whether a worker may be given new runs at all.
 bool takes_runs(const worker_record& at, const std::string& service,
                 time_point now, const placement_options& options);
 
+/// @brief Whether a worker has a label; the empty one is had by all.
+bool has_label(const worker_record& at, const std::string& label);
+
 /// @brief The best worker for a task, or null if none can take it now.
 /// Workers that the task should avoid are taken only if no other can.
 worker_record* choose_worker(worker_map& workers, const placement_query& query,
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -3,6 +3,7 @@
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/ticket_book.hpp>
 #include <springstair/detail/scheduler/vain_queries.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
@@ -174,6 +175,15 @@
     void committed(const commit_batch& batch, std::int64_t revision,
                    time_point now);
 
+    /// @brief What to ask the advice service next; nothing while a question
+    /// is out. The caller answers with advised().
+    std::optional<advice_question> next_question(time_point now)
+    {
+        return advice_.next_question(now);
+    }
+    /// @brief What came of the question; nothing if it got no answer.
+    void advised(const std::optional<advice_answer>& answer, time_point now);
+
     /// @brief Orders that became due.
     std::vector<addressed_orders> take_orders();
     /// @brief Decisions since the last call.
@@ -207,12 +217,16 @@
                     std::int64_t step, time_point now);
     bool place_gang(job_record& of, const queue_row& queue, std::int64_t round,
                     std::int64_t step, time_point now);
-    std::vector<worker_record*> gang_workers(job_record& of,
-                                             const queue_row& queue,
-                                             const task_position& first,
-                                             time_point now);
+    std::vector<worker_record*> gang_workers(
+        job_record& of, const queue_row& queue, const task_position& first,
+        const std::map<std::string, std::string>* tickets, time_point now);
+    std::map<std::string, std::string> tickets_for(const job_step& step,
+                                                   const std::string& group,
+                                                   const queue_row& queue,
+                                                   time_point now);
     void put(job_record& of, job_task& task, worker_record& at,
-             std::int64_t number, time_point now);
+             std::int64_t number,
+             const std::map<std::string, std::string>& tickets, time_point now);
     [[nodiscard]] std::tuple<std::int64_t, int, time_point>
     rank_of(const job_record& of, time_point now) const;
 
@@ -254,6 +268,7 @@
     void finish(job_record& of, job_state state, time_point now,
                 std::vector<event_field> why);
     void finish_if_done(job_record& of, time_point now);
+    void forget_advice(const job_record& of);
     void stop_all(job_record& of);
     void want(job_record& of);
     void lose_worker(worker_record& at, const char* why, time_point now);
@@ -274,6 +289,7 @@
     time_point last_commit_{};
     worker_map workers_;
     harm_model harm_;
+    ticket_book advice_;
     vain_queries vain_;     ///< of this pass over the waiting tasks
     bool may_place_ = true; ///< jobs or room changed since the last pass
     time_point last_pass_{};
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/ticket_book.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <springstair/jobs.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief Timings of asking for advice.
+struct ticket_options
+{
+    /// Workers in one question; the latency objective allows for so many.
+    std::size_t most_workers = 30;
+    /// A ticket is used no more when this little of its time remains: a start
+    /// waits for the store and travels to its worker.
+    duration reserve = std::chrono::milliseconds(400);
+    /// After a question without an answer, and before workers that were not
+    /// good are asked about again (they stay so; others may come).
+    duration pause = std::chrono::milliseconds(300);
+};
+
+/// @brief What the holder knows of who may run steps of queues with advice.
+///
+/// The service takes one question at a time, so one is out at a time.
+class ticket_book
+{
+public:
+    explicit ticket_book(ticket_options options = {}) : options_(options) {}
+
+    /// @brief The tickets of a step that still hold, by incarnation.
+    std::map<std::string, std::string> tickets(const std::string& step,
+                                               time_point now) const;
+    /// @brief A step needs a worker. Notes a question about those that were
+    /// not asked about, unless one for the step waits already.
+    void want(const std::string& step, const std::vector<std::string>& lives,
+              time_point now);
+    /// @brief The next question; nothing while one is out or none waits.
+    std::optional<advice_question> next_question(time_point now);
+    /// @brief What came of the question that is out; nothing if no answer.
+    void answered(const std::optional<advice_answer>& answer, time_point now);
+    /// @brief A worker did not take its ticket: it is asked about again.
+    void refused(const std::string& step, const std::string& life);
+    /// @brief The step needs no worker any more.
+    void forget(const std::string& step);
+
+private:
+    struct ticket
+    {
+        std::string text;
+        time_point until;
+    };
+    struct step_record
+    {
+        std::map<std::string, ticket> good; ///< by incarnation
+        std::map<std::string, time_point> asked;
+        std::vector<std::string> wanted; ///< to ask about; empty: nothing
+        time_point not_before{};
+    };
+
+    ticket_options options_;
+    std::map<std::string, step_record> steps_;
+    std::optional<advice_question> out_;
+    time_point out_since_{};
+};
+
+} // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/vain_queries.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/vain_queries.hpp
@@ -50,10 +50,12 @@
 private:
     using key = std::tuple<std::string, std::string, std::string, bool>;
 
-    // Bounds a worker depend on the job; who waited too long on the moment.
+    // Bounds a worker and tickets depend on the job; who waited too long on
+    // the moment.
     static bool is_comparable(const placement_query& query)
     {
-        return query.step.most_per_worker == 0 && !query.despite_harm;
+        return query.step.most_per_worker == 0 && !query.despite_harm &&
+               query.tickets == nullptr;
     }
 
     static key key_of(const placement_query& query)
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -9,5 +9,6 @@
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
+#include <springstair/detail/scheduler/ticket_book.hpp>
 #include <springstair/detail/scheduler/vain_queries.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -17,13 +17,6 @@
 // Headroom where a fill harms nobody: above any that a tail can have.
 constexpr double no_harm = 10;
 
-bool has_label(const worker_record& at, const std::string& label)
-{
-    const auto& labels = at.what.labels;
-    return label.empty() ||
-           std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
 bool below_step_bound(const worker_record& at, const placement_query& query)
 {
     if (query.step.most_per_worker == 0)
@@ -45,7 +38,8 @@
            reserved_by(query.step).fits(at.room()) &&
            (!query.step.fills || query.despite_harm ||
             has_fill_room(at, query, options)) &&
-           has_label(at, query.step.label) && below_step_bound(at, query);
+           has_label(at, query.step.label) && below_step_bound(at, query) &&
+           (query.tickets == nullptr || query.tickets->contains(at.what.life));
 }
 
 double share(std::int64_t part, std::int64_t whole)
@@ -153,6 +147,13 @@
 
 } // namespace
 
+bool has_label(const worker_record& at, const std::string& label)
+{
+    const auto& labels = at.what.labels;
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 bool takes_runs(const worker_record& at, const std::string& service,
                 time_point now, const placement_options& options)
 {
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -149,6 +149,7 @@
 {
     const duration age = now - of.accepted;
     of.enter(state);
+    forget_advice(of);
     finished_.push_back(
         {.queue = of.what().queue,
          .state = state,
@@ -161,6 +162,19 @@
     note(event_id::job_ended, std::move(why));
 }
 
+void scheduler_core::forget_advice(const job_record& of)
+{
+    const auto steps = static_cast<std::int64_t>(of.what().steps.size());
+    for (std::int64_t round = 0; round < of.what().rounds(); ++round)
+    {
+        for (std::int64_t step = 0; step < steps; ++step)
+        {
+            advice_.forget(
+                step_group(of.what().id, {.round = round, .step = step}));
+        }
+    }
+}
+
 void scheduler_core::finish_if_done(job_record& of, time_point now)
 {
     if (is_final(of.state()) || !of.all_done())
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -115,7 +115,7 @@
         return false;
     }
     const queue_row* const queue = table_.queue(of.what().queue);
-    if (queue == nullptr || queue->advice)
+    if (queue == nullptr)
     {
         return true;
     }
@@ -144,6 +144,42 @@
     return more;
 }
 
+// The workers that may run a step of a queue with advice, by its tickets. Asks
+// about those with most room that it has not asked about.
+std::map<std::string, std::string>
+scheduler_core::tickets_for(const job_step& step, const std::string& group,
+                            const queue_row& queue, time_point now)
+{
+    std::vector<const worker_record*> candidates;
+    for (const auto& [name, at] : workers_)
+    {
+        if (takes_runs(at, queue.service, now, options_.placement) &&
+            has_label(at, step.label))
+        {
+            candidates.push_back(&at);
+        }
+    }
+    std::stable_sort(
+        candidates.begin(), candidates.end(),
+        [](const worker_record* left, const worker_record* right)
+        { return left->room().cpu_millis > right->room().cpu_millis; });
+    std::vector<std::string> lives;
+    lives.reserve(candidates.size());
+    for (const worker_record* at : candidates)
+    {
+        lives.push_back(at->what.life);
+    }
+    advice_.want(group, lives, now);
+    return advice_.tickets(group, now);
+}
+
+void scheduler_core::advised(const std::optional<advice_answer>& answer,
+                             time_point now)
+{
+    advice_.answered(answer, now);
+    may_place_ = true;
+}
+
 bool scheduler_core::place_step(job_record& of, const queue_row& queue,
                                 std::int64_t round, std::int64_t step,
                                 time_point now)
@@ -151,7 +187,15 @@
     bool left = false;
     const std::string group =
         step_group(of.what().id, {.round = round, .step = step});
-    for (job_task& task : of.tasks_of(round, step))
+    const job_step& what = of.what().steps[static_cast<std::size_t>(step)];
+    const auto tasks = of.tasks_of(round, step);
+    const bool waits = std::any_of(tasks.begin(), tasks.end(), &is_waiting);
+    std::map<std::string, std::string> tickets;
+    if (queue.advice && waits)
+    {
+        tickets = tickets_for(what, group, queue, now);
+    }
+    for (job_task& task : tasks)
     {
         if (!is_waiting(task))
         {
@@ -163,14 +207,15 @@
             continue;
         }
         const placement_query query{
-            .step = of.what().steps[static_cast<std::size_t>(step)],
+            .step = what,
             .service = queue.service,
             .group = group,
             .avoided = task.avoided,
             .harm = harm_,
             .now = now,
-            .despite_harm = !of.has_runs() && now - task.ready_since >
-                                                  options_.longest_harm_wait};
+            .despite_harm = !of.has_runs() &&
+                            now - task.ready_since > options_.longest_harm_wait,
+            .tickets = queue.advice ? &tickets : nullptr};
         worker_record* const at =
             vain_.covers(query)
                 ? nullptr
@@ -180,20 +225,25 @@
             vain_.note(query);
             return true; // its siblings ask for the same
         }
-        put(of, task, *at, task.runs + 1, now);
+        put(of, task, *at, task.runs + 1, tickets, now);
     }
     return left;
 }
 
 void scheduler_core::put(job_record& of, job_task& task, worker_record& at,
-                         std::int64_t number, time_point now)
+                         std::int64_t number,
+                         const std::map<std::string, std::string>& tickets,
+                         time_point now)
 {
     const task_position where = of.position_of(task);
     ++of.change;
     task.runs = number;
+    const auto ticket = tickets.find(at.what.life);
     task.run = task_run{.number = number,
                         .guard = at.guard,
                         .life = at.what.life,
+                        .ticket = ticket == tickets.end() ? std::string()
+                                                          : ticket->second,
                         .placed_in = of.change,
                         .moved_at = now};
     const task_name name{of.what().id, where};
@@ -234,8 +284,15 @@
     {
         return true;
     }
+    const task_position first{.round = round, .step = step};
+    std::map<std::string, std::string> tickets;
+    if (queue.advice)
+    {
+        tickets = tickets_for(of.step_at(first),
+                              step_group(of.what().id, first), queue, now);
+    }
     const auto chosen =
-        gang_workers(of, queue, {.round = round, .step = step}, now);
+        gang_workers(of, queue, first, queue.advice ? &tickets : nullptr, now);
     if (chosen.empty())
     {
         return true;
@@ -247,16 +304,16 @@
     }
     for (std::size_t index = 0; index < tasks.size(); ++index)
     {
-        put(of, tasks[index], *chosen[index], number, now);
+        put(of, tasks[index], *chosen[index], number, tickets, now);
     }
     return false;
 }
 
 // One worker a member, chosen on a copy of the ledger; empty if they do not
 // all fit. A gang that wants one rack is tried rack by rack first.
-std::vector<worker_record*>
-scheduler_core::gang_workers(job_record& of, const queue_row& queue,
-                             const task_position& first, time_point now)
+std::vector<worker_record*> scheduler_core::gang_workers(
+    job_record& of, const queue_row& queue, const task_position& first,
+    const std::map<std::string, std::string>* tickets, time_point now)
 {
     const job_step& step = of.step_at(first);
     const auto tasks = of.tasks_of(first.round, first.step);
@@ -281,7 +338,8 @@
                                .group = group,
                                .avoided = tasks[index].avoided,
                                .harm = harm_,
-                               .now = now},
+                               .now = now,
+                               .tickets = tickets},
                               options_.placement);
             if (at == nullptr)
             {
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -205,6 +205,10 @@
                                      {"run", std::to_string(refusal.run)},
                                      {"guard", at.guard},
                                      {"reason", refusal.reason}});
+        if (refusal.reason == no_ticket_reason)
+        {
+            advice_.refused(step_group(name->job, name->at), at.what.life);
+        }
         task->not_before = now + options_.refused_pause;
         close_run(*of, *task, run_end::refused, {}, now);
     }
@@ -408,9 +412,9 @@
             const job_step& step = of.step_at(name.at);
             task_run& run = *of.find(name.at)->run;
             const queue_row* const queue = table_.queue(of.what().queue);
-            const bool may_move = step.fills && step.checkpoints &&
-                                  step.image == image && run.seen &&
-                                  !run.stopping && queue != nullptr;
+            const bool may_move =
+                step.fills && step.checkpoints && step.image == image &&
+                run.seen && !run.stopping && queue != nullptr && !queue->advice;
             if (!may_move || moves >= options_.most_moves)
             {
                 continue;
@@ -489,6 +493,7 @@
             .run = task.run->number,
             .payload = of.what().payload,
             .checkpoint = task.checkpoint,
+            .ticket = task.run->ticket,
             .fills = step.fills,
             .latency_target_ms = step.latency_target_ms,
             .image = step.image};
--- /dev/null
+++ b/packages/scheduler/src/ticket_book.cpp
@@ -0,0 +1,113 @@
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+std::map<std::string, std::string> ticket_book::tickets(const std::string& step,
+                                                        time_point now) const
+{
+    std::map<std::string, std::string> out;
+    const auto found = steps_.find(step);
+    if (found == steps_.end())
+    {
+        return out;
+    }
+    for (const auto& [life, held] : found->second.good)
+    {
+        if (now + options_.reserve < held.until)
+        {
+            out.emplace(life, held.text);
+        }
+    }
+    return out;
+}
+
+void ticket_book::want(const std::string& step,
+                       const std::vector<std::string>& lives, time_point now)
+{
+    step_record& of = steps_[step];
+    const bool waits = !of.wanted.empty() || (out_ && out_->step == step);
+    if (waits || now < of.not_before)
+    {
+        return;
+    }
+    for (const std::string& life : lives)
+    {
+        const auto held = of.good.find(life);
+        const bool holds = held != of.good.end() &&
+                           now + options_.reserve < held->second.until;
+        const bool bad = held == of.good.end() && of.asked.contains(life);
+        if (!holds && !bad && of.wanted.size() < options_.most_workers)
+        {
+            of.wanted.push_back(life);
+        }
+    }
+}
+
+std::optional<advice_question> ticket_book::next_question(time_point now)
+{
+    if (out_)
+    {
+        return std::nullopt;
+    }
+    const auto waiting = std::find_if(steps_.begin(), steps_.end(),
+                                      [](const auto& entry)
+                                      { return !entry.second.wanted.empty(); });
+    if (waiting == steps_.end())
+    {
+        return std::nullopt;
+    }
+    out_ = advice_question{.step = waiting->first,
+                           .lives = std::move(waiting->second.wanted)};
+    waiting->second.wanted.clear();
+    out_since_ = now;
+    return out_;
+}
+
+void ticket_book::answered(const std::optional<advice_answer>& answer,
+                           time_point now)
+{
+    const advice_question question = out_.value();
+    out_.reset();
+    const auto found = steps_.find(question.step);
+    if (found == steps_.end())
+    {
+        return; // forgotten meanwhile
+    }
+    step_record& of = found->second;
+    of.not_before = answer ? time_point{} : now + options_.pause;
+    if (!answer)
+    {
+        return;
+    }
+    const time_point until =
+        out_since_ + std::chrono::milliseconds(answer->valid_ms);
+    for (const std::string& life : question.lives)
+    {
+        of.asked[life] = now;
+        of.good.erase(life);
+    }
+    for (const auto& [life, text] : answer->tickets)
+    {
+        of.good[life] = {.text = text, .until = until};
+    }
+}
+
+void ticket_book::refused(const std::string& step, const std::string& life)
+{
+    const auto found = steps_.find(step);
+    if (found != steps_.end())
+    {
+        found->second.good.erase(life);
+        found->second.asked.erase(life);
+    }
+}
+
+void ticket_book::forget(const std::string& step)
+{
+    steps_.erase(step);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/tests/soak/advice.py
@@ -0,0 +1,57 @@
+"""A stand-in of the service that decides which executors may run a step."""
+
+import asyncio
+import time
+
+from wire import serve
+
+VALID_MS = 2500
+GOOD_SHARE = 0.6
+MOST_WAITING = 32
+
+
+class Advice:
+    def __init__(self, draw):
+        self.draw = draw
+        self.verdicts = {}  # (step, life): whether it may, for good
+        self.tickets = {}  # text: (step, life, until)
+        self.turn = asyncio.Lock()
+        self.waiting = 0
+
+    async def start(self, address, port):
+        self.server = await serve(address, port, self.handle)
+
+    async def handle(self, _method, _path, _query, _headers, document):
+        if self.waiting >= MOST_WAITING:
+            return 429, {}
+        self.waiting += 1
+        async with self.turn:
+            await asyncio.sleep(0.02 + 0.002 * len(document["workers"]))
+        self.waiting -= 1
+        good = [[life, self.ticket(document["step"], life)]
+                for life in document["workers"]
+                if self.verdict(document["step"], life)]
+        return 200, {"good": good, "valid_ms": VALID_MS}
+
+    def verdict(self, step, life):
+        name = (step, life.rsplit("-", 1)[0])  # a machine, whatever its life
+        if name not in self.verdicts:
+            # At least one machine may: else the job could never be done.
+            first = not any(step == other for other, _ in self.verdicts)
+            self.verdicts[name] = first or self.draw.random() < GOOD_SHARE
+        return self.verdicts[name]
+
+    def ticket(self, step, life):
+        text = f"{self.draw.getrandbits(48):012x}"
+        self.tickets[text] = (step, life, time.monotonic() + VALID_MS / 1000)
+        return text
+
+    def admits(self, record, life, order):
+        """Whether a start carries what its queue asks for."""
+        job, _ = record.starts_as(order["task"])
+        if job is None or job.queue != "heavy":
+            return True
+        step, held_by, until = self.tickets.get(
+            order.get("ticket"), (None, None, 0))
+        return (order["task"].rsplit(".", 1)[0] == step and held_by == life
+                and time.monotonic() < until)
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -23,12 +23,13 @@
 
 
 class Executor:
-    def __init__(self, name, draw, record, guard, capacity):
+    def __init__(self, name, draw, record, guard, capacity, advice):
         self.name = name
         self.draw = draw
         self.record = record
         self.guard = Connection(guard)
         self.capacity = capacity
+        self.advice = advice
         self.lives = 0
         self.down = False
         self.late_share = 0.0
@@ -161,6 +162,8 @@
         if here or number <= self.highest.get(task, 0):
             self.extend(order)
             return 409, {"reason": "old"}
+        if not self.advice.admits(self.record, self.life, order):
+            return 409, {"reason": "ticket"}
         traits = self.record.starts(self, task, number, order)
         self.extend(order)
         self.runs[task] = Run(number, order.get("checkpoint", ""), traits,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 
+from advice import VALID_MS, Advice
 from executor import Executor
 from links import Link
 from store import Store
@@ -18,7 +19,8 @@
 BUILD = os.environ.get("SPRINGSTAIR_BUILD", os.path.join(ROOT, "build"))
 PROGRAM = os.environ.get("SPRINGSTAIR_PROGRAM",
                          os.path.join(BUILD, "springstaird"))
-INTERNAL, CALLERS, READINESS, HEARTBEATS, EXECUTOR, STORE = range(17001, 17007)
+(INTERNAL, CALLERS, READINESS, HEARTBEATS, EXECUTOR, STORE,
+ ADVICE) = range(17001, 17008)
 GRACE_S = 6
 HOST = "jobs.example"
 CAPACITY = {"cpu": 8000, "mem_mb": 16000, "gpu": 0}
@@ -96,6 +98,8 @@
 
     async def start(self):
         await self.store.start(self.ip(3, 0), STORE)
+        self.advice = Advice(self.draw)
+        await self.advice.start(self.ip(3, 0), ADVICE)
         self.configure()
         names = self.entries + self.guards
         for number, name in enumerate(names):
@@ -117,6 +121,7 @@
         if name in self.entries:
             settings |= {"role": "job_entry", "callers": f"{own}:{CALLERS}",
                          "readiness": f"{own}:{READINESS}",
+                         "advice": f"{self.ip(3, 0)}:{ADVICE}",
                          "processors": 1 if number else 2}
             await self.link("callers of " + name, f"{own}:{CALLERS}", seen,
                             CALLERS)
@@ -131,7 +136,7 @@
 
     async def add_executor(self, number, own, seen):
         one = Executor(f"x{number}", self.draw, self.record,
-                       f"{own}:{HEARTBEATS}", CAPACITY)
+                       f"{own}:{HEARTBEATS}", CAPACITY, self.advice)
         await one.start(self.ip(2, number), EXECUTOR)
         await self.link(f"executor {number}", one.address, seen, EXECUTOR)
         one.address = f"{seen}:{EXECUTOR}"  # as its heartbeats say
@@ -149,6 +154,8 @@
                    "service": "s", "priority": n, "max_attempts": 3,
                    "stretch": 2, "target_latency_ms": 1000}
                   for n, queue in enumerate(("quick", "heavy", "lasting"))]
+        routes[1]["advice"] = {"decide_ms": 20, "each_ms": 2,
+                               "valid_ms": VALID_MS}
         document = {"version": self.version, "routes": routes,
                     "services": [{"name": "s", "enforces_capacity": False}]}
         self.store.configure(document)
@@ -188,5 +195,5 @@
             self.keeper.cancel()
         for one in self.processes:
             one.end()
-        for one in [self.store, *self.links, *self.executors]:
+        for one in [self.store, self.advice, *self.links, *self.executors]:
             one.server.close()
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -310,6 +310,25 @@
     CHECK_FALSE(adapter::decode_look(answered(421, "")).has_value());
 }
 
+TEST_CASE("a question for advice, and what its answer means")
+{
+    const http_call call = adapter::encode(
+        advice_question{.step = "a.0.1", .lives = {"x-1", "x-2"}},
+        "10.0.0.9:1");
+    CHECK(call.url == "http://10.0.0.9:1/springstair/advise");
+    CHECK(json::parse(*call.body) ==
+          json{{"step", "a.0.1"}, {"workers", {"x-1", "x-2"}}});
+    const auto answer = adapter::decode_advice(
+        answered(200, R"({"good": [["x-1", "pass"]], "valid_ms": 3000})"));
+    REQUIRE(answer.has_value());
+    CHECK(answer->tickets ==
+          std::map<std::string, std::string>{{"x-1", "pass"}});
+    CHECK(answer->valid_ms == 3000);
+    CHECK_FALSE(adapter::decode_advice(answered(429, "{}")).has_value());
+    CHECK_FALSE(adapter::decode_advice(answered(200, "{}")).has_value());
+    CHECK_FALSE(adapter::decode_advice({}).has_value());
+}
+
 TEST_CASE("the store: values travel as base64, conditions as revisions")
 {
     one_answer_store store(
@@ -398,8 +417,8 @@
               {"data_centre", "d"},           {"address", "10.0.0.1"},
               {"internal_port", 7720},        {"store", "10.0.0.2:1"},
               {"entries", {"10.0.0.3:8166"}}, {"grace_s", 2.5},
-              {"processors", 0.25},
-              {"executors", "10.0.0.1:8166"}, {"executor", "10.0.0.1:8165"}};
+              {"processors", 0.25},           {"executors", "10.0.0.1:8166"},
+              {"executor", "10.0.0.1:8165"}};
     CHECK(is_job_settings(good));
     const job_settings read = parse_job_settings(good);
     CHECK(read.entries.at(0) == "10.0.0.3:7720");
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -381,6 +381,40 @@
           at.where.at(spread.id + ".0.0.1"));
 }
 
+TEST_CASE("a queue with advice runs only where the service lets it")
+{
+    holder at;
+    queue_table table = holder::table(2);
+    table.queues[0].advice = advice_terms{};
+    at.core.set_table(table);
+    at.say("g1");
+    at.say("g2");
+    const job what = at.submit({step_of(2)});
+    at.turn();
+    CHECK(at.started.empty());
+    const auto question = at.core.next_question(at.now);
+    REQUIRE(question.has_value());
+    CHECK(question->step == what.id + ".0.0");
+    CHECK(question->lives.size() == 2);
+    at.core.advised(
+        advice_answer{.tickets = {{"g2-1", "pass"}}, .valid_ms = 3000}, at.now);
+    at.turn();
+    CHECK(at.where.at(what.id + ".0.0.0") == "g2");
+    CHECK(at.where.at(what.id + ".0.0.1") == "g2");
+    CHECK(at.started.at(what.id + ".0.0.0").ticket == "pass");
+
+    // The worker finds it over: it is asked for anew.
+    at.worker("g2").running.clear();
+    at.worker("g2").refused = {
+        {.task = what.id + ".0.0.0", .run = 1, .reason = no_ticket_reason}};
+    at.say("g2");
+    at.worker("g2").refused.clear();
+    at.turn(milliseconds(400));
+    const auto again = at.core.next_question(at.now);
+    REQUIRE(again.has_value());
+    CHECK(again->lives == std::vector<std::string>{"g2-1"});
+}
+
 TEST_CASE("priority goes first, then the earliest objective")
 {
     holder at;
