Revert: while the store is away, a submission waits for it a quarter of its objective

A caller's 3 s count from its first try, so the wait only takes the place of its pauses. It buys nothing, and an answer at once is plainer.

--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -23,12 +23,7 @@
 constexpr duration holder_timeout = std::chrono::milliseconds(250);
 // Ample for another entry's write to the store.
 constexpr duration forward_timeout = std::chrono::milliseconds(1000);
-constexpr duration probe_every = std::chrono::milliseconds(200);
-// While the store is away, a submission waits for it this part of its latency
-// objective and no longer than a quarter of a caller's usual 3 s: outages are
-// short, and a job that is taken late is still worth more than one refused.
-constexpr std::int64_t hold_part = 4;
-constexpr duration longest_hold = std::chrono::milliseconds(750);
+constexpr duration probe_every = std::chrono::milliseconds(250);
 constexpr duration probe_timeout = std::chrono::milliseconds(600);
 constexpr int good_status = 200;
 constexpr int bad_request_status = 400;
@@ -118,10 +113,6 @@
                           "the settings name no service to ask for advice");
         return;
     }
-    to->hold_until =
-        to->arrived +
-        std::min(longest_hold,
-                 latency_objective(what.what.chain_ms(), *queue) / hold_part);
     job taken = what.what;
     taken.accepted_ms = day_milliseconds();
     // The store may turn away this VM only: another entry can write the job.
@@ -190,22 +181,10 @@
 // What may have been written somewhere must not be refused.
 void job_desk::give_up(const job& what, const request_ptr& to, const char* why)
 {
-    const time_point next = boot_clock::now() + retry_pause;
-    if (next < to->hold_until)
-    {
-        later_.emplace_back(next,
-                            [this, what, to, why] { try_held(what, to, why); });
-        return;
-    }
     to->may_be_done ? answer_unknown(what, to)
                     : refuse_submission(what, to, why);
 }
 
-void job_desk::try_held(const job& what, const request_ptr& to, const char* why)
-{
-    store_away_since_ ? give_up(what, to, why) : submit(what, to);
-}
-
 void job_desk::on_forwarded(const http_arrival& arrival)
 {
     const time_point now = boot_clock::now();
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -47,7 +47,6 @@
         std::shared_ptr<http_responder> responder;
         time_point arrived;
         time_point give_up;       ///< then the caller waits no longer
-        time_point hold_until{};  ///< so long it waits for the store
         bool may_be_done = false; ///< some write got no answer
         std::int64_t tries = 0;
         std::int64_t unanswered = 0; ///< tries that the store left so
@@ -89,7 +88,6 @@
     [[nodiscard]] duration call_time(const request_ptr& to) const;
     void note_store(const platform::store_result& result);
     void give_up(const job& what, const request_ptr& to, const char* why);
-    void try_held(const job& what, const request_ptr& to, const char* why);
     void answer_unknown(const job& what, const request_ptr& to);
     void refuse_submission(const job& what, const request_ptr& to,
                            const char* why);
--- a/packages/jobs/include/springstair/detail/jobs/queue_table.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/queue_table.hpp
@@ -36,10 +36,6 @@
     bool operator==(const queue_row&) const = default;
 };
 
-/// @brief Time from a job's submission to its end that its queue promises.
-/// @param chain_ms the job's longest chain of work, job::chain_ms()
-duration latency_objective(std::int64_t chain_ms, const queue_row& queue);
-
 /// @brief A row of the operators' table: one pool of workers.
 struct pool_row
 {
--- a/packages/jobs/src/queue_table.cpp
+++ b/packages/jobs/src/queue_table.cpp
@@ -5,13 +5,6 @@
 namespace springstair
 {
 
-duration latency_objective(std::int64_t chain_ms, const queue_row& queue)
-{
-    const auto chain = std::chrono::milliseconds(chain_ms);
-    return from_seconds(to_seconds(chain) * queue.stretch) +
-           std::chrono::milliseconds(queue.target_ms);
-}
-
 const queue_row* queue_table::queue(std::string_view name) const
 {
     const auto found =
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -57,7 +57,10 @@
     {
         return {last_priority, 0, of.accepted};
     }
-    const duration objective = latency_objective(of.chain_ms, *queue);
+    const auto chain = std::chrono::milliseconds(of.chain_ms);
+    const duration objective =
+        from_seconds(to_seconds(chain) * queue->stretch) +
+        std::chrono::milliseconds(queue->target_ms);
     const duration age = now - of.accepted;
     const bool lasting = of.what().steps.front().lasting;
     int lateness = 0;
