--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -94,7 +94,7 @@
     std::int64_t holder_epoch_ = 0;
     double holder_processors_ = 0;
     time_point next_request_{}; ///< when to ask a smaller holder again
-    bool busy_ = false; ///< a claim is under way
+    bool busy_ = false;         ///< a claim is under way
     bool renewing_ = false;
     bool checking_ = false;
     std::int64_t lease_ = 0;
--- a/tests/unit/explain_tests.cpp
+++ b/tests/unit/explain_tests.cpp
@@ -28,6 +28,7 @@
 std::vector<std::string> names_of(const std::vector<log_line>& story)
 {
     std::vector<std::string> names;
+    names.reserve(story.size());
     for (const log_line& line : story)
     {
         names.push_back(line.event.at("name"));
--- a/tests/unit/rpc_tests.cpp
+++ b/tests/unit/rpc_tests.cpp
@@ -116,8 +116,10 @@
     };
     for (const auto& [request, code] : cases)
     {
-        const json answer = json::parse(dispatcher.handle(request));
-        CHECK_MESSAGE(answer.at("error").at("code") == code, request);
+        const std::string& text = request;
+        const json answer = json::parse(dispatcher.handle(text));
+        INFO(text);
+        CHECK(answer.at("error").at("code") == code);
         CHECK_THROWS_AS(rpc_result(answer.dump()), rpc_error);
     }
     CHECK_THROWS_AS(rpc_result(R"({"jsonrpc":"2.0","id":1})"), rpc_error);
