Tickets: a set of workers that have a verdict; a comment that said too much

Found reading the change again: the times kept for each worker asked about were never read, the comment on the pause claimed that workers that were not good are asked about again (they are not), and explain.hpp included a header that only its source needs. Behaviour stays as it is; no test is changed.

--- a/packages/cli/explain.cpp
+++ b/packages/cli/explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <regex>
+#include <set>
 
 namespace springstair::cli
 {
--- a/packages/cli/explain.hpp
+++ b/packages/cli/explain.hpp
@@ -5,7 +5,6 @@
 #include <springstair/core.hpp>
 
 #include <istream>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/packages/scheduler/include/springstair/detail/scheduler/ticket_book.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/ticket_book.hpp
@@ -19,8 +19,8 @@
     /// A ticket is used no more when this little of its time remains: a start
     /// waits for the store and travels to its worker.
     duration reserve = std::chrono::milliseconds(400);
-    /// After a question without an answer, and before workers that were not
-    /// good are asked about again (they stay so; others may come).
+    /// Before a question without an answer is asked again. Workers that were
+    /// not good are not asked about again: the verdict does not change.
     duration pause = std::chrono::milliseconds(300);
 };
 
@@ -57,8 +57,8 @@
     struct step_record
     {
         std::map<std::string, ticket> good; ///< by incarnation
-        std::map<std::string, time_point> asked;
-        std::vector<std::string> wanted; ///< to ask about; empty: nothing
+        std::set<std::string> asked;        ///< have a verdict, good or not
+        std::vector<std::string> wanted;    ///< to ask about; empty: nothing
         time_point not_before{};
     };
 
--- a/packages/scheduler/src/ticket_book.cpp
+++ b/packages/scheduler/src/ticket_book.cpp
@@ -86,7 +86,7 @@
         out_since_ + std::chrono::milliseconds(answer->valid_ms);
     for (const std::string& life : question.lives)
     {
-        of.asked[life] = now;
+        of.asked.insert(life);
         of.good.erase(life);
     }
     for (const auto& [life, text] : answer->tickets)
