Holder: a state that may have changed is not shown from memory

Change: a state that is not final is shown from memory only within 1.5 s of the last proof of the office (its lease less the time between renewals); else the store tells. Final states never change and are shown as before.

--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -364,7 +364,7 @@
 void job_desk::handle(const platform::show_request& what, const request_ptr& to)
 {
     const std::string id = what.id;
-    if (const auto state = holder_.core().shown(id))
+    if (const auto state = holder_.shown(id))
     {
         answer(to, platform::state_answer(*state));
         return;
@@ -386,7 +386,7 @@
 
 json job_desk::show_for_peer(const json& message) const
 {
-    const auto state = holder_.core().shown(message.value("id", ""));
+    const auto state = holder_.shown(message.value("id", ""));
     return state ? json{{"state", std::string(to_string(*state))}}
                  : json::object();
 }
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -39,6 +39,11 @@
     {
         return at_ == stage::holding;
     }
+    /// What callers may be shown of a job; nothing if the store has to tell.
+    [[nodiscard]] std::optional<job_state> shown(const std::string& id) const
+    {
+        return core_.shown(id, boot_clock::now(), office_.verified_at());
+    }
     [[nodiscard]] const scheduler_core& core() const noexcept
     {
         return core_;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -29,6 +29,12 @@
     /// successor waits as long for workers it cannot reach. Above the longest
     /// outage of the store that tasks should survive, plus a permit.
     duration office_reach = std::chrono::seconds(10);
+    /// A state that can still change is shown from memory for so long after
+    /// the office was last verified. A holder that was paused or cut off for
+    /// longer may have a successor that showed a later state, and callers
+    /// would see the job go back. The lease of the office, 2 s, less the time
+    /// between its renewals.
+    duration show_reach = std::chrono::milliseconds(1500);
     /// A worker's clock may run slower by this share of a lease (platform).
     double clock_drift = 0.02;
     /// Delays of messages and timers, on top of a lease.
@@ -192,8 +198,11 @@
     /// @brief Jobs that ended since the last call.
     std::vector<finished_job> take_finished();
 
-    /// @brief What callers may be shown of a job; nothing if unknown.
-    [[nodiscard]] std::optional<job_state> shown(const std::string& id) const;
+    /// @brief What callers may be shown of a job; nothing if unknown, or if
+    /// another holder may know better by now.
+    /// @param verified when the office was last known to be this holder's
+    [[nodiscard]] std::optional<job_state>
+    shown(const std::string& id, time_point now, time_point verified) const;
     /// @brief Jobs of a queue of which no task has begun.
     [[nodiscard]] std::int64_t waiting(const std::string& queue) const;
     /// @brief The present epoch.
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -210,18 +210,24 @@
 // What is seen from outside
 // ---------------------------------------------------------------------------
 
-std::optional<job_state> scheduler_core::shown(const std::string& id) const
+std::optional<job_state> scheduler_core::shown(const std::string& id,
+                                               time_point now,
+                                               time_point verified) const
 {
     const job_record* const of = find(id);
     if (of == nullptr || !begun_)
     {
         return std::nullopt;
     }
-    if (!is_final(of->shown) && of->begun)
+    if (is_final(of->shown))
     {
-        return job_state::running;
+        return of->shown;
     }
-    return of->shown;
+    if (now - verified > options_.show_reach)
+    {
+        return std::nullopt;
+    }
+    return of->begun ? job_state::running : of->shown;
 }
 
 std::int64_t scheduler_core::waiting(const std::string& queue) const
