Scheduler: order, moves and learning in files of their own

The order of waiting jobs is a value (job_rank) and a function of its own now, to be read and tested without the holder; what leaves a worker and what is learnt from figures have a file each.

--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <springstair/detail/scheduler/job_record.hpp>
+
+#include <compare>
+#include <cstdint>
+
+namespace springstair
+{
+
+/// @brief Bounds of the order in which waiting jobs are served.
+struct order_options
+{
+    /// A job is worth less up to this many times its latency objective, and
+    /// nothing later (platform).
+    std::int64_t late_factor = 3;
+};
+
+/// @brief What a job can still earn, from best to worst.
+enum class job_prospect : std::uint8_t
+{
+    in_time,
+    late,
+    too_late
+};
+
+/// @brief A job's place among those that wait; the least goes first.
+struct job_rank
+{
+    std::int64_t priority = 0; ///< of its queue; 0 is the most urgent
+    job_prospect prospect = job_prospect::in_time;
+    time_point objective; ///< when it should have ended
+
+    auto operator<=>(const job_rank&) const = default;
+};
+
+/// @brief Priority first. Then jobs that can still meet their objective,
+/// those that are late, and those too late to be worth anything; the earliest
+/// objective first among each.
+/// @param queue of the job, or null if the table has none: it goes last
+job_rank rank_of(const job_record& of, const queue_row* queue, time_point now,
+                 const order_options& options);
+
+} // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <springstair/detail/scheduler/harm_model.hpp>
+#include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/ticket_book.hpp>
@@ -12,7 +13,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace springstair
@@ -22,6 +22,7 @@
 struct scheduler_options
 {
     placement_options placement;
+    order_options order;
     /// How long a worker's lease may last on one answer to its guard. Above
     /// a guard's restart and a frozen VM; below the platform's most.
     duration permit = std::chrono::seconds(4);
@@ -67,9 +68,6 @@
     /// Figures of a worker are learnt from so often: each is an average of
     /// the half second before.
     duration figure_age = std::chrono::milliseconds(450);
-    /// A job is worth less up to this many times its latency objective, and
-    /// nothing later (platform).
-    std::int64_t late_factor = 3;
     /// A fill of a job that has nothing running waits no longer than this for
     /// a worker whose serving tasks bear it; half of what the platform allows.
     duration longest_harm_wait = std::chrono::milliseconds(1500);
@@ -236,8 +234,6 @@
     void put(job_record& of, job_task& task, worker_record& at,
              std::int64_t number,
              const std::map<std::string, std::string>& tickets, time_point now);
-    [[nodiscard]] std::tuple<std::int64_t, int, time_point>
-    rank_of(const job_record& of, time_point now) const;
 
     // Reports (scheduler_reports.cpp).
     worker_record& worker_of(const worker_report& from, time_point now);
--- /dev/null
+++ b/packages/scheduler/src/job_order.cpp
@@ -0,0 +1,39 @@
+#include <springstair/scheduler.hpp>
+
+namespace springstair
+{
+
+namespace
+{
+
+// Above every configured priority: jobs of a queue that is gone go last.
+constexpr std::int64_t last_priority = 1'000'000;
+
+} // namespace
+
+job_rank rank_of(const job_record& of, const queue_row* queue, time_point now,
+                 const order_options& options)
+{
+    if (queue == nullptr)
+    {
+        return {.priority = last_priority, .objective = of.accepted};
+    }
+    const auto chain = std::chrono::milliseconds(of.chain_ms);
+    const duration objective =
+        from_seconds(to_seconds(chain) * queue->stretch) +
+        std::chrono::milliseconds(queue->target_ms);
+    const duration age = now - of.accepted;
+    const bool lasting = of.what().steps.front().lasting;
+    job_prospect prospect = job_prospect::in_time;
+    if (!lasting && age > objective)
+    {
+        prospect = age > objective * options.late_factor
+                       ? job_prospect::too_late
+                       : job_prospect::late;
+    }
+    return {.priority = queue->priority,
+            .prospect = prospect,
+            .objective = of.accepted + objective};
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/scheduler_learning.cpp
@@ -0,0 +1,82 @@
+// What is learnt from workers' figures, and what their guards are told of it.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+// Each report shows serving tasks' tails beside the fills that worked at the
+// same time.
+void scheduler_core::learn_harm(worker_record& at, const worker_report& from,
+                                time_point now)
+{
+    if (now - at.learnt < options_.figure_age)
+    {
+        return;
+    }
+    at.learnt = now;
+    struct figure
+    {
+        std::string task;
+        std::string image;
+        double headroom = 0;
+    };
+    harm_sample beside;
+    std::vector<figure> figures;
+    for (const running_task& row : from.running)
+    {
+        const auto name = task_name::parse(row.task);
+        const job_record* const of = name ? find(name->job) : nullptr;
+        if (of == nullptr)
+        {
+            continue;
+        }
+        const job_step& step = of->step_at(name->at);
+        if (step.fills)
+        {
+            beside[step.image] += static_cast<double>(row.load) /
+                                  static_cast<double>(std::max<std::int64_t>(
+                                      at.what.capacity.cpu_millis, 1));
+        }
+        else if (step.latency_target_ms > 0 && row.load > 0)
+        {
+            figures.push_back(
+                {.task = row.task,
+                 .image = step.image,
+                 .headroom = static_cast<double>(step.latency_target_ms) /
+                             static_cast<double>(row.load)});
+        }
+    }
+    at.headroom_alone.clear();
+    for (const figure& one : figures)
+    {
+        harm_.observe(one.task, one.image, one.headroom, beside, now);
+        const double alone = one.headroom + harm_.harm_of(one.image, beside);
+        const auto [found, fresh] =
+            at.headroom_alone.try_emplace(one.image, alone);
+        found->second = std::min(found->second, alone);
+    }
+    at.filling = std::move(beside);
+}
+
+std::vector<pair_harm> scheduler_core::harms_at(const worker_record& at) const
+{
+    std::vector<pair_harm> out;
+    for (const auto& [serving, alone] : at.headroom_alone)
+    {
+        for (const auto& [filling, use] : at.filling)
+        {
+            const double harm = harm_.harm(serving, filling);
+            if (harm >= options_.harm_told)
+            {
+                out.push_back(
+                    {.serving = serving, .filling = filling, .harm = harm});
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace springstair
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
 
 namespace springstair
 {
@@ -12,9 +11,6 @@
 namespace
 {
 
-// Above every configured priority: jobs of a queue that is gone go last.
-constexpr std::int64_t last_priority = 1'000'000;
-
 bool is_waiting(const job_task& task)
 {
     return !task.done && !task.run;
@@ -46,31 +42,6 @@
 
 } // namespace
 
-// Priority first. Then jobs that can still meet their objective, those that
-// are late, and those too late to be worth anything; the earliest objective
-// first among each.
-std::tuple<std::int64_t, int, time_point>
-scheduler_core::rank_of(const job_record& of, time_point now) const
-{
-    const queue_row* const queue = table_.queue(of.what().queue);
-    if (queue == nullptr)
-    {
-        return {last_priority, 0, of.accepted};
-    }
-    const auto chain = std::chrono::milliseconds(of.chain_ms);
-    const duration objective =
-        from_seconds(to_seconds(chain) * queue->stretch) +
-        std::chrono::milliseconds(queue->target_ms);
-    const duration age = now - of.accepted;
-    const bool lasting = of.what().steps.front().lasting;
-    int lateness = 0;
-    if (!lasting && age > objective)
-    {
-        lateness = age > objective * options_.late_factor ? 2 : 1;
-    }
-    return {queue->priority, lateness, of.accepted + objective};
-}
-
 void scheduler_core::place_if_due(time_point now, std::int64_t day_ms)
 {
     const bool due = may_place_ || day_ms >= next_due_ms_ ||
@@ -88,13 +59,13 @@
 
 void scheduler_core::place(time_point now, std::int64_t day_ms)
 {
-    std::vector<
-        std::pair<std::tuple<std::int64_t, int, time_point>, job_record*>>
-        order;
+    std::vector<std::pair<job_rank, job_record*>> order;
     for (const std::string& id : wanting_)
     {
         job_record& of = *job_of(id);
-        order.emplace_back(rank_of(of, now), &of);
+        order.emplace_back(
+            rank_of(of, table_.queue(of.what().queue), now, options_.order),
+            &of);
     }
     std::sort(order.begin(), order.end());
     for (const auto& [rank, of] : order)
