Holder: no fill begins where its image is slowed, none moves back at once

Cause: logs of moved tasks. A task stopped because its image stood still was placed on the same worker in the same pass (stop 0.65 s, restore 0.25 s, up to 0.5 s of work lost), or on another one where its image stood still too; the median task was moved 1.05 s after its placement, a tenth within 0.1 s.

Change: a worker whose guard slows an image below half its pace takes no more fills of it; a moved task comes back to the worker it left within 4 s only if no other takes it.

--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -28,6 +28,15 @@
     bool operator==(const task_run&) const = default;
 };
 
+/// @brief A worker that a task has just left, to run elsewhere.
+struct left_worker
+{
+    std::string guard;
+    time_point until; ///< no return earlier if any other worker takes it
+
+    bool operator==(const left_worker&) const = default;
+};
+
 /// @brief One task of a job.
 struct job_task
 {
@@ -36,9 +45,10 @@
     std::int64_t failures = 0;
     std::optional<task_run> run;
     std::string checkpoint;
-    std::set<std::string> avoided; ///< guards where it failed or stood still
-    time_point not_before{};       ///< no start earlier; after a refusal
-    time_point ready_since{};      ///< for waiting times
+    std::set<std::string> avoided;   ///< guards where it failed or stood still
+    std::optional<left_worker> left; ///< by its newest move
+    time_point not_before{};         ///< no start earlier; after a refusal
+    time_point ready_since{};        ///< for waiting times
 };
 
 /// @brief One job as its holder knows it, with all of its tasks.
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -27,6 +27,10 @@
     /// Headroom (target by tail) that a serving task must keep, by the learnt
     /// harm, for a fill to be placed beside it: the load moves meanwhile.
     double least_headroom = 1.3;
+    /// No fill begins where its image is slowed below this pace, in percent:
+    /// it would stand still there, hold memory and move again. With the next
+    /// bound it buys heavy work 0.04 of what it earns (mean of 40 days).
+    std::int64_t least_pace = 50;
     /// Headroom without fills where no figure is known yet: the middle of
     /// both sites' figures.
     double usual_headroom = 2.0;
@@ -48,6 +52,8 @@
     const std::set<std::string>& avoided;
     const harm_model& harm;
     time_point now;
+    /// The guard of a worker that it has just left; null if there is none.
+    const std::string* left = nullptr;
     /// It has waited too long for a worker that bears it: the least harmful
     /// one that has room takes it, and the guard there slows it.
     bool despite_harm = false;
@@ -63,7 +69,8 @@
 bool has_label(const worker_record& at, const std::string& label);
 
 /// @brief The best worker for a task, or null if none can take it now.
-/// Workers that the task should avoid are taken only if no other can.
+/// Workers that the task should avoid, or has just left, are taken only if
+/// no other can.
 worker_record* choose_worker(worker_map& workers, const placement_query& query,
                              const placement_options& options);
 
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -74,6 +74,9 @@
     /// A fill that is slowed below this pace, in percent, moves to a worker
     /// that bears it, if it can be resumed there.
     std::int64_t move_below = 50;
+    /// It does not return for so long: what slowed it there, a load that
+    /// swings over some ten seconds, is hardly gone before.
+    duration no_return = std::chrono::milliseconds(4000);
     /// Runs that move at one report: figures follow only half a second later.
     std::size_t most_moves = 3;
     /// Harm below this is not worth telling a guard.
@@ -252,6 +255,11 @@
                         guard_orders& out, time_point now);
     void move_slowed(worker_record& at, const worker_report& from,
                      guard_orders& out, time_point now);
+    bool may_move(const task_name& name, const std::string& image);
+    bool is_welcome_elsewhere(const task_name& name, const worker_record& at,
+                              time_point now);
+    void move(const task_name& name, const worker_record& at, std::int64_t pace,
+              guard_orders& out, time_point now);
     void leave_in_time(worker_record& at, guard_orders& out, time_point now);
     void learn_harm(worker_record& at, const worker_report& from,
                     time_point now);
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -87,9 +87,20 @@
     return least;
 }
 
+bool is_slowed(const worker_record& at, const std::string& image,
+               const placement_options& options)
+{
+    const auto pace = at.paces.find(image);
+    return pace != at.paces.end() && pace->second < options.least_pace;
+}
+
 bool has_fill_room(const worker_record& at, const placement_query& query,
                    const placement_options& options)
 {
+    if (is_slowed(at, query.step.image, options))
+    {
+        return false;
+    }
     const auto asked =
         static_cast<double>(at.fill_cpu + query.step.demand.cpu_millis);
     return asked <= fill_room(at, options) &&
@@ -138,7 +149,8 @@
     {
         value += options.far_penalty;
     }
-    if (query.avoided.contains(at.guard))
+    const bool just_left = query.left != nullptr && *query.left == at.guard;
+    if (just_left || query.avoided.contains(at.guard))
     {
         value += avoided_penalty;
     }
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -21,43 +21,67 @@
         }
         for (const task_name& name : at.held)
         {
-            job_record& of = *job_of(name.job);
-            const job_step& step = of.step_at(name.at);
-            task_run& run = *of.find(name.at)->run;
-            const queue_row* const queue = table_.queue(of.what().queue);
-            const bool may_move =
-                step.fills && step.checkpoints && step.image == image &&
-                run.seen && !run.stopping && queue != nullptr && !queue->advice;
-            if (!may_move || moves >= options_.most_moves)
+            if (moves >= options_.most_moves)
+            {
+                return;
+            }
+            if (!may_move(name, image))
             {
                 continue;
             }
-            const std::string group = step_group(name.job, name.at);
-            const std::set<std::string> here{at.guard};
-            const worker_record* const other =
-                choose_worker(workers_,
-                              {.step = step,
-                               .service = queue->service,
-                               .group = group,
-                               .avoided = here,
-                               .harm = harm_,
-                               .now = now},
-                              options_.placement);
-            if (other == nullptr || other == &at)
+            if (!is_welcome_elsewhere(name, at, now))
             {
-                break; // its siblings find none either
+                break; // its siblings find no worker either
             }
             ++moves;
-            run.stopping = true;
-            out.stops.push_back({.task = name.text(), .run = run.number});
-            note(event_id::run_moved, {{"task", name.text()},
-                                       {"run", std::to_string(run.number)},
-                                       {"guard", at.guard},
-                                       {"pace", std::to_string(pace)}});
+            move(name, at, pace, out, now);
         }
     }
 }
 
+bool scheduler_core::may_move(const task_name& name, const std::string& image)
+{
+    job_record& of = *job_of(name.job);
+    const job_step& step = of.step_at(name.at);
+    const task_run& run = *of.find(name.at)->run;
+    const queue_row* const queue = table_.queue(of.what().queue);
+    return step.fills && step.checkpoints && step.image == image && run.seen &&
+           !run.stopping && queue != nullptr && !queue->advice;
+}
+
+bool scheduler_core::is_welcome_elsewhere(const task_name& name,
+                                          const worker_record& at,
+                                          time_point now)
+{
+    const job_record& of = *job_of(name.job);
+    const std::string group = step_group(name.job, name.at);
+    const std::set<std::string> here{at.guard};
+    const worker_record* const other =
+        choose_worker(workers_,
+                      {.step = of.step_at(name.at),
+                       .service = table_.queue(of.what().queue)->service,
+                       .group = group,
+                       .avoided = here,
+                       .harm = harm_,
+                       .now = now},
+                      options_.placement);
+    return other != nullptr && other != &at;
+}
+
+void scheduler_core::move(const task_name& name, const worker_record& at,
+                          std::int64_t pace, guard_orders& out, time_point now)
+{
+    job_task& task = *job_of(name.job)->find(name.at);
+    task.run->stopping = true;
+    task.left =
+        left_worker{.guard = at.guard, .until = now + options_.no_return};
+    out.stops.push_back({.task = name.text(), .run = task.run->number});
+    note(event_id::run_moved, {{"task", name.text()},
+                               {"run", std::to_string(task.run->number)},
+                               {"guard", at.guard},
+                               {"pace", std::to_string(pace)}});
+}
+
 // A worker that leaves takes down what runs there: what lasts moves at once,
 // the rest when little time remains.
 void scheduler_core::leave_in_time(worker_record& at, guard_orders& out,
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -184,6 +184,8 @@
             .avoided = task.avoided,
             .harm = harm_,
             .now = now,
+            .left = task.left && now < task.left->until ? &task.left->guard
+                                                        : nullptr,
             .despite_harm = !of.has_runs() &&
                             now - task.ready_since > options_.longest_harm_wait,
             .tickets = queue.advice ? &tickets : nullptr};
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -364,6 +364,47 @@
     CHECK_FALSE(at.runs(what.id + ".0.0.1")); // one keeps the job running
 }
 
+TEST_CASE("a fill does not begin where its image is slowed")
+{
+    holder at;
+    at.worker("g1").paces = {{"fill", 0}};
+    at.say("g1");
+    job_step fill = step_of(1);
+    fill.fills = true;
+    fill.image = "fill";
+    const job what = at.submit({fill});
+    at.turn();
+    CHECK_FALSE(at.runs(what.id + ".0.0.0"));
+    at.worker("g1").paces = {{"fill", 75}};
+    at.say("g1");
+    at.turn(milliseconds(100)); // the next pass
+    CHECK(at.runs(what.id + ".0.0.0"));
+}
+
+TEST_CASE("a fill that moves does not come back at once")
+{
+    holder at;
+    at.say("g1");
+    job_step fill = step_of(1);
+    fill.fills = true;
+    fill.checkpoints = true;
+    fill.image = "fill";
+    const job what = at.submit({fill});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    at.say("g1"); // it is seen running
+    at.say("g2");
+    at.worker("g1").paces = {{"fill", 0}};
+    at.say("g1");
+    REQUIRE(at.stopped.contains(task));
+    at.end(task, run_end::stopped, "c");
+    at.worker("g1").paces.clear();
+    at.say("g1");
+    at.turn();
+    CHECK(at.where[task] == "g2");
+    CHECK(at.started[task].checkpoint == "c");
+}
+
 TEST_CASE("service, label and bound a worker are kept")
 {
     holder at;
