Holder: the wait of a step begins when the steps before it are done

Cause: a task's wait was counted from the job's acceptance. Fills of a second step had "waited too long for a worker that bears them" the moment their turn came, so the first of them was placed despite its harm, was slowed there and moved. (The waits in the log were too long for the same reason.)

The new case is red without the change. 127 of 127 unit cases but the two long task worlds.

--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -48,7 +48,7 @@
     std::set<std::string> avoided;   ///< guards where it failed or stood still
     std::optional<left_worker> left; ///< by its newest move
     time_point not_before{};         ///< no start earlier; after a refusal
-    time_point ready_since{};        ///< for waiting times
+    time_point ready_since{};        ///< since when its turn has come
 };
 
 /// @brief One job as its holder knows it, with all of its tasks.
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -7,6 +7,33 @@
 namespace springstair
 {
 
+namespace
+{
+
+// The tasks of steps that the end of a task has opened wait from now on.
+void begin_waits(job_record& of, const task_position& done, time_point now)
+{
+    const auto& steps = of.what().steps;
+    for (std::size_t step = 0; step < steps.size(); ++step)
+    {
+        const auto& after = steps[step].after;
+        const auto number = static_cast<std::int64_t>(step);
+        const bool follows =
+            std::find(after.begin(), after.end(),
+                      static_cast<std::size_t>(done.step)) != after.end();
+        if (!follows || !of.is_open(done.round, number))
+        {
+            continue;
+        }
+        for (job_task& task : of.tasks_of(done.round, number))
+        {
+            task.ready_since = now;
+        }
+    }
+}
+
+} // namespace
+
 void scheduler_core::close_run(job_record& of, job_task& task, run_end how,
                                const std::string& checkpoint, time_point now)
 {
@@ -42,6 +69,10 @@
     {
         close_gang(of, where, how, now);
     }
+    if (how == run_end::done)
+    {
+        begin_waits(of, where, now);
+    }
     finish_if_done(of, now);
     want(of);
 }
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -364,6 +364,39 @@
     CHECK_FALSE(at.runs(what.id + ".0.0.1")); // one keeps the job running
 }
 
+TEST_CASE("the wait of a step begins when the steps before it are done")
+{
+    holder at;
+    at.core.adopt_harms({{.serving = "s", .filling = "f", .harm = 40}});
+    at.say("g1");
+    job_step serving = step_of(1);
+    serving.lasting = true;
+    serving.image = "s";
+    serving.latency_target_ms = 10;
+    at.submit({serving});
+    job_step fill = step_of(1);
+    fill.fills = true;
+    fill.image = "f";
+    fill.after = {0};
+    const job what = at.submit({step_of(1), fill});
+    at.turn();
+    for (int count = 0; count < 6; ++count)
+    {
+        at.turn(milliseconds(450));
+        at.say("g1");
+    }
+    at.end(what.id + ".0.0.0", run_end::done);
+    at.say("g1");
+    at.turn(milliseconds(100));
+    CHECK_FALSE(at.runs(what.id + ".0.1.0")); // its turn has just come
+    for (int count = 0; count < 4; ++count)
+    {
+        at.turn(milliseconds(450));
+        at.say("g1");
+    }
+    CHECK(at.runs(what.id + ".0.1.0"));
+}
+
 TEST_CASE("a fill does not begin where its image is slowed")
 {
     holder at;
