--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -13,6 +13,13 @@
 /// Where an entry takes jobs that another one cannot write.
 inline constexpr const char* forward_path = "/internal/jobs";
 
+/// Before the caller's own time is over, so that the answer still arrives.
+inline constexpr duration answer_margin = std::chrono::milliseconds(250);
+/// When a caller whose request was not taken may come back.
+inline constexpr duration come_back = std::chrono::seconds(1);
+/// Another entry that says nothing for so long is passed over.
+inline constexpr duration holder_timeout = std::chrono::milliseconds(250);
+
 /// Takes callers' requests. Any entry accepts a job by writing it to the
 /// store; what became of it is asked of the holder, or read from the store.
 class job_desk
--- a/tests/unit/run_keeper_tests.cpp
+++ b/tests/unit/run_keeper_tests.cpp
@@ -253,6 +253,16 @@
     CHECK(finder.target() == "c:1");
 }
 
+namespace
+{
+
+const std::map<std::string, run_traits> two_fills{
+    {"serve", {.latency_target_ms = 100, .image = "s"}},
+    {"one", {.fills = true, .image = "worse"}},
+    {"two", {.fills = true, .image = "bad"}}};
+
+} // namespace
+
 TEST_CASE("fills are slowed while a tail is high, known ones first")
 {
     interference control;
@@ -292,16 +302,12 @@
     interference control;
     control.learn({{.serving = "s", .filling = "worse", .harm = 6},
                    {.serving = "s", .filling = "bad", .harm = 2}});
-    const std::map<std::string, run_traits> traits{
-        {"serve", {.latency_target_ms = 100, .image = "s"}},
-        {"one", {.fills = true, .image = "worse"}},
-        {"two", {.fills = true, .image = "bad"}}};
     const time_point now{std::chrono::hours(1)};
     // Headroom 1: a quarter is missing, and "worse" takes 0.6 of it.
     control.observe({{.task = "serve", .load = 100},
                      {.task = "one", .load = 400},
                      {.task = "two", .load = 400}},
-                    traits, 4000, now);
+                    two_fills, 4000, now);
     CHECK(control.pace("worse") == 60);
     CHECK(control.pace("bad") == 100);
 }
@@ -311,10 +317,6 @@
     interference control;
     control.learn({{.serving = "s", .filling = "worse", .harm = 6},
                    {.serving = "s", .filling = "bad", .harm = 4}});
-    const std::map<std::string, run_traits> traits{
-        {"serve", {.latency_target_ms = 100, .image = "s"}},
-        {"one", {.fills = true, .image = "worse"}},
-        {"two", {.fills = true, .image = "bad"}}};
     time_point now{std::chrono::hours(1)};
     const auto look = [&](std::int64_t tail, std::int64_t load)
     {
@@ -322,7 +324,7 @@
         control.observe({{.task = "serve", .load = tail},
                          {.task = "one", .load = load},
                          {.task = "two", .load = load}},
-                        traits, 4000, now);
+                        two_fills, 4000, now);
     };
     look(500, 400);
     look(500, 400);
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -24,6 +24,23 @@
             .estimate_ms = 500};
 }
 
+job_step serving_step()
+{
+    job_step step = step_of(1);
+    step.lasting = true;
+    step.image = "s";
+    step.latency_target_ms = 10;
+    return step;
+}
+
+job_step fill_step(std::int64_t count)
+{
+    job_step step = step_of(count);
+    step.fills = true;
+    step.image = "f";
+    return step;
+}
+
 // A holder, its store and its guards' reports, moved by hand.
 class holder
 {
@@ -343,15 +360,9 @@
     holder at;
     at.core.adopt_harms({{.serving = "s", .filling = "f", .harm = 40}});
     at.say("g1");
-    job_step serving = step_of(1);
-    serving.lasting = true;
-    serving.image = "s";
-    serving.latency_target_ms = 10;
-    at.submit({serving});
+    at.submit({serving_step()});
     at.turn();
-    job_step fill = step_of(2);
-    fill.fills = true;
-    fill.image = "f";
+    const job_step fill = fill_step(2);
     const job what = at.submit({fill});
     at.turn();
     CHECK_FALSE(at.runs(what.id + ".0.0.0"));
@@ -369,14 +380,8 @@
     holder at;
     at.core.adopt_harms({{.serving = "s", .filling = "f", .harm = 40}});
     at.say("g1");
-    job_step serving = step_of(1);
-    serving.lasting = true;
-    serving.image = "s";
-    serving.latency_target_ms = 10;
-    at.submit({serving});
-    job_step fill = step_of(1);
-    fill.fills = true;
-    fill.image = "f";
+    at.submit({serving_step()});
+    job_step fill = fill_step(1);
     fill.after = {0};
     const job what = at.submit({step_of(1), fill});
     at.turn();
@@ -400,15 +405,12 @@
 TEST_CASE("a fill does not begin where its image is slowed")
 {
     holder at;
-    at.worker("g1").paces = {{"fill", 0}};
+    at.worker("g1").paces = {{"f", 0}};
     at.say("g1");
-    job_step fill = step_of(1);
-    fill.fills = true;
-    fill.image = "fill";
-    const job what = at.submit({fill});
+    const job what = at.submit({fill_step(1)});
     at.turn();
     CHECK_FALSE(at.runs(what.id + ".0.0.0"));
-    at.worker("g1").paces = {{"fill", 75}};
+    at.worker("g1").paces = {{"f", 75}};
     at.say("g1");
     at.turn(milliseconds(100)); // the next pass
     CHECK(at.runs(what.id + ".0.0.0"));
@@ -418,16 +420,14 @@
 {
     holder at;
     at.say("g1");
-    job_step fill = step_of(1);
-    fill.fills = true;
+    job_step fill = fill_step(1);
     fill.checkpoints = true;
-    fill.image = "fill";
     const job what = at.submit({fill});
     const std::string task = what.id + ".0.0.0";
     at.turn();
     at.say("g1"); // it is seen running
     at.say("g2");
-    at.worker("g1").paces = {{"fill", 0}};
+    at.worker("g1").paces = {{"f", 0}};
     at.say("g1");
     REQUIRE(at.stopped.contains(task));
     at.end(task, run_end::stopped, "c");
