Guard: a raise is counted by what it raises

A fill that lacked 10% of its pace took the headroom of a whole raise from the others for one step, and the log told paces above 100.

--- a/packages/guard/src/interference.cpp
+++ b/packages/guard/src/interference.cpp
@@ -254,11 +254,12 @@
             pace_now > 0 && found != now.use.end() && found->second > 0;
         const double full =
             seen ? found->second * full_pace / pace_now : unknown_use;
-        const double step = bearable_raise(filling, full, left);
-        if (step < pace_grain)
+        const double bearable = bearable_raise(filling, full, left);
+        if (bearable < pace_grain)
         {
             continue;
         }
+        const double step = std::min(bearable, full_pace - pace_now);
         for (auto& [serving, headroom] : left.headroom)
         {
             headroom -= harm_of(serving, filling) * full * step / full_pace;
--- a/tests/unit/run_keeper_tests.cpp
+++ b/tests/unit/run_keeper_tests.cpp
@@ -335,6 +335,14 @@
     look(69, 0);
     CHECK(control.pace("bad") == 50);
     CHECK(control.pace("worse") == 0);
+    control.take_changes();
+    // Nothing in the way: both are back at once, and told so.
+    look(10, 0);
+    const auto changes = control.take_changes();
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].pace == 100);
+    CHECK(changes[1].pace == 100);
+    CHECK(control.paces().empty());
 }
 
 TEST_CASE("without knowledge all fills are slowed, and stopped in time")
