--- a/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
@@ -31,7 +31,7 @@
     job_prospect prospect = job_prospect::in_time;
     time_point objective; ///< when it should have ended
 
-    auto operator<=>(const job_rank&) const = default;
+    auto operator<=>(const job_rank&) const = default; // NOLINT: no pointer
 };
 
 /// @brief Priority first. Then jobs that can still meet their objective,
