Holder: tells why tasks wait, and how lasting jobs are served

Change: tasks_wait (1637) with the last test that any worker failed, the room there is and the room there would be without shorter runs; job_service (1626) with a lasting job's shares at work, over target and unplaced; the same as metrics, also for the tenth of the lasting jobs that reserves most. A line for each step or job in 5 s at most. The harness of the holder's tests is a header.

Ruled out: a line for each task (17 alike in one step); counting waits at the guards (they do not know what was not given to them).

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -21,7 +21,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 47> catalogue{{
+constexpr std::array<event_description, 49> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -89,6 +89,9 @@
      "A job reached its last state; what decided it follows."},
     {event_id::job_cancelled, severity::info, "job_cancelled",
      "A cancellation is in the store and its caller was told so."},
+    {event_id::job_service, severity::info, "job_service",
+     "A lasting job was not wholly served since its last such line; shares "
+     "in percent of its tasks' time."},
     {event_id::run_placed, severity::info, "run_placed",
      "A task is to run at a guard's worker; the start follows the write."},
     {event_id::run_ended, severity::info, "run_ended",
@@ -101,6 +104,8 @@
      "A worker's answer to an order, when it was not taken."},
     {event_id::run_moved, severity::info, "run_moved",
      "A run that is slowed for others' sake is stopped to resume elsewhere."},
+    {event_id::tasks_wait, severity::info, "tasks_wait",
+     "Tasks of a step find no worker; why, and the most room on any."},
     {event_id::worker_known, severity::info, "worker_known",
      "A guard's first report to this holder."},
     {event_id::worker_lost, severity::warning, "worker_lost",
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -542,6 +542,16 @@
     }
 }
 
+void job_holder::show_service(const std::string& of,
+                              const service_account& account)
+{
+    metrics& to = process_.numbers;
+    to.set(of + "_tasks", static_cast<double>(account.tasks));
+    to.set(of + "_at_work", static_cast<double>(account.at_work));
+    to.set(of + "_over_target", static_cast<double>(account.over_target));
+    to.set(of + "_unplaced", static_cast<double>(account.unplaced));
+}
+
 void job_holder::count_figures(time_point now)
 {
     if (now < next_figures_)
@@ -557,6 +567,8 @@
     to.set("runs_failed", static_cast<double>(figures.failed_runs));
     to.set("jobs_open", static_cast<double>(figures.jobs_open));
     to.set("workers", static_cast<double>(figures.workers));
+    show_service("lasting", figures.lasting);
+    show_service("largest_lasting", figures.largest_lasting);
     to.set("office_epoch", static_cast<double>(core_.epoch()));
 }
 
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -84,6 +84,7 @@
     void ask_for_advice(time_point now);
     void send_orders();
     void log_decisions();
+    void show_service(const std::string& of, const service_account& account);
     void count_figures(time_point now);
 
     job_process& process_;
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -33,13 +33,16 @@
                                                 labels, capacity, draining,
                                                 leaves_ms)
 
+/// @brief Progress of a task that is done, and of a lasting one at work.
+inline constexpr std::int64_t full_percent = 100;
+
 /// @brief A run that a worker has at work.
 struct running_task
 {
     std::string task;
     std::int64_t run = 0;
     std::string checkpoint;
-    std::int64_t percent = 0; ///< progress; of a lasting task: 100 at work
+    std::int64_t percent = 0; ///< see full_percent
     /// The tail latency in milliseconds of a task that serves; otherwise the
     /// processors in use, in thousandths. A rough figure of half a second.
     std::int64_t load = 0;
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -69,6 +69,9 @@
 /// @brief Whether a worker has a label; the empty one is had by all.
 bool has_label(const worker_record& at, const std::string& label);
 
+/// @brief Whether a worker may take one more task of the query's step.
+bool is_below_step_bound(const worker_record& at, const placement_query& query);
+
 /// @brief The best worker for a task, or null if none can take it now.
 /// Workers that the task should avoid, or has just left, are taken only if
 /// no other can.
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -4,8 +4,10 @@
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/service_account.hpp>
 #include <springstair/detail/scheduler/ticket_book.hpp>
 #include <springstair/detail/scheduler/vain_queries.hpp>
+#include <springstair/detail/scheduler/wait_report.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
 #include <map>
@@ -79,6 +81,14 @@
     duration no_return = std::chrono::milliseconds(4000);
     /// Runs that move at one report: figures follow only half a second later.
     std::size_t most_moves = 3;
+    /// A task that waits longer than this has its reason logged: waits below
+    /// are the turns of reports and passes.
+    duration long_wait = std::chrono::milliseconds(500);
+    /// How often lasting tasks are looked at: guards report twice a second.
+    duration service_sample = std::chrono::seconds(1);
+    /// The wait of a step, and the service of a lasting job, are told so
+    /// often at most: a line a second for each five that are not served.
+    duration tell_gap = std::chrono::seconds(5);
     /// Harm below this is not worth telling a guard.
     double harm_told = 0.8;
 };
@@ -131,6 +141,9 @@
     std::int64_t failed_runs = 0;
     std::int64_t jobs_open = 0;
     std::int64_t workers = 0;
+    service_account lasting; ///< at the newest sample
+    /// Of it, the tenth of the lasting jobs that reserves most processors.
+    service_account largest_lasting;
 };
 
 /// @brief All jobs and workers of one holder, and every decision on them.
@@ -238,6 +251,13 @@
              std::int64_t number,
              const std::map<std::string, std::string>& tickets, time_point now);
 
+    // What is told of waits and service (scheduler_sight.cpp).
+    void tell_wait(const placement_query& query, const job_record& of,
+                   const job_task& first);
+    void watch_service(time_point now);
+    void sample_jobs();
+    void tell_service();
+
     // Reports (scheduler_reports.cpp).
     worker_record& worker_of(const worker_report& from, time_point now);
     void change_life(worker_record& at, const std::string& life,
@@ -312,6 +332,11 @@
     std::map<std::string, guard_orders> outbox_;
     std::vector<decision> decisions_;
     std::vector<finished_job> finished_;
+    wait_log waits_;
+    /// Of lasting jobs, by their id, since it was last told.
+    std::map<std::string, service_account> service_;
+    time_point next_sample_{};
+    time_point next_telling_{};
     std::int64_t accepted_jobs_ = 0;
     scheduler_figures counts_;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -27,6 +27,7 @@
     std::string address; ///< of its guard
     worker_description what;
     resources used;                ///< by runs that may be there
+    resources settled;             ///< the part of it that lasting runs have
     std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
     std::int64_t fill_runs = 0;    ///< their number
     std::set<task_name> held;      ///< tasks whose newest run may be there
@@ -57,6 +58,8 @@
 
     /// @brief What is left, by the ledger.
     [[nodiscard]] resources room() const noexcept;
+    /// @brief What would be left if all runs but lasting ones had ended.
+    [[nodiscard]] resources room_in_time() const noexcept;
 };
 
 /// @brief What a run takes from a worker's room: a run that fills reserves
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -17,17 +17,6 @@
 // Headroom where a fill harms nobody: above any that a tail can have.
 constexpr double no_harm = 10;
 
-bool below_step_bound(const worker_record& at, const placement_query& query)
-{
-    if (query.step.most_per_worker == 0)
-    {
-        return true;
-    }
-    const auto found = at.of_step.find(query.group);
-    return found == at.of_step.end() ||
-           found->second < query.step.most_per_worker;
-}
-
 bool has_fill_room(const worker_record& at, const placement_query& query,
                    const placement_options& options);
 
@@ -38,7 +27,7 @@
            reserved_by(query.step).fits(at.room()) &&
            (!query.step.fills || query.despite_harm ||
             has_fill_room(at, query, options)) &&
-           has_label(at, query.step.label) && below_step_bound(at, query) &&
+           has_label(at, query.step.label) && is_below_step_bound(at, query) &&
            (query.tickets == nullptr || query.tickets->contains(at.what.life));
 }
 
@@ -174,6 +163,17 @@
            now - at.reported < options.report_age && now >= at.ejected_until;
 }
 
+bool is_below_step_bound(const worker_record& at, const placement_query& query)
+{
+    if (query.step.most_per_worker == 0)
+    {
+        return true;
+    }
+    const auto found = at.of_step.find(query.group);
+    return found == at.of_step.end() ||
+           found->second < query.step.most_per_worker;
+}
+
 worker_record* choose_worker(worker_map& workers, const placement_query& query,
                              const placement_options& options)
 {
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -299,6 +299,7 @@
         }
     }
     place_if_due(now, day_ms);
+    watch_service(now);
 }
 
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -196,6 +196,7 @@
         if (at == nullptr)
         {
             vain_.note(query);
+            tell_wait(query, of, task);
             return true; // its siblings ask for the same
         }
         put(of, task, *at, task.runs + 1, tickets, now);
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -256,7 +256,9 @@
                                    const running_task& row, time_point now)
 {
     run.seen = true;
-    const bool at_work = step.lasting && row.percent == 100;
+    run.over_target =
+        step.latency_target_ms > 0 && row.load > step.latency_target_ms;
+    const bool at_work = step.lasting && row.percent == full_percent;
     if (row.percent != run.percent || at_work)
     {
         run.percent = row.percent;
--- /dev/null
+++ b/packages/scheduler/src/scheduler_sight.cpp
@@ -0,0 +1,116 @@
+// What is told of tasks that wait and of how lasting jobs are served.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+namespace
+{
+
+std::string percent(std::int64_t part, std::int64_t whole)
+{
+    return std::to_string(full_percent * part /
+                          std::max<std::int64_t>(whole, 1));
+}
+
+} // namespace
+
+void scheduler_core::tell_wait(const placement_query& query,
+                               const job_record& of, const job_task& first)
+{
+    const duration waited = query.now - first.ready_since;
+    if (waited < options_.long_wait ||
+        !waits_.is_due(query.group, query.now, options_.tell_gap))
+    {
+        return;
+    }
+    const task_position at = of.position_of(first);
+    const auto tasks = of.tasks_of(at.round, at.step);
+    const auto waiting = std::count_if(tasks.begin(), tasks.end(),
+                                       [](const job_task& task)
+                                       { return !task.done && !task.run; });
+    const wait_report found = explain_wait(workers_, query, options_.placement);
+    note(event_id::tasks_wait,
+         {{"job", of.what().id},
+          {"queue", of.what().queue},
+          {"step", std::to_string(at.step)},
+          {"tasks", std::to_string(waiting)},
+          {"waited_ms", std::to_string(to_milliseconds(waited))},
+          {"why", std::string(to_string(found.cause))},
+          {"cpu_millis", std::to_string(query.step.demand.cpu_millis)},
+          {"memory_mb", std::to_string(query.step.demand.memory_mb)},
+          {"workers", std::to_string(found.workers)},
+          {"free_millis", std::to_string(found.free_millis)},
+          {"free_in_time_millis", std::to_string(found.free_in_time_millis)}});
+}
+
+void scheduler_core::watch_service(time_point now)
+{
+    if (now < next_sample_)
+    {
+        return;
+    }
+    next_sample_ = now + options_.service_sample;
+    sample_jobs();
+    if (now >= next_telling_)
+    {
+        next_telling_ = now + options_.tell_gap;
+        tell_service();
+    }
+}
+
+void scheduler_core::sample_jobs()
+{
+    std::vector<service_account> samples;
+    for (const auto& [id, of] : jobs_)
+    {
+        if (is_final(of->state()))
+        {
+            continue;
+        }
+        const service_account sample = sample_service(*of);
+        if (sample.tasks > 0)
+        {
+            service_[id] += sample;
+            samples.push_back(sample);
+        }
+    }
+    std::sort(samples.begin(), samples.end(),
+              [](const service_account& left, const service_account& right)
+              { return left.reserved_millis > right.reserved_millis; });
+    const std::size_t tenth = (samples.size() + 9) / 10;
+    counts_.lasting = {};
+    counts_.largest_lasting = {};
+    for (std::size_t rank = 0; rank < samples.size(); ++rank)
+    {
+        counts_.lasting += samples[rank];
+        counts_.largest_lasting +=
+            rank < tenth ? samples[rank] : service_account{};
+    }
+}
+
+void scheduler_core::tell_service()
+{
+    for (const auto& [id, account] : std::exchange(service_, {}))
+    {
+        if (account.is_whole())
+        {
+            continue;
+        }
+        const job_record& of = *job_of(id);
+        note(
+            event_id::job_service,
+            {{"job", id},
+             {"queue", of.what().queue},
+             {"tasks", std::to_string(of.tasks().size())},
+             {"cpu_millis", std::to_string(sample_service(of).reserved_millis)},
+             {"at_work", percent(account.at_work, account.tasks)},
+             {"over_target", percent(account.over_target, account.tasks)},
+             {"unplaced", percent(account.unplaced, account.tasks)}});
+    }
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/scheduler/src/wait_report.cpp
@@ -0,0 +1,93 @@
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+namespace
+{
+
+// How far the search of one task gets at one worker.
+wait_cause last_test(const worker_record& at, const placement_query& query)
+{
+    const resources asked = reserved_by(query.step);
+    if (!has_label(at, query.step.label))
+    {
+        return wait_cause::label;
+    }
+    if (!asked.fits(at.what.capacity))
+    {
+        return wait_cause::size;
+    }
+    if (!asked.fits(at.room_in_time()))
+    {
+        return wait_cause::lasting;
+    }
+    if (!asked.fits(at.room()))
+    {
+        return wait_cause::room;
+    }
+    if (!is_below_step_bound(at, query))
+    {
+        return wait_cause::bound;
+    }
+    const bool has_ticket =
+        query.tickets == nullptr || query.tickets->contains(at.what.life);
+    return has_ticket ? wait_cause::harm : wait_cause::ticket;
+}
+
+} // namespace
+
+std::string_view to_string(wait_cause value) noexcept
+{
+    switch (value)
+    {
+    case wait_cause::no_worker:
+        return "no_worker";
+    case wait_cause::label:
+        return "label";
+    case wait_cause::size:
+        return "size";
+    case wait_cause::lasting:
+        return "lasting";
+    case wait_cause::room:
+        return "room";
+    case wait_cause::bound:
+        return "bound";
+    case wait_cause::ticket:
+        return "ticket";
+    case wait_cause::harm:
+        break;
+    }
+    return "harm";
+}
+
+wait_report explain_wait(const worker_map& workers,
+                         const placement_query& query,
+                         const placement_options& options)
+{
+    wait_report found;
+    for (const auto& [guard, at] : workers)
+    {
+        if (!takes_runs(at, query.service, query.now, options))
+        {
+            continue;
+        }
+        ++found.workers;
+        found.cause = std::max(found.cause, last_test(at, query));
+        found.free_millis = std::max(found.free_millis, at.room().cpu_millis);
+        found.free_in_time_millis =
+            std::max(found.free_in_time_millis, at.room_in_time().cpu_millis);
+    }
+    return found;
+}
+
+bool wait_log::is_due(const std::string& group, time_point now, duration gap)
+{
+    std::erase_if(told_,
+                  [&](const auto& entry) { return now - entry.second >= gap; });
+    return told_.try_emplace(group, now).second;
+}
+
+} // namespace springstair
--- a/packages/scheduler/src/worker_ledger.cpp
+++ b/packages/scheduler/src/worker_ledger.cpp
@@ -10,6 +10,13 @@
     return left;
 }
 
+resources worker_record::room_in_time() const noexcept
+{
+    resources left = what.capacity;
+    left -= settled;
+    return left;
+}
+
 resources reserved_by(const job_step& step) noexcept
 {
     resources needed = step.demand;
@@ -59,6 +66,10 @@
     if (at.held.insert(task).second)
     {
         at.used += reserved_by(step);
+        if (step.lasting)
+        {
+            at.settled += reserved_by(step);
+        }
         enter(at, step, task, 1);
     }
 }
@@ -68,6 +79,10 @@
     if (at.held.erase(task) > 0)
     {
         at.used -= reserved_by(step);
+        if (step.lasting)
+        {
+            at.settled -= reserved_by(step);
+        }
         enter(at, step, task, -1);
     }
 }
--- /dev/null
+++ b/tests/unit/holder_by_hand.hpp
@@ -0,0 +1,185 @@
+#pragma once
+
+// A holder of jobs with its store and its guards' reports, moved by hand.
+
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace springstair::tests
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr resources room{.cpu_millis = 4000, .memory_mb = 4000};
+
+inline job_step step_of(std::int64_t count, std::int64_t cpu = 1000)
+{
+    return {.count = count,
+            .demand = {.cpu_millis = cpu, .memory_mb = 100},
+            .estimate_ms = 500};
+}
+
+inline job_step serving_step()
+{
+    job_step step = step_of(1);
+    step.lasting = true;
+    step.image = "s";
+    step.latency_target_ms = 10;
+    return step;
+}
+
+inline job_step fill_step(std::int64_t count)
+{
+    job_step step = step_of(count);
+    step.fills = true;
+    step.image = "f";
+    return step;
+}
+
+// A holder, its store and its guards' reports, moved by hand.
+class holder
+{
+public:
+    explicit holder(scheduler_options options = {}) : core(options)
+    {
+        core.take_office(7, now);
+        core.set_table(table());
+        core.begin(now);
+    }
+
+    static queue_table table(std::int64_t version = 1)
+    {
+        return {.version = version,
+                .queues = {{.name = "q",
+                            .service = "s",
+                            .most_attempts = 2,
+                            .stretch = 2,
+                            .target_ms = 1000},
+                           {.name = "urgent",
+                            .service = "s",
+                            .priority = 0,
+                            .most_attempts = 2},
+                           {.name = "slow",
+                            .service = "s",
+                            .priority = 5,
+                            .most_attempts = 2},
+                           {.name = "other", .service = "elsewhere"}}};
+    }
+
+    job submit(std::vector<job_step> steps, const std::string& queue = "q")
+    {
+        job what{.id = "job" + std::to_string(++jobs_),
+                 .queue = queue,
+                 .payload = "p",
+                 .steps = std::move(steps)};
+        core.accept(what, now);
+        return what;
+    }
+
+    worker_report& worker(const std::string& guard)
+    {
+        worker_report& report = reports[guard];
+        if (report.guard.empty())
+        {
+            report = {.guard = guard,
+                      .address = guard + ":1",
+                      .incarnation = "i",
+                      .worker = {.life = guard + "-1",
+                                 .service = "s",
+                                 .capacity = room},
+                      .looked = true,
+                      .answering = true};
+        }
+        return report;
+    }
+
+    report_answer say(const std::string& guard)
+    {
+        worker_report& report = worker(guard);
+        ++report.sequence;
+        report_answer answer = core.report(report, now, verified);
+        take(answer.orders, guard);
+        return answer;
+    }
+
+    // Time passes, and the store takes what is to be written.
+    void turn(duration length = milliseconds(25))
+    {
+        now += length;
+        verified = now;
+        core.tick(now, day_ms);
+        write();
+    }
+
+    void write()
+    {
+        while (const auto batch = core.next_commit(now))
+        {
+            core.committed(*batch, ++revision, now);
+            now += milliseconds(25);
+        }
+        for (const addressed_orders& one : core.take_orders())
+        {
+            take(one.orders, one.guard);
+        }
+    }
+
+    void take(const guard_orders& orders, const std::string& guard)
+    {
+        for (const start_order& one : orders.starts)
+        {
+            started[one.task] = one;
+            worker(guard).running.push_back({.task = one.task, .run = one.run});
+            where[one.task] = guard;
+        }
+        for (const stop_order& one : orders.stops)
+        {
+            stopped.insert(one.task);
+        }
+    }
+
+    void end(const std::string& task, run_end how,
+             const std::string& checkpoint = {})
+    {
+        worker_report& report = worker(where.at(task));
+        std::erase_if(report.running, [&](const running_task& row)
+                      { return row.task == task; });
+        report.ended.push_back({.number = ++ends_[report.guard],
+                                .task = task,
+                                .run = started.at(task).run,
+                                .how = how,
+                                .checkpoint = checkpoint});
+    }
+
+    std::optional<job_state> shown(const std::string& id) const
+    {
+        return core.shown(id, now, verified);
+    }
+
+    bool runs(const std::string& task) const
+    {
+        return started.contains(task);
+    }
+
+    time_point now{std::chrono::hours(1)};
+    time_point verified = now;
+    std::int64_t day_ms = 0;
+    std::int64_t revision = 100;
+    scheduler_core core;
+    std::map<std::string, worker_report> reports;
+    std::map<std::string, start_order> started;
+    std::map<std::string, std::string> where;
+    std::set<std::string> stopped;
+
+private:
+    int jobs_ = 0;
+    std::map<std::string, std::int64_t> ends_;
+};
+
+} // namespace springstair::tests
