Tests: large tasks that are overtaken, or find only pieces of room

Two cases that bring about what the incident's waits show, red on the code as it is: a lasting task of three quarters of a worker never starts in 10 s beside a stream of small tasks that turns over every 0.25 s; two tasks of a whole worker find no room after six small lasting ones on four workers.

--- /dev/null
+++ b/tests/unit/large_task_tests.cpp
@@ -0,0 +1,94 @@
+// Large tasks beside small ones.
+//
+// Seen at size: of the largest tenth of the lasting jobs less than half as
+// much was served as of all; on a calm day the second largest one had no
+// worker for most of its tasks. Lasting tasks were spread over all workers,
+// which left every worker a piece smaller than a large task, and a task that
+// found no worker kept nothing free, so that small ones took each piece before
+// it was large enough. The logged reasons of these waits (`lasting`, `room`)
+// and the two cases below, which fail without the repair, prove both.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+job_step lasting_step(std::int64_t count, std::int64_t cpu)
+{
+    job_step step = step_of(count, cpu);
+    step.lasting = true;
+    return step;
+}
+
+// Small jobs of one task: a new one comes for each that ends.
+class small_jobs
+{
+public:
+    small_jobs(holder& at, std::int64_t count) : at_(at)
+    {
+        for (std::int64_t number = 0; number < count; ++number)
+        {
+            open_.push_back(at_.submit({step_of(1)}).id + ".0.0.0");
+        }
+    }
+
+    // The one that runs for longest ends, and another comes.
+    void replace_one()
+    {
+        const auto first = std::find_if(open_.begin(), open_.end(),
+                                        [&](const std::string& task)
+                                        { return at_.runs(task); });
+        if (first != open_.end())
+        {
+            at_.end(*first, run_end::done);
+            open_.erase(first);
+        }
+        open_.push_back(at_.submit({step_of(1)}).id + ".0.0.0");
+    }
+
+private:
+    holder& at_;
+    std::vector<std::string> open_;
+};
+
+} // namespace
+
+TEST_CASE("a large task is not overtaken for ever by small ones")
+{
+    holder at;
+    at.say("g1");
+    at.say("g2");
+    small_jobs small(at, 10);
+    at.turn();
+    const job large = at.submit({lasting_step(1, 3000)});
+    for (int turn = 0; turn < 40; ++turn)
+    {
+        small.replace_one();
+        at.say("g1");
+        at.say("g2");
+        at.turn(milliseconds(250));
+    }
+    CHECK(at.runs(large.id + ".0.0.0"));
+}
+
+TEST_CASE("small lasting tasks leave whole room for large ones")
+{
+    holder at;
+    for (const char* guard : {"g1", "g2", "g3", "g4"})
+    {
+        at.say(guard);
+    }
+    at.submit({lasting_step(6, 1000)});
+    at.turn();
+    const job large = at.submit({lasting_step(2, 4000)});
+    at.turn();
+    CHECK(at.runs(large.id + ".0.0.0"));
+    CHECK(at.runs(large.id + ".0.0.1"));
+}
