Messages of former boots, silent connections, large tasks: mends under test

Late messages. A holder believes another incarnation of a guard only once it repeats the number that this holder gave it; a guard with a live executor changes to another life only once its address has answered as that life. The case of another life now checks both sides of the answer. 3. Silent connections. After the first call in vain on a kept connection the others kept to that peer are not used; keep-alive probes and a bound on unanswered data on every connection.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -22,6 +22,7 @@
     table_refused = 1102,
     store_lost = 1201,
     store_back = 1202,
+    connection_silent = 1203,
     guard_joined = 1301,
     guard_leaving = 1302,
     guard_lost = 1303,
@@ -58,6 +59,8 @@
     worker_ejected = 1643,
     worker_unreadable = 1644,
     worker_paced = 1645,
+    guard_unproven = 1646,
+    executor_unproven = 1647,
     holder_lost = 1651,
     holder_found = 1652,
     commit_uncertain = 1661
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -21,7 +21,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 49> catalogue{{
+constexpr std::array<event_description, 52> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -42,6 +42,9 @@
      "The platform's store does not answer; requests go on."},
     {event_id::store_back, severity::info, "store_back",
      "The platform's store answers again."},
+    {event_id::connection_silent, severity::warning, "connection_silent",
+     "A call on a kept connection got no answer in time; the others kept to "
+     "that peer are not used again."},
     {event_id::guard_joined, severity::info, "guard_joined",
      "A guard's first heartbeat, or one of a new incarnation."},
     {event_id::guard_leaving, severity::info, "guard_leaving",
@@ -116,6 +119,12 @@
      "A worker's message cannot be read and is ignored."},
     {event_id::worker_paced, severity::info, "worker_paced",
      "Tasks that fill work at another share, for those that serve."},
+    {event_id::guard_unproven, severity::info, "guard_unproven",
+     "Another boot of a guard reports, or a report of a former one came late; "
+     "it is believed once it repeats what it is told."},
+    {event_id::executor_unproven, severity::info, "executor_unproven",
+     "A heartbeat of another life came to a guard, maybe late; its address is "
+     "asked who lives there."},
     {event_id::holder_lost, severity::warning, "holder_lost",
      "A guard's reports reach no holder."},
     {event_id::holder_found, severity::info, "holder_found",
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -91,8 +91,7 @@
             server_at(internal_address(process_.from)),
             process_.on_request([this](http_arrival arrival)
                                 { answer_internal(arrival); }));
-        const auto figures =
-            serve_metrics(process_.from.metrics, process_.numbers);
+        const auto figures = serve_metrics(process_);
         log_event(event_id::process_started,
                   {{"role", "job_entry"}, {"address", process_.from.callers}});
         process_.run_control(timer_step, [this](time_point now) { tick(now); });
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -6,7 +6,7 @@
 
 #include <springstair/guard.hpp>
 
-#include <set>
+#include <map>
 #include <thread>
 #include <utility>
 
@@ -44,7 +44,6 @@
                         [this](const std::optional<platform::store_item>& item)
                         { on_holder(item); }),
           keeper_(keeper_options(process.from)), holder_(process.from.entries),
-          executor_(process.from.executor),
           incarnation_(random_hex(incarnation_bytes_of_guard))
     {
         rpc_.add("orders", [this](const json& message)
@@ -61,8 +60,7 @@
             server_at(internal_address(process_.from)),
             process_.on_request([this](http_arrival arrival)
                                 { on_internal(arrival); }));
-        const auto figures =
-            serve_metrics(process_.from.metrics, process_.numbers);
+        const auto figures = serve_metrics(process_);
         log_event(
             event_id::process_started,
             {{"role", "job_guard"}, {"address", process_.from.executors}});
@@ -70,6 +68,13 @@
     }
 
 private:
+    // What the heartbeats of one life of the executor said.
+    struct heard_executor
+    {
+        std::string address;
+        std::int64_t sequence = -1; ///< none yet
+    };
+
     // The executor -----------------------------------------------------------
 
     void on_executor(const http_arrival& arrival)
@@ -97,29 +102,43 @@
         arrival.responder->respond(platform::heartbeat_answer());
     }
 
+    // Numbers order the heartbeats of one life; the keeper orders lives.
     void on_heartbeat(const platform::worker_heartbeat& beat)
     {
         const std::string& life = beat.worker.life;
-        const bool late =
-            past_lives_.contains(life) ||
-            (life == keeper_.worker().life && beat.sequence <= sequence_);
-        if (late)
+        heard_executor& from = executors_[life];
+        if (beat.sequence <= from.sequence)
         {
             return;
         }
-        if (life != keeper_.worker().life && !keeper_.worker().life.empty())
-        {
-            past_lives_.insert(keeper_.worker().life);
-            log_event(event_id::worker_lost,
-                      {{"life", keeper_.worker().life},
-                       {"why", "its executor began another life"}});
-        }
-        sequence_ = beat.sequence;
+        from.sequence = beat.sequence;
         if (!beat.address.empty())
         {
-            executor_ = beat.address;
+            from.address = beat.address;
         }
         keeper_.on_worker(beat.worker, beat.clock_ms, boot_clock::now());
+        if (keeper_.worker().life != life)
+        {
+            log_event(event_id::executor_unproven,
+                      {{"life", life}, {"present", keeper_.worker().life}});
+        }
+    }
+
+    void on_looked(const look_at_worker& what, const http_result& result,
+                   time_point sent)
+    {
+        const std::string before = keeper_.worker().life;
+        keeper_.on_looked(what.life, platform::decode_result(result),
+                          platform::decode_look(result), sent,
+                          boot_clock::now());
+        if (keeper_.worker().life == before)
+        {
+            return;
+        }
+        log_event(event_id::worker_lost,
+                  {{"life", before}, {"why", "its address is another life's"}});
+        std::erase_if(executors_,
+                      [&](const auto& one) { return one.first == before; });
     }
 
     void carry_out(const keeper_action& action)
@@ -127,10 +146,18 @@
         std::visit([this](const auto& what) { send(what); }, action);
     }
 
+    const std::string& address_of(const std::string& life) const
+    {
+        const auto found = executors_.find(life);
+        const bool known =
+            found != executors_.end() && !found->second.address.empty();
+        return known ? found->second.address : process_.from.executor;
+    }
+
     template <class Order, class Done>
     void call_executor(const Order& what, Done done)
     {
-        process_.client.send(platform::encode(what, executor_),
+        process_.client.send(platform::encode(what, address_of(what.life)),
                              process_.on_control<http_result>(std::move(done)));
     }
 
@@ -181,14 +208,8 @@
     void send(const look_at_worker& what)
     {
         const time_point sent = boot_clock::now();
-        call_executor(what,
-                      [this, sent, life = what.life](const http_result& result)
-                      {
-                          keeper_.on_looked(life,
-                                            platform::decode_result(result),
-                                            platform::decode_look(result), sent,
-                                            boot_clock::now());
-                      });
+        call_executor(what, [this, sent, what](const http_result& result)
+                      { on_looked(what, result, sent); });
     }
 
     // The holder -------------------------------------------------------------
@@ -321,9 +342,7 @@
     run_keeper keeper_;
     holder_finder holder_;
     rpc_dispatcher rpc_;
-    std::string executor_; ///< address of the present incarnation
-    std::set<std::string> past_lives_;
-    std::int64_t sequence_ = 0;
+    std::map<std::string, heard_executor> executors_; ///< by their life
     std::string incarnation_;
     std::int64_t report_sequence_ = 0;
     bool reporting_ = false;
--- a/packages/daemon/src/job_process.cpp
+++ b/packages/daemon/src/job_process.cpp
@@ -22,24 +22,28 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-std::unique_ptr<http_server> serve_metrics(const std::string& endpoint,
-                                           metrics& numbers)
+std::unique_ptr<http_server> serve_metrics(job_process& process)
 {
+    const std::string& endpoint = process.from.metrics;
     if (endpoint.empty())
     {
         return nullptr;
     }
     return std::make_unique<http_server>(
         server_at(endpoint),
-        [&numbers](const http_request& request, http_responder responder)
+        [&process](const http_request& request, http_responder responder)
         {
             if (request.path != "/metrics")
             {
                 answer_not_found(responder);
                 return;
             }
+            metrics& numbers = process.numbers;
             numbers.set("log_lines_dropped",
                         static_cast<double>(dropped_log_lines()));
+            numbers.set(
+                "silent_connections",
+                static_cast<double>(process.client.silent_connections()));
             answer_metrics(responder, numbers);
         });
 }
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -65,8 +65,7 @@
 std::int64_t day_milliseconds();
 
 /// Serves the metrics at an endpoint; nothing for an empty one.
-std::unique_ptr<http_server> serve_metrics(const std::string& endpoint,
-                                           metrics& numbers);
+std::unique_ptr<http_server> serve_metrics(job_process& process);
 
 /// Splits an endpoint into a server's options.
 http_server_options server_at(const std::string& endpoint);
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -204,6 +205,19 @@
         bool pace_open = false;
     };
 
+    /// An executor of another life, until its address has told who is there.
+    struct unproven_life
+    {
+        worker_description what; ///< without a life: there is none
+        std::int64_t clock_ms = 0;
+        time_point heard{};
+        bool asking = false;
+        time_point next_ask{};
+    };
+
+    void begin_life(time_point now);
+    void meet_stranger(order_result result, time_point now);
+    void ask_stranger(time_point now, std::vector<keeper_action>& out);
     void refuse(const std::string& task, kept_run& run,
                 const std::string& reason, time_point now);
     void settle(time_point sent);
@@ -224,6 +238,9 @@
 
     run_keeper_options options_;
     worker_description worker_;
+    unproven_life stranger_;
+    std::set<std::string> past_lives_; ///< surely over
+    guard_admission admission_;
     std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
     time_point clock_at_{};
     std::int64_t epoch_ = 0;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -47,16 +47,16 @@
 {
     if (worker_.life != what.life)
     {
-        // A new incarnation runs nothing and has seen no order.
-        runs_.clear();
-        running_.clear();
-        ended_.clear();
-        refused_.clear();
-        looked_ = false;
-        acknowledged_ = 0;
-        leased_until_ = now + options_.longest_lease; // by an earlier guard
-        next_look_ = now;
-        interference_ = interference(options_.interference);
+        if (past_lives_.contains(what.life))
+        {
+            return;
+        }
+        if (looked_)
+        {
+            stranger_ = {.what = what, .clock_ms = clock_ms, .heard = now};
+            return;
+        }
+        begin_life(now);
     }
     news_ = news_ || worker_ != what;
     worker_ = what;
@@ -65,6 +65,48 @@
     answered_ = now;
 }
 
+// A new incarnation runs nothing and has seen no order.
+void run_keeper::begin_life(time_point now)
+{
+    runs_.clear();
+    running_.clear();
+    ended_.clear();
+    refused_.clear();
+    looked_ = false;
+    look_open_ = false;
+    acknowledged_ = 0;
+    leased_until_ = now + options_.longest_lease; // by an earlier guard
+    next_look_ = now;
+    interference_ = interference(options_.interference);
+}
+
+// A look that another life was meant by tells who lives at the address. Only
+// an answer decides between two lives: a heartbeat that was held back can come
+// after its sender's end, and their names have no order.
+void run_keeper::meet_stranger(order_result result, time_point now)
+{
+    stranger_.asking = false;
+    if (result == order_result::accepted || result == order_result::fenced)
+    {
+        past_lives_.insert(worker_.life);
+        begin_life(now);
+        worker_ = stranger_.what;
+        clock_ms_ = stranger_.clock_ms;
+        clock_at_ = stranger_.heard;
+        answered_ = now;
+        stranger_ = {};
+        news_ = true;
+    }
+    else if (result == order_result::other_life)
+    {
+        stranger_ = {};
+    }
+    else
+    {
+        stranger_.next_ask = now + options_.look_retry;
+    }
+}
+
 void run_keeper::on_leave(const std::string& life)
 {
     if (worker_.life == life)
@@ -179,6 +221,13 @@
     {
         return;
     }
+    if (answer.admission.number > 0)
+    {
+        epoch_ = answer.orders.epoch;
+        admission_ = answer.admission;
+        news_ = true; // to be repeated at once
+        return;
+    }
     permit_until_ = std::max(
         permit_until_, sent + std::chrono::milliseconds(answer.permit_ms));
     std::erase_if(refused_,
@@ -296,8 +345,21 @@
                            const std::optional<worker_look>& look,
                            time_point sent, time_point now)
 {
+    if (!stranger_.what.life.empty() && life == stranger_.what.life)
+    {
+        meet_stranger(result, now);
+    }
+    if (life != worker_.life)
+    {
+        return;
+    }
     look_open_ = false;
     next_look_ = now;
+    if (result == order_result::other_life && !looked_)
+    {
+        worker_ = {}; // its heartbeat was late: it never was there
+        return;
+    }
     if (look && look->ended == ended_ && !ended_.empty())
     {
         // A look returns at once while ends are not acknowledged.
@@ -306,11 +368,6 @@
     if (!look)
     {
         next_look_ = now + options_.look_retry;
-        static_cast<void>(result);
-        return;
-    }
-    if (life != worker_.life)
-    {
         return;
     }
     clock_ms_ = look->clock_ms;
@@ -407,6 +464,7 @@
         act_on_pace(task, kept, out);
     }
     act_on_worker(now, out);
+    ask_stranger(now, out);
     return out;
 }
 
@@ -473,6 +531,18 @@
                                .life = worker_.life});
 }
 
+void run_keeper::ask_stranger(time_point now, std::vector<keeper_action>& out)
+{
+    if (stranger_.what.life.empty() || stranger_.asking ||
+        now < stranger_.next_ask)
+    {
+        return;
+    }
+    stranger_.asking = true;
+    out.emplace_back(
+        look_at_worker{.epoch = epoch_, .life = stranger_.what.life});
+}
+
 void run_keeper::act_on_worker(time_point now, std::vector<keeper_action>& out)
 {
     if (look_open_ || now < next_look_)
@@ -500,6 +570,7 @@
 worker_report run_keeper::report(time_point now) const
 {
     worker_report out{.epoch = epoch_,
+                      .admission = admission_,
                       .worker = worker_,
                       .looked = looked_,
                       .answering = !is_silent(now),
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -96,6 +96,25 @@
 // Guard to scheduler
 // ---------------------------------------------------------------------------
 
+/// @brief What orders the incarnations of one guard, before one holder.
+///
+/// A report can be held back by a cut until after its sender's end, and come
+/// when another incarnation has reported from the same address. Random names
+/// of incarnations have no order, clocks step, and a new holder has seen none
+/// of them. So a holder answers an incarnation that it does not know with a
+/// number, and believes it once it repeats the newest one: only who is alive
+/// after its predecessors can have heard that. It costs one more exchange of
+/// each guard with each holder.
+struct guard_admission
+{
+    std::int64_t epoch = 0;  ///< of the holder that gave it
+    std::int64_t number = 0; ///< from 1; 0: none
+
+    bool operator==(const guard_admission&) const = default;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_admission, epoch, number)
+
 /// @brief A guard's report. It is whole: what it leaves out is not there.
 struct worker_report
 {
@@ -104,6 +123,8 @@
     std::int64_t epoch = 0;    ///< newest holder that the guard knows
     std::string incarnation;   ///< of the guard itself
     std::int64_t sequence = 0; ///< grows with each report of an incarnation
+    /// The newest admission that a holder gave this incarnation.
+    guard_admission admission;
     worker_description worker;
     /// Whether running and ended are a look at this incarnation; false in a
     /// guard that has not yet seen its worker's lists.
@@ -192,6 +213,9 @@
                                 ///< counted from the report's sending
     guard_orders orders;
     std::vector<pair_harm> harms; ///< of pairs that run at this worker
+    /// To be repeated in the next report. With a number, the report was not
+    /// believed: there is no permit and there are no orders.
+    guard_admission admission;
 
     bool operator==(const report_answer&) const = default;
 };
@@ -203,10 +227,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(worker_report, guard, address,
                                                 epoch, incarnation, sequence,
-                                                worker, looked, answering,
-                                                lapsed, lease_ms, running,
-                                                ended, refused, paces, starting,
-                                                unknown)
+                                                admission, worker, looked,
+                                                answering, lapsed, lease_ms,
+                                                running, ended, refused, paces,
+                                                starting, unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
@@ -216,6 +240,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pair_harm, serving, filling,
                                                 harm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
-                                                permit_ms, orders, harms)
+                                                permit_ms, orders, harms,
+                                                admission)
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
@@ -29,12 +29,17 @@
 {
     std::int64_t priority = 0; ///< of its queue; 0 is the most urgent
     job_prospect prospect = job_prospect::in_time;
-    time_point objective; ///< when it should have ended
+    /// Processors that a task of a lasting job reserves, below zero: the
+    /// largest goes first, since it fits in the fewest places. 0 for others.
+    std::int64_t smallness = 0;
+    time_point objective;   ///< when it should have ended
+    std::int64_t order = 0; ///< in which jobs were accepted
 
     auto operator<=>(const job_rank&) const = default; // NOLINT: no pointer
 };
 
-/// @brief Priority first. Then jobs that can still meet their objective,
+/// @brief Priority first. What lasts goes before what passes, its largest
+/// tasks first.  Then jobs that can still meet their objective,
 /// those that are late, and those too late to be worth anything; the earliest
 /// objective first among each.
 /// @param queue of the job, or null if the table has none: it goes last
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -73,6 +73,9 @@
     /// A fill of a job that has nothing running waits no longer than this for
     /// a worker whose serving tasks bear it; half of what the platform allows.
     duration longest_harm_wait = std::chrono::milliseconds(1500);
+    /// Workers kept free at once for tasks that wait, and as a share of all.
+    std::size_t most_claims = 32;
+    double claimed_share = 0.25;
     /// A fill that is slowed below this pace, in percent, moves to a worker
     /// that bears it, if it can be resumed there.
     std::int64_t move_below = 50;
@@ -251,6 +254,9 @@
              std::int64_t number,
              const std::map<std::string, std::string>& tickets, time_point now);
 
+    void claim_room(const placement_query& query, std::int64_t tasks);
+    void begin_pass();
+
     // What is told of waits and service (scheduler_sight.cpp).
     void tell_wait(const placement_query& query, const job_record& of,
                    const job_task& first);
@@ -260,6 +266,8 @@
 
     // Reports (scheduler_reports.cpp).
     worker_record& worker_of(const worker_report& from, time_point now);
+    bool believes(worker_record& at, const worker_report& from,
+                  report_answer& answer);
     void change_life(worker_record& at, const std::string& life,
                      time_point now);
     void adopt_awaited(worker_record& at, time_point now);
@@ -323,8 +331,10 @@
     worker_map workers_;
     harm_model harm_;
     ticket_book advice_;
-    vain_queries vain_;     ///< of this pass over the waiting tasks
-    bool may_place_ = true; ///< jobs or room changed since the last pass
+    vain_queries vain_;         ///< of this pass over the waiting tasks
+    resources largest_lasting_; ///< task of a job that has not ended
+    std::size_t claims_ = 0;    ///< workers that this pass keeps free
+    bool may_place_ = true;     ///< jobs or room changed since the last pass
     time_point last_pass_{};
     std::int64_t next_due_ms_ = 0; ///< time of day of the next round
     /// Runs that an earlier holder placed, by guard, until it reports.
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -28,11 +28,14 @@
     worker_description what;
     resources used;                ///< by runs that may be there
     resources settled;             ///< the part of it that lasting runs have
+    resources claimed;             ///< kept free for a task that waits
     std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
     std::int64_t fill_runs = 0;    ///< their number
     std::set<task_name> held;      ///< tasks whose newest run may be there
     std::string incarnation;       ///< of its guard
     std::int64_t sequence = 0;     ///< of the newest report
+    std::int64_t offered = 0;      ///< newest admission number
+    std::string offered_to;        ///< incarnation that it was given to
     bool answering = true;         ///< its guard hears from it
     time_point reported{};         ///< when its last report came
     time_point lease_ends{};       ///< by then its lease has surely run out
@@ -58,6 +61,8 @@
 
     /// @brief What is left, by the ledger.
     [[nodiscard]] resources room() const noexcept;
+    /// @brief What is left for others than the task that has a claim.
+    [[nodiscard]] resources unclaimed_room() const noexcept;
     /// @brief What would be left if all runs but lasting ones had ended.
     [[nodiscard]] resources room_in_time() const noexcept;
 };
--- a/packages/scheduler/src/job_order.cpp
+++ b/packages/scheduler/src/job_order.cpp
@@ -16,7 +16,9 @@
 {
     if (queue == nullptr)
     {
-        return {.priority = last_priority, .objective = of.accepted};
+        return {.priority = last_priority,
+                .objective = of.accepted,
+                .order = of.order};
     }
     const auto chain = std::chrono::milliseconds(of.chain_ms);
     const duration objective =
@@ -33,7 +35,10 @@
     }
     return {.priority = queue->priority,
             .prospect = prospect,
-            .objective = of.accepted + objective};
+            .smallness =
+                lasting ? -of.what().steps.front().demand.cpu_millis : 0,
+            .objective = of.accepted + objective,
+            .order = of.order};
 }
 
 } // namespace springstair
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -20,15 +20,21 @@
 bool has_fill_room(const worker_record& at, const placement_query& query,
                    const placement_options& options);
 
+bool has_ticket(const worker_record& at, const placement_query& query)
+{
+    return query.tickets == nullptr || query.tickets->contains(at.what.life);
+}
+
 bool can_take(const worker_record& at, const placement_query& query,
               const placement_options& options)
 {
     return takes_runs(at, query.service, query.now, options) &&
-           reserved_by(query.step).fits(at.room()) &&
+           reserved_by(query.step)
+               .fits(query.step.lasting ? at.room() : at.unclaimed_room()) &&
            (!query.step.fills || query.despite_harm ||
             has_fill_room(at, query, options)) &&
            has_label(at, query.step.label) && is_below_step_bound(at, query) &&
-           (query.tickets == nullptr || query.tickets->contains(at.what.life));
+           has_ticket(at, query);
 }
 
 double share(std::int64_t part, std::int64_t whole)
@@ -107,8 +113,34 @@
     return asked / std::max(fill_room(at, options), 1.0) + 1 / headroom;
 }
 
+// The share of a worker that would be reserved, in its tightest dimension.
+double fullness(const resources& used, const resources& asked,
+                const resources& capacity)
+{
+    return std::max(
+        share(used.cpu_millis + asked.cpu_millis, capacity.cpu_millis),
+        share(used.memory_mb + asked.memory_mb, capacity.memory_mb));
+}
+
+// How many tasks of a size fit into room for what lasts.
+std::int64_t places(const resources& room, const resources& size)
+{
+    return size.cpu_millis <= 0 ? 0 : room.cpu_millis / size.cpu_millis;
+}
+
+// Places for the largest lasting task that this one takes away.
+double lost_places(const worker_record& at, const placement_query& query)
+{
+    resources after = at.room_in_time();
+    after -= query.step.demand;
+    return static_cast<double>(
+        places(at.room_in_time(), query.largest_lasting) -
+        places(after, query.largest_lasting));
+}
+
 // Lower is better. Fills go where they compete least for processors, all
-// other tasks where most room is left in the tightest dimension.
+// others where most room is left in the tightest dimension, what lasts where
+// it takes no place from larger tasks.
 double score(const worker_record& at, const placement_query& query,
              const placement_options& options)
 {
@@ -121,10 +153,11 @@
     }
     else
     {
-        value = std::max(share(at.used.cpu_millis + step.demand.cpu_millis,
-                               capacity.cpu_millis),
-                         share(at.used.memory_mb + step.demand.memory_mb,
-                               capacity.memory_mb));
+        value = fullness(at.used, step.demand, capacity);
+    }
+    if (step.lasting)
+    {
+        value += options.lost_place_penalty * lost_places(at, query);
     }
     if (step.latency_target_ms > 0)
     {
@@ -195,4 +228,25 @@
     return best;
 }
 
+worker_record* choose_claim(worker_map& workers, const placement_query& query,
+                            const placement_options& options)
+{
+    const resources asked = reserved_by(query.step);
+    worker_record* best = nullptr;
+    for (auto& [name, at] : workers)
+    {
+        const bool will_do =
+            at.claimed == resources{} && asked.fits(at.room_in_time()) &&
+            takes_runs(at, query.service, query.now, options) &&
+            has_label(at, query.step.label) && has_ticket(at, query) &&
+            is_below_step_bound(at, query);
+        if (will_do &&
+            (best == nullptr || at.room().cpu_millis > best->room().cpu_millis))
+        {
+            best = &at;
+        }
+    }
+    return best;
+}
+
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -89,6 +89,14 @@
                                {"tasks", std::to_string(of.tasks().size())}});
     may_place_ = true;
     wanting_.insert(of.what().id);
+    for (const job_step& step : of.what().steps)
+    {
+        if (step.lasting &&
+            step.demand.cpu_millis > largest_lasting_.cpu_millis)
+        {
+            largest_lasting_ = step.demand;
+        }
+    }
 }
 
 void scheduler_core::cancel(const std::string& id, time_point now)
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -53,10 +53,20 @@
     may_place_ = false;
     next_due_ms_ = std::numeric_limits<std::int64_t>::max();
     last_pass_ = now;
-    vain_.clear();
+    begin_pass();
     place(now, day_ms);
 }
 
+void scheduler_core::begin_pass()
+{
+    vain_.clear();
+    claims_ = 0;
+    for (auto& [guard, at] : workers_)
+    {
+        at.claimed = {};
+    }
+}
+
 void scheduler_core::place(time_point now, std::int64_t day_ms)
 {
     std::vector<std::pair<job_rank, job_record*>> order;
@@ -184,6 +194,7 @@
             .avoided = task.avoided,
             .harm = harm_,
             .now = now,
+            .largest_lasting = largest_lasting_,
             .left = task.left && now < task.left->until ? &task.left->guard
                                                         : nullptr,
             .despite_harm = !of.has_runs() &&
@@ -197,6 +208,8 @@
         {
             vain_.note(query);
             tell_wait(query, of, task);
+            claim_room(query,
+                       std::count_if(tasks.begin(), tasks.end(), &is_waiting));
             return true; // its siblings ask for the same
         }
         put(of, task, *at, task.runs + 1, tickets, now);
@@ -204,6 +217,33 @@
     return left;
 }
 
+// Keeps workers free for tasks that no worker can take now. Those behind them
+// would else take each piece of room before it is large enough.
+void scheduler_core::claim_room(const placement_query& query,
+                                std::int64_t tasks)
+{
+    if (query.step.fills)
+    {
+        return;
+    }
+    const auto bound = std::min(
+        options_.most_claims,
+        static_cast<std::size_t>(options_.claimed_share *
+                                 static_cast<double>(workers_.size())) +
+            1);
+    for (; tasks > 0 && claims_ < bound; --tasks)
+    {
+        worker_record* const at =
+            choose_claim(workers_, query, options_.placement);
+        if (at == nullptr)
+        {
+            return;
+        }
+        at->claimed = reserved_by(query.step);
+        ++claims_;
+    }
+}
+
 void scheduler_core::put(job_record& of, job_task& task, worker_record& at,
                          std::int64_t number,
                          const std::map<std::string, std::string>& tickets,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -20,11 +20,9 @@
     answer.orders.epoch = epoch_;
     answer.orders.life = at.what.life;
     answer.orders.acknowledged = at.acknowledged;
-    const bool repeated =
-        at.incarnation == from.incarnation && from.sequence <= at.sequence;
-    if (repeated)
+    if (!believes(at, from, answer))
     {
-        return answer; // delayed on its way; a newer one was answered
+        return answer;
     }
     at.incarnation = from.incarnation;
     at.sequence = from.sequence;
@@ -40,7 +38,9 @@
     at.lease_ends =
         std::max({at.lease_ends, now + drifted + options_.lease_slack,
                   now + before + options_.lease_slack});
-    if (!from.worker.life.empty())
+    // A life that its guard has not heard itself may be a former one.
+    if (!from.worker.life.empty() &&
+        (from.looked || from.worker.life == at.what.life))
     {
         change_life(at, from.worker.life, now);
         at.what = from.worker;
@@ -70,6 +70,33 @@
     return answer;
 }
 
+// Whether a report is the newest word of a guard: a later one of the present
+// incarnation, or one of another that has repeated its admission.
+bool scheduler_core::believes(worker_record& at, const worker_report& from,
+                              report_answer& answer)
+{
+    if (at.incarnation == from.incarnation)
+    {
+        return from.sequence > at.sequence;
+    }
+    const guard_admission offered{.epoch = epoch_, .number = at.offered};
+    if (at.offered_to == from.incarnation && from.admission == offered)
+    {
+        return true;
+    }
+    if (at.offered_to != from.incarnation)
+    {
+        at.offered_to = from.incarnation;
+        ++at.offered;
+        note(event_id::guard_unproven, {{"guard", from.guard},
+                                        {"incarnation", from.incarnation},
+                                        {"present", at.incarnation},
+                                        {"life", from.worker.life}});
+    }
+    answer.admission = {.epoch = epoch_, .number = at.offered};
+    return false;
+}
+
 worker_record& scheduler_core::worker_of(const worker_report& from,
                                          time_point now)
 {
--- a/packages/scheduler/src/worker_ledger.cpp
+++ b/packages/scheduler/src/worker_ledger.cpp
@@ -1,5 +1,7 @@
 #include <springstair/scheduler.hpp>
 
+#include <algorithm>
+
 namespace springstair
 {
 
@@ -10,6 +12,17 @@
     return left;
 }
 
+resources worker_record::unclaimed_room() const noexcept
+{
+    const resources left = room();
+    return {.cpu_millis =
+                std::max<std::int64_t>(0, left.cpu_millis - claimed.cpu_millis),
+            .memory_mb =
+                std::max<std::int64_t>(0, left.memory_mb - claimed.memory_mb),
+            .accelerators = std::max<std::int64_t>(
+                0, left.accelerators - claimed.accelerators)};
+}
+
 resources worker_record::room_in_time() const noexcept
 {
     resources left = what.capacity;
--- a/packages/transport/include/springstair/detail/transport/http_client.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_client.hpp
@@ -58,6 +58,10 @@
     /// @brief Makes a call and waits for its end. Not from a completion.
     http_result send_and_wait(http_call call);
 
+    /// @brief Kept connections given up because a call on them got no answer
+    /// in time, since the client began.
+    [[nodiscard]] std::int64_t silent_connections() const noexcept;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/packages/transport/include/springstair/transport.hpp
+++ b/packages/transport/include/springstair/transport.hpp
@@ -5,5 +5,6 @@
 #include <springstair/detail/transport/http_client.hpp>
 #include <springstair/detail/transport/http_message.hpp>
 #include <springstair/detail/transport/http_server.hpp>
+#include <springstair/detail/transport/peer_trust.hpp>
 #include <springstair/detail/transport/problem.hpp>
 #include <springstair/detail/transport/rpc.hpp>
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -3,12 +3,17 @@
 #include <absl/synchronization/notification.h>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <cerrno>
 #include <map>
 #include <optional>
 #include <thread>
@@ -27,6 +32,11 @@
 constexpr int events_a_turn = 64;
 constexpr std::size_t kept_handles = 256;
 constexpr long kept_connections = 512;
+// A probe each second on an idle connection; without a word for so long it is
+// given up. Waits for changes last up to 20 s: a deaf one is found within 4 s.
+// Above the queue of a crowded thin link (1.1 s for a page of the store).
+constexpr int probe_every_s = 1;
+constexpr duration silence_bound = std::chrono::milliseconds(3000);
 
 // A call on its way; curl's callbacks write into it.
 struct open_call
@@ -84,6 +94,32 @@
     return line.size();
 }
 
+// Where a call goes: its URL up to the path.
+std::string peer_of(const std::string& url)
+{
+    const std::size_t scheme = url.find("://");
+    const std::size_t from = scheme == std::string::npos ? 0 : scheme + 3;
+    return url.substr(0, url.find('/', from));
+}
+
+// A connection whose other end says nothing, not even that it got our bytes,
+// is given up by the kernel, also while nothing is to be said: a wait of
+// seconds would else outlast the lease of what it waits for.
+int guard_socket(void* /*context*/, curl_socket_t socket,
+                 curlsocktype /*purpose*/)
+{
+    const int on = 1;
+    const int unanswered_ms = static_cast<int>(to_milliseconds(silence_bound));
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probe_every_s,
+               sizeof probe_every_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probe_every_s,
+               sizeof probe_every_s);
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered_ms,
+               sizeof unanswered_ms);
+    return CURL_SOCKOPT_OK;
+}
+
 long whole_milliseconds(duration value)
 {
     return std::max(1L, static_cast<long>(to_milliseconds(value)));
@@ -115,7 +151,7 @@
                      current.call.body->data());
 }
 
-void set_up(open_call& current)
+void set_up(open_call& current, const connection_choice& choice)
 {
     CURL* const handle = current.handle;
     curl_easy_setopt(handle, CURLOPT_URL, current.call.url.c_str());
@@ -134,9 +170,27 @@
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST,
                      current.call.method.c_str());
     set_headers(current);
-    const long alone = current.call.exactly_one_connection ? 1L : 0L;
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, alone);
-    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, alone);
+    const bool alone = current.call.exactly_one_connection;
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT,
+                     alone || choice.fresh ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, alone ? 1L : 0L);
+    curl_easy_setopt(handle, CURLOPT_MAXLIFETIME_CONN,
+                     static_cast<long>(choice.younger_than.count()));
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &guard_socket);
+}
+
+// Whether a call ended without an answer on a connection that had worked.
+bool fell_silent(CURL* handle, CURLcode code)
+{
+    long opened = 0;
+    long system_error = 0;
+    long sent = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &opened);
+    curl_easy_getinfo(handle, CURLINFO_OS_ERRNO, &system_error);
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sent);
+    const bool in_vain =
+        code == CURLE_OPERATION_TIMEDOUT || system_error == ETIMEDOUT;
+    return in_vain && opened == 0 && sent > 0;
 }
 
 bool nothing_was_sent(CURL* handle)
@@ -178,6 +232,8 @@
     std::map<CURL*, std::unique_ptr<open_call>> open;
     std::vector<CURL*> idle_handles;
     std::optional<time_point> timer; ///< when libcurl wants to be called
+    peer_trust trust;                ///< of the client's thread
+    std::atomic<std::int64_t> silent_connections = 0;
     std::thread thread;
 
     // The work of a turn grows with the sockets that have news, not with
@@ -311,7 +367,7 @@
             call->handle = idle_handles.back();
             idle_handles.pop_back();
         }
-        set_up(*call);
+        set_up(*call, trust.choose(peer_of(call->call.url), boot_clock::now()));
         curl_multi_add_handle(multi, call->handle);
         CURL* const handle = call->handle;
         open.emplace(handle, std::move(call));
@@ -335,6 +391,18 @@
         ended->done(std::move(result));
     }
 
+    void note_silent(const http_call& call)
+    {
+        ++silent_connections;
+        const std::string peer = peer_of(call.url);
+        trust.silent(peer, boot_clock::now());
+        log_event(
+            event_id::connection_silent,
+            {{"peer", peer},
+             {"lost", call.method + " " + call.url.substr(peer.size())},
+             {"waited_ms", std::to_string(to_milliseconds(call.timeout))}});
+    }
+
     void collect_ended()
     {
         int left = 0;
@@ -346,6 +414,10 @@
             }
             CURL* const handle = message->easy_handle;
             const CURLcode code = message->data.result;
+            if (fell_silent(handle, code))
+            {
+                note_silent(open.at(handle)->call);
+            }
             finish(handle, result_of(*open.at(handle), code));
         }
     }
@@ -403,6 +475,11 @@
     state_->wake();
 }
 
+std::int64_t http_client::silent_connections() const noexcept
+{
+    return state_->silent_connections;
+}
+
 http_result http_client::send_and_wait(http_call call)
 {
     http_result result;
--- a/tests/unit/holder_by_hand.hpp
+++ b/tests/unit/holder_by_hand.hpp
@@ -104,6 +104,12 @@
         worker_report& report = worker(guard);
         ++report.sequence;
         report_answer answer = core.report(report, now, verified);
+        if (answer.admission.number > 0)
+        {
+            report.admission = answer.admission;
+            ++report.sequence;
+            answer = core.report(report, now, verified);
+        }
         take(answer.orders, guard);
         return answer;
     }
--- /dev/null
+++ b/tests/unit/late_message_tests.cpp
@@ -0,0 +1,149 @@
+// Reports and heartbeats of a former boot that come after its successor's.
+//
+// A cut can hold a message back for longer than its sender lives: the bytes
+// arrive when the cut heals, while another boot has registered at the same
+// address. Believed, such a report declares lost what runs, and it runs twice.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+#include <springstair/guard.hpp>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// The guard and its executor start again; gives the last report before.
+worker_report restart(holder& at, const std::string& guard)
+{
+    worker_report& report = at.worker(guard);
+    const worker_report before = report;
+    report = {.guard = guard,
+              .address = before.address,
+              .incarnation = before.incarnation + "i",
+              .worker = before.worker,
+              .looked = true,
+              .answering = true};
+    report.worker.life += "i";
+    return before;
+}
+
+} // namespace
+
+TEST_CASE("a report of a former boot changes nothing that is believed")
+{
+    holder at;
+    at.say("g1");
+    worker_report late = restart(at, "g1");
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    REQUIRE(at.runs(what.id + ".0.0.0"));
+    at.say("g1");
+    const worker_record before = at.core.workers().at("g1");
+    late.sequence += 5;
+    late.worker.draining = true;
+    const report_answer answer = at.core.report(late, at.now, at.verified);
+    CHECK(answer.permit_ms == 0);
+    CHECK(answer.orders.empty());
+    const worker_record& after = at.core.workers().at("g1");
+    CHECK(after.what == before.what);
+    CHECK(after.held == before.held);
+    CHECK(after.used == before.used);
+    CHECK(after.lease_ends == before.lease_ends);
+    CHECK(after.reported == before.reported);
+    CHECK(at.core.figures().lost == 0);
+}
+
+TEST_CASE("a new holder is not taken in by a report of a former boot")
+{
+    holder at;
+    at.say("g1");
+    worker_report late = restart(at, "g1");
+    at.core.take_office(8, at.now);
+    at.core.set_table(holder::table());
+    at.core.begin(at.now);
+    SUBCASE("that comes after its successor's") {}
+    SUBCASE("that comes first")
+    {
+        at.core.report(late, at.now, at.verified);
+    }
+    at.say("g1");
+    late.sequence += 5;
+    at.core.report(late, at.now, at.verified);
+    CHECK(at.core.workers().at("g1").what.life == "g1-1i");
+    // It still hears its guard.
+    at.submit({step_of(1)});
+    at.turn();
+    CHECK(at.started.size() == 1);
+}
+
+TEST_CASE("a heartbeat of a former life does not replace a live executor")
+{
+    run_keeper keeper;
+    time_point now{std::chrono::hours(1)};
+    const worker_description live{.life = "w2", .service = "s"};
+    const worker_description former{.life = "w1", .service = "s"};
+    keeper.on_worker(live, 5, now);
+    keeper.on_answer({.holds = true, .permit_ms = 4000, .orders = {.epoch = 5}},
+                     keeper.report(now), now, now);
+    static_cast<void>(keeper.due(now));
+    keeper.on_looked("w2", order_result::accepted, worker_look{}, now, now);
+    keeper.on_worker(former, 9000, now);
+    CHECK(keeper.worker().life == "w2");
+    CHECK(keeper.report(now).looked);
+    // Its address is asked who lives there.
+    const auto actions = keeper.due(now + milliseconds(1));
+    const auto asks =
+        std::count_if(actions.begin(), actions.end(),
+                      [](const keeper_action& one)
+                      {
+                          const auto* const look =
+                              std::get_if<look_at_worker>(&one);
+                          return look != nullptr && look->life == "w1" &&
+                                 !look->deadline_ms && look->acknowledged == 0;
+                      });
+    CHECK(asks == 1);
+    SUBCASE("another life answers")
+    {
+        keeper.on_looked("w1", order_result::other_life, {}, now, now);
+        CHECK(keeper.worker().life == "w2");
+    }
+    SUBCASE("nobody answers")
+    {
+        keeper.on_looked("w1", order_result::unanswered, {}, now, now);
+        CHECK(keeper.worker().life == "w2");
+    }
+    SUBCASE("it lives")
+    {
+        keeper.on_looked("w1", order_result::accepted, worker_look{}, now, now);
+        CHECK(keeper.worker().life == "w1");
+        CHECK(keeper.report(now).looked);
+        // What lived there before is surely past.
+        keeper.on_worker(live, 7, now);
+        for (const keeper_action& one : keeper.due(now + milliseconds(1)))
+        {
+            const auto* const look = std::get_if<look_at_worker>(&one);
+            CHECK((look == nullptr || look->life == "w1"));
+        }
+    }
+}
+
+TEST_CASE("a life that never answered is forgotten once another one does")
+{
+    run_keeper keeper;
+    time_point now{std::chrono::hours(1)};
+    keeper.on_worker({.life = "w1", .service = "s"}, 9000, now);
+    keeper.on_answer({.holds = true, .permit_ms = 4000, .orders = {.epoch = 5}},
+                     keeper.report(now), now, now);
+    static_cast<void>(keeper.due(now));
+    keeper.on_looked("w1", order_result::other_life, {}, now, now);
+    CHECK(keeper.worker().life.empty());
+    keeper.on_worker({.life = "w2", .service = "s"}, 5, now);
+    CHECK(keeper.worker().life == "w2");
+}
--- a/tests/unit/run_keeper_tests.cpp
+++ b/tests/unit/run_keeper_tests.cpp
@@ -226,6 +226,8 @@
     at.keeper.on_started("j.0.0.0", 1, order_result::accepted, at.now);
     at.looked({{.task = "j.0.0.0", .run = 1}});
     at.keeper.on_worker({.life = "w2", .service = "s"}, 5, at.now);
+    CHECK(at.keeper.report(at.now).worker.life == "w1"); // until it answers
+    at.keeper.on_looked("w2", order_result::fenced, {}, at.now, at.now);
     const worker_report report = at.keeper.report(at.now);
     CHECK(report.running.empty());
     CHECK_FALSE(report.looked);
--- a/tests/unit/scheduler_sight_tests.cpp
+++ b/tests/unit/scheduler_sight_tests.cpp
@@ -94,7 +94,7 @@
         job_step lasting = step_of(1, 2000);
         lasting.lasting = true;
         at.submit({lasting});
-        at.turn();
+        at.turn(milliseconds(200));
         at.submit({step_of(1, 3000)});
         CHECK(cause_told(at) == "lasting");
     }
@@ -117,7 +117,7 @@
     step.image = "s";
     step.latency_target_ms = 10;
     const job what = at.submit({step});
-    at.turn();
+    at.turn(milliseconds(200));
     for (running_task& row : at.worker("g1").running)
     {
         row.percent = full_percent;
--- /dev/null
+++ b/tests/unit/silent_channel_tests.cpp
@@ -0,0 +1,244 @@
+// Connections that go silent for good, without a reset, while new ones work.
+
+#include <doctest/doctest.h>
+
+#include <springstair/transport.hpp>
+
+#include <absl/synchronization/blocking_counter.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Answers each request with 200. From hush() on, connections that are open
+// by then stay open and say nothing more.
+class hushed_server
+{
+public:
+    hushed_server()
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const generic = reinterpret_cast<sockaddr*>(&address); // NOLINT
+        socklen_t size = sizeof address;
+        REQUIRE(bind(listener_, generic, size) == 0);
+        REQUIRE(listen(listener_, SOMAXCONN) == 0);
+        REQUIRE(getsockname(listener_, generic, &size) == 0);
+        port_ = ntohs(address.sin_port);
+        acceptor_ = std::thread([this] { accept_all(); });
+    }
+
+    ~hushed_server()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        for (const int socket : sockets_)
+        {
+            shutdown(socket, SHUT_RDWR);
+        }
+        for (std::thread& one : threads_)
+        {
+            one.join();
+        }
+        for (const int socket : sockets_)
+        {
+            close(socket);
+        }
+        close(listener_);
+    }
+
+    [[nodiscard]] std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(port_) + "/x";
+    }
+
+    // @param delay of each answer, so that calls side by side need a
+    // connection each
+    void answer_after(milliseconds delay)
+    {
+        delay_ = delay;
+    }
+
+    void hush()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        hushed_ = sockets_.size();
+    }
+
+    [[nodiscard]] std::size_t connections()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return sockets_.size();
+    }
+
+    [[nodiscard]] int requests() const
+    {
+        return requests_;
+    }
+
+private:
+    void accept_all()
+    {
+        while (true)
+        {
+            const int socket = accept(listener_, nullptr, nullptr);
+            if (socket < 0)
+            {
+                return;
+            }
+            const std::lock_guard<std::mutex> lock(mutex_);
+            const std::size_t number = sockets_.size();
+            sockets_.push_back(socket);
+            threads_.emplace_back([this, socket, number]
+                                  { serve(socket, number); });
+        }
+    }
+
+    bool is_hushed(std::size_t number)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return number < hushed_;
+    }
+
+    void serve(int socket, std::size_t number)
+    {
+        static const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        std::array<char, 4096> buffer{};
+        std::string received;
+        while (true)
+        {
+            const ssize_t got = read(socket, buffer.data(), buffer.size());
+            if (got <= 0)
+            {
+                return;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+            const std::size_t end = received.find("\r\n\r\n");
+            if (end == std::string::npos)
+            {
+                continue;
+            }
+            received.erase(0, end + 4);
+            ++requests_;
+            std::this_thread::sleep_for(delay_.load());
+            if (!is_hushed(number))
+            {
+                [[maybe_unused]] const auto written =
+                    send(socket, answer.data(), answer.size(), MSG_NOSIGNAL);
+            }
+        }
+    }
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_;
+    std::vector<int> sockets_;
+    std::vector<std::thread> threads_;
+    std::size_t hushed_ = 0;
+    std::atomic<milliseconds> delay_{milliseconds(0)};
+    std::atomic<int> requests_ = 0;
+    std::thread acceptor_;
+};
+
+http_call call_to(const hushed_server& server)
+{
+    return {.method = "GET", .url = server.url(), .timeout = milliseconds(250)};
+}
+
+void open_connections(http_client& client, hushed_server& server, int count)
+{
+    server.answer_after(milliseconds(60));
+    absl::BlockingCounter answered(count);
+    for (int call = 0; call < count; ++call)
+    {
+        client.send(call_to(server),
+                    [&](const http_result& result)
+                    {
+                        CHECK(result.how == delivery::answered);
+                        answered.DecrementCount();
+                    });
+    }
+    answered.Wait();
+    server.answer_after(milliseconds(0));
+    CHECK(server.connections() == static_cast<std::size_t>(count));
+}
+
+} // namespace
+
+TEST_CASE("silent connections to one peer cost one call, not one each")
+{
+    hushed_server server;
+    http_client client;
+    open_connections(client, server, 4);
+    server.hush();
+    int lost = 0;
+    for (int call = 0; call < 12; ++call)
+    {
+        const http_result result = client.send_and_wait(call_to(server));
+        lost += result.how == delivery::answered ? 0 : 1;
+    }
+    CHECK(lost == 1);
+    CHECK(client.silent_connections() == 1);
+    CHECK(server.requests() == 4 + 12); // nothing is sent twice
+    // New ones are kept again: trust in the old ones is gone, not in all.
+    CHECK(server.connections() <= 4 + 12);
+}
+
+TEST_CASE("after two seconds new connections to the peer are kept")
+{
+    hushed_server server;
+    http_client client;
+    open_connections(client, server, 3);
+    server.hush();
+    CHECK(client.send_and_wait(call_to(server)).how != delivery::answered);
+    std::this_thread::sleep_for(milliseconds(2100));
+    const std::size_t before = server.connections();
+    for (int call = 0; call < 6; ++call)
+    {
+        CHECK(client.send_and_wait(call_to(server)).how == delivery::answered);
+    }
+    CHECK(server.connections() == before + 1);
+}
+
+TEST_CASE("a peer that is slow on a new connection is no silent one")
+{
+    hushed_server server;
+    http_client client;
+    server.answer_after(milliseconds(400));
+    CHECK(client.send_and_wait(call_to(server)).how == delivery::unknown);
+    CHECK(client.silent_connections() == 0);
+}
+
+TEST_CASE("connections older than the newest silence are passed over")
+{
+    peer_trust trust;
+    const time_point then{std::chrono::hours(1)};
+    CHECK(trust.choose("a", then) == connection_choice{});
+    trust.silent("a", then);
+    CHECK(trust.choose("b", then) == connection_choice{});
+    CHECK(trust.choose("a", then + milliseconds(1999)) ==
+          connection_choice{.fresh = true});
+    CHECK(trust.choose("a", then + milliseconds(5500)) ==
+          connection_choice{.younger_than = std::chrono::seconds(4)});
+    trust.silent("a", then + milliseconds(5500));
+    CHECK(trust.choose("a", then + milliseconds(5600)) ==
+          connection_choice{.fresh = true});
+}
