--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,12 +4,17 @@
 import asyncio
 import signal
 
+BETWEEN_REPORTS_S = 0.6  # guards report twice a second
+
 
 class Faults:
-    def __init__(self, fleet, record, draw):
+    def __init__(self, fleet, record, draw, silent_links=False):
         self.fleet = fleet
         self.record = record
         self.draw = draw
+        if silent_links:  # drawn for themselves: seeds keep their meaning
+            self.kinds = [self.hush, self.hush, self.hush_all, self.hold_back]
+            return
         self.kinds = [self.kill, self.kill, self.pause, self.stop, self.roll,
                       self.delay, self.reset, self.silence, self.half_cut,
                       self.store_away, self.store_slow, self.store_loses,
@@ -103,6 +108,33 @@
         self.record.disturb("reset", link.name)
         link.reset()
 
+    async def hush(self, _length):
+        link = self.draw.choice(self.fleet.links)
+        self.record.disturb("silent for good", link.name, len(link.open))
+        link.hush()
+
+    async def hush_all(self, _length):
+        self.record.disturb("silent for good, all links")
+        for link in self.fleet.links:
+            link.hush()
+
+    async def hold_back(self, length):
+        """What a guard sends to entries comes after its end, when its
+        successor has reported from the same address."""
+        guard = self.draw.choice([one for one in self.fleet.processes
+                                  if one.name in self.fleet.guards])
+        self.record.disturb("held back and SIGKILL", guard.name,
+                            f"{length:.1f} s")
+        links = [link for link in self.fleet.links
+                 if link.name.startswith("to entry")]
+        for link in links:
+            link.hold()
+        await asyncio.sleep(BETWEEN_REPORTS_S)
+        guard.signal(signal.SIGKILL)
+        await asyncio.sleep(length)
+        for link in links:
+            link.heal()
+
     # -- the store ---------------------------------------------------------------
 
     async def on_store(self, length, **fields):
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -12,6 +12,8 @@
         self.silent_in = False  # nothing reaches the target
         self.silent_out = False  # no answer comes back
         self.open = set()
+        self.hushed = set()  # connections that say nothing any more
+        self.held = set()  # connections whose bytes wait until it heals
 
     async def start(self, address, port):
         self.server = await asyncio.start_server(self.connect, address, port)
@@ -28,30 +30,46 @@
         self.open.add(pair)
         try:
             await asyncio.gather(
-                self.pump(reader, far_writer, lambda: self.silent_in),
-                self.pump(far_reader, writer, lambda: self.silent_out))
+                self.pump(pair, reader, far_writer, lambda: self.silent_in),
+                self.pump(pair, far_reader, writer, lambda: self.silent_out))
         except (OSError, ConnectionError):
             pass
         finally:
             self.open.discard(pair)
+            self.hushed.discard(pair)
+            self.held.discard(pair)
             for one in pair:
                 one.transport.abort()
 
-    async def pump(self, reader, writer, silent):
+    async def pump(self, pair, reader, writer, silent):
         while data := await reader.read(65536):
+            if pair in self.hushed:
+                continue
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
-            while silent():
+            while silent() or pair in self.held:
                 await asyncio.sleep(0.05)  # held up until it heals
             writer.write(data)
             await writer.drain()
-        writer.write_eof()
+        if pair not in self.hushed:
+            writer.write_eof()
+
+    def hush(self):
+        """What is open now stays open and says nothing more, also after the
+        link heals; new connections work."""
+        self.hushed |= self.open
 
     def reset(self):
         for pair in list(self.open):
             for one in pair:
                 one.transport.abort()
 
+    def hold(self):
+        """Holds back what is sent on connections that are open now, also
+        beyond their sender's end; new ones work."""
+        self.held |= self.open
+
     def heal(self):
+        self.held.clear()
         self.delay_s = 0.0
         self.silent_in = self.silent_out = False
--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -151,6 +151,11 @@
                 check_done(what);
             }
         }
+        // Nothing runs on that nobody wants any more.
+        for (const guard_process& guard : guards_)
+        {
+            RC_ASSERT(guard.executor.running.empty());
+        }
     }
 
 private:
