--- a/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
@@ -38,10 +38,10 @@
     auto operator<=>(const job_rank&) const = default; // NOLINT: no pointer
 };
 
-/// @brief Priority first. What lasts goes before what passes, its largest
-/// tasks first.  Then jobs that can still meet their objective,
-/// those that are late, and those too late to be worth anything; the earliest
-/// objective first among each.
+/// @brief Priority first. Then jobs that can still meet their objective,
+/// those that are late, and those too late to be worth anything. Among each,
+/// what lasts goes before what passes, the largest tasks first; then the
+/// earliest objective.
 /// @param queue of the job, or null if the table has none: it goes last
 job_rank rank_of(const job_record& of, const queue_row* queue, time_point now,
                  const order_options& options);
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -80,8 +80,11 @@
     duration gather_lasting = std::chrono::milliseconds(100);
     /// A lasting job waits no longer than this for others.
     duration longest_gathering = std::chrono::milliseconds(300);
-    /// Workers kept free at once for tasks that wait, and as a share of all.
+    /// Workers that are kept free at once for tasks that wait. A search of
+    /// all workers for each; more would slow a pass at thousands of them.
     std::size_t most_claims = 32;
+    /// The same as a share of all workers: the others stay with the work that
+    /// passes, which starts within two seconds.
     double claimed_share = 0.25;
     /// A fill that is slowed below this pace, in percent, moves to a worker
     /// that bears it, if it can be resumed there.
--- a/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
@@ -2,6 +2,7 @@
 
 #include <springstair/detail/scheduler/placement.hpp>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -183,7 +183,7 @@
             continue;
         }
         const bool gathering = gathers(of, what, now);
-        may_place_ = may_place_ || gathering; // it ends before the next pass
+        may_place_ = may_place_ || gathering; // it ends with time alone
         if (gathering || now < task.not_before)
         {
             left = true;
--- a/tests/unit/late_message_tests.cpp
+++ b/tests/unit/late_message_tests.cpp
@@ -22,7 +22,7 @@
 worker_report restart(holder& at, const std::string& guard)
 {
     worker_report& report = at.worker(guard);
-    const worker_report before = report;
+    worker_report before = report;
     report = {.guard = guard,
               .address = before.address,
               .incarnation = before.incarnation + "i",
