Placement: a tenth of the workers is kept free, size counts within half a second

Change: size counts only among jobs whose objectives lie in one half second; a tenth of the workers is kept free at most.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -85,7 +85,7 @@
     std::size_t most_claims = 32;
     /// The same as a share of all workers: the others stay with the work that
     /// passes, which starts within two seconds.
-    double claimed_share = 0.25;
+    double claimed_share = 0.1;
     /// A fill that is slowed below this pace, in percent, moves to a worker
     /// that bears it, if it can be resumed there.
     std::int64_t move_below = 50;
--- a/packages/scheduler/src/job_order.cpp
+++ b/packages/scheduler/src/job_order.cpp
@@ -35,6 +35,8 @@
     }
     return {.priority = queue->priority,
             .prospect = prospect,
+            .moment = (of.accepted + objective).time_since_epoch() /
+                      options.one_moment,
             .smallness =
                 lasting ? -of.what().steps.front().demand.cpu_millis : 0,
             .objective = of.accepted + objective,
