--- a/packages/transport/include/springstair/detail/transport/http_client.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_client.hpp
@@ -28,6 +28,10 @@
     duration connect_timeout = std::chrono::milliseconds(500);
     /// A connection of its own, so that no library sends it twice.
     bool exactly_one_connection = false;
+    /// Whether connections to this peer that fall silent take the trust from
+    /// the others kept to it. Not for a peer that leaves single calls
+    /// unanswered: each then costs new connections for two seconds of calls.
+    bool connections_share_fate = true;
 };
 
 /// @brief What came of a call.
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -400,7 +400,10 @@
     {
         ++silent_connections;
         const std::string peer = peer_of(call.url);
-        trust.silent(peer, boot_clock::now());
+        if (call.connections_share_fate)
+        {
+            trust.silent(peer, boot_clock::now());
+        }
         log_event(
             event_id::connection_silent,
             {{"peer", peer},
