Scheduler: one test of a waiting task

The look into waits had written again what placing has: a task at no worker and not done. It is a member of job_task now and serves both. No behaviour changes.

--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -50,6 +50,12 @@
     std::optional<left_worker> left; ///< by its newest move
     time_point not_before{};         ///< no start earlier; after a refusal
     time_point ready_since{};        ///< since when its turn has come
+
+    /// @brief Whether it is at no worker and not done.
+    [[nodiscard]] bool is_waiting() const noexcept
+    {
+        return !done && !run;
+    }
 };
 
 /// @brief One job as its holder knows it, with all of its tasks.
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-bool is_waiting(const job_task& task)
-{
-    return !task.done && !task.run;
-}
-
 std::int64_t rounds_due(const job& what, std::int64_t day_ms)
 {
     const job_schedule& schedule = what.schedule;
@@ -170,7 +165,7 @@
         step_group(of.what().id, {.round = round, .step = step});
     const job_step& what = of.what().steps[static_cast<std::size_t>(step)];
     const auto tasks = of.tasks_of(round, step);
-    const bool waits = std::any_of(tasks.begin(), tasks.end(), &is_waiting);
+    const bool waits = std::ranges::any_of(tasks, &job_task::is_waiting);
     std::map<std::string, std::string> tickets;
     if (queue.advice && waits)
     {
@@ -178,7 +173,7 @@
     }
     for (job_task& task : tasks)
     {
-        if (!is_waiting(task))
+        if (!task.is_waiting())
         {
             continue;
         }
@@ -210,7 +205,7 @@
             vain_.note(query);
             tell_wait(query, of, task);
             claim_room(query,
-                       std::count_if(tasks.begin(), tasks.end(), &is_waiting));
+                       std::ranges::count_if(tasks, &job_task::is_waiting));
             return true; // its siblings ask for the same
         }
         put(of, task, *at, task.runs + 1, tickets, now);
@@ -302,7 +297,7 @@
     const bool free =
         std::all_of(tasks.begin(), tasks.end(),
                     [now](const job_task& task)
-                    { return is_waiting(task) && now >= task.not_before; });
+                    { return task.is_waiting() && now >= task.not_before; });
     if (!free)
     {
         return true;
--- a/packages/scheduler/src/scheduler_sight.cpp
+++ b/packages/scheduler/src/scheduler_sight.cpp
@@ -29,9 +29,7 @@
     }
     const task_position at = of.position_of(first);
     const auto tasks = of.tasks_of(at.round, at.step);
-    const auto waiting = std::count_if(tasks.begin(), tasks.end(),
-                                       [](const job_task& task)
-                                       { return !task.done && !task.run; });
+    const auto waiting = std::ranges::count_if(tasks, &job_task::is_waiting);
     const wait_report found = explain_wait(workers_, query, options_.placement);
     note(event_id::tasks_wait,
          {{"job", of.what().id},
