--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 53> catalogue{{
+constexpr std::array<event_description, 54> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -35,6 +35,8 @@
      "A part ended by an exception and was started again."},
     {event_id::part_given_up, severity::error, "part_given_up",
      "A part failed too often; the process ends."},
+    {event_id::process_bounds, severity::info, "process_bounds",
+     "What the process may use, by its settings, and what its servers take."},
     {event_id::table_in_force, severity::info, "table_in_force",
      "A newer revision of the table is in force here."},
     {event_id::table_refused, severity::error, "table_refused",
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -39,6 +39,8 @@
                            ///< there is none
     std::string metrics;   ///< where figures are told; empty: nowhere
     double processors = 1; ///< of the VM, in cores; the largest entries hold
+    std::int64_t memory_mb = 0;   ///< that the process may use; 0: not told
+    std::int64_t descriptors = 0; ///< that it may have open; 0: not told
 
     bool operator==(const job_settings&) const = default;
 };
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -80,20 +80,22 @@
     void run()
     {
         const http_server callers(
-            server_at(process_.from.callers),
+            server_at(process_.from.callers, process_.from),
             process_.on_request([this](const http_arrival& arrival)
                                 { desk_.on_request(arrival); }));
         const http_server readiness(
-            server_at(process_.from.readiness),
+            server_at(process_.from.readiness, process_.from),
             process_.on_request([this](const http_arrival& arrival)
                                 { answer_readiness(*arrival.responder); }));
         const http_server internal(
-            server_at(internal_address(process_.from)),
+            server_at(internal_address(process_.from), process_.from),
             process_.on_request([this](http_arrival arrival)
                                 { answer_internal(arrival); }));
-        const auto figures = serve_metrics(process_);
+        const auto figures = serve_metrics(
+            process_, {{"callers", &callers}, {"internal", &internal}});
         log_event(event_id::process_started,
                   {{"role", "job_entry"}, {"address", process_.from.callers}});
+        log_bounds(process_.from);
         process_.run_control(timer_step, [this](time_point now) { tick(now); });
     }
 
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -54,17 +54,19 @@
     void run()
     {
         const http_server executors(
-            server_at(process_.from.executors),
+            server_at(process_.from.executors, process_.from),
             process_.on_request([this](const http_arrival& arrival)
                                 { on_executor(arrival); }));
         const http_server internal(
-            server_at(internal_address(process_.from)),
+            server_at(internal_address(process_.from), process_.from),
             process_.on_request([this](http_arrival arrival)
                                 { on_internal(arrival); }));
-        const auto figures = serve_metrics(process_);
+        const auto figures = serve_metrics(
+            process_, {{"executors", &executors}, {"internal", &internal}});
         log_event(
             event_id::process_started,
             {{"role", "job_guard"}, {"address", process_.from.executors}});
+        log_bounds(process_.from);
         process_.run_control(timer_step, [this](time_point now) { tick(now); });
     }
 
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -8,6 +8,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
 
 namespace springstair
 {
@@ -64,11 +67,23 @@
 /// The time of day, in milliseconds since 1970. It may jump.
 std::int64_t day_milliseconds();
 
-/// Serves the metrics at an endpoint; nothing for an empty one.
-std::unique_ptr<http_server> serve_metrics(job_process& process);
+/// A server and the name under which its connections are counted.
+struct named_server
+{
+    std::string_view name;
+    const http_server* server = nullptr; ///< outlives the metrics
+};
+
+/// Serves the metrics at the settings' endpoint; nothing for an empty one.
+std::unique_ptr<http_server> serve_metrics(job_process& process,
+                                           std::vector<named_server> servers);
+
+/// A server's options at an endpoint, within what the process may use.
+http_server_options server_at(const std::string& endpoint,
+                              const job_settings& of);
 
-/// Splits an endpoint into a server's options.
-http_server_options server_at(const std::string& endpoint);
+/// Tells what the process may use and what its servers take of it.
+void log_bounds(const job_settings& of);
 
 /// Where this process listens for others.
 std::string internal_address(const job_settings& of);
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t most_milliseconds = 600'000;
 constexpr double usual_grace_s = 6; // the platform's own figure
 constexpr double usual_processors = 1;
+constexpr std::int64_t most_memory_mb = 1 << 20;
+constexpr std::int64_t most_descriptors = 1 << 20;
 constexpr std::int64_t usual_stop_ms = 400;   // the larger of both sites
 constexpr std::int64_t usual_lease_ms = 6000; // the smaller of both sites
 
@@ -123,6 +125,10 @@
     to.advice = endpoint(reader, "advice", false);
     to.metrics = endpoint(reader, "metrics", false);
     to.processors = reader.positive("processors", usual_processors);
+    to.memory_mb =
+        reader.integer("memory_mb", 0, {.least = 0, .most = most_memory_mb});
+    to.descriptors = reader.integer("descriptors", 0,
+                                    {.least = 0, .most = most_descriptors});
     reader.reject_unknown();
     if (!all.empty())
     {
@@ -145,7 +151,9 @@
         {"longest_lease_ms", to_milliseconds(from.longest_lease)},
         {"stop_ms", to_milliseconds(from.stop_time)},
         {"grace_s", to_seconds(from.grace)},
-        {"processors", from.processors}};
+        {"processors", from.processors},
+        {"memory_mb", from.memory_mb},
+        {"descriptors", from.descriptors}};
     const std::map<std::string, std::string> endpoints{
         {"callers", from.callers},     {"readiness", from.readiness},
         {"executors", from.executors}, {"executor", from.executor},
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -418,18 +418,23 @@
               {"internal_port", 7720},        {"store", "10.0.0.2:1"},
               {"entries", {"10.0.0.3:8166"}}, {"grace_s", 2.5},
               {"processors", 0.25},           {"executors", "10.0.0.1:8166"},
-              {"executor", "10.0.0.1:8165"}};
+              {"executor", "10.0.0.1:8165"},  {"memory_mb", 160},
+              {"descriptors", 4100}};
     CHECK(is_job_settings(good));
     const job_settings read = parse_job_settings(good);
     CHECK(read.entries.at(0) == "10.0.0.3:7720");
     CHECK(read.grace == std::chrono::milliseconds(2500));
     CHECK(read.processors == 0.25);
+    CHECK(read.memory_mb == 160);
+    CHECK(read.descriptors == 4100);
     CHECK(parse_job_settings(to_document(read)) == read);
 
     json bad = good;
     bad["store"] = "here";
     bad["internal_port"] = 0;
     bad["processors"] = 0;
+    bad["memory_mb"] = -1;
+    bad["descriptors"] = "many";
     bad["extra"] = 1;
     bad.erase("executor");
     try
@@ -444,9 +449,9 @@
         {
             places.insert(one.place);
         }
-        CHECK(places == std::set<std::string>{"/store", "/internal_port",
-                                              "/extra", "/executor",
-                                              "/processors"});
+        CHECK(places == std::set<std::string>{
+                            "/store", "/internal_port", "/extra", "/executor",
+                            "/processors", "/memory_mb", "/descriptors"});
     }
 }
 
