--- /dev/null
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -0,0 +1,218 @@
+// What came of a guard's orders and looks.
+
+#include <springstair/guard.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+namespace
+{
+
+// Of the newest end in a list; ends are listed in their order.
+std::int64_t last_number(const std::vector<ended_task>& ends)
+{
+    return ends.empty() ? 0 : ends.back().number;
+}
+
+} // namespace
+
+// Gives a run back. An earlier copy without an answer could still begin, so
+// the worker is told first never to begin it.
+void run_keeper::refuse(const std::string& task, kept_run& run,
+                        const std::string& reason, time_point now)
+{
+    if (run.unanswered > 0)
+    {
+        run.at = stage::stopping;
+        run.refusal = reason;
+        run.unanswered = 0;
+        run.next_call = now;
+        return;
+    }
+    refused_.push_back({.task = task, .run = run.order.run, .reason = reason});
+    runs_.erase(task);
+    news_ = true;
+}
+
+void run_keeper::on_started(const std::string& task, std::int64_t run,
+                            order_result result, time_point now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.order.run != run)
+    {
+        return;
+    }
+    kept_run& kept = found->second;
+    kept.call_open = false;
+    if (kept.at != stage::starting)
+    {
+        return; // a stop was ordered meanwhile
+    }
+    switch (result)
+    {
+    case order_result::accepted:
+        kept.at = stage::running;
+        kept.confirmed = now;
+        return;
+    case order_result::late:
+        kept.next_call = now + options_.retry_after;
+        return;
+    case order_result::unanswered:
+        ++kept.unanswered;
+        kept.next_call = now + options_.retry_after;
+        if (kept.unanswered >= options_.most_unanswered)
+        {
+            refuse(task, kept, std::string(to_string(result)), now);
+        }
+        return;
+    case order_result::fenced:
+    case order_result::other_life:
+        runs_.erase(found); // a newer holder or life decides
+        news_ = true;
+        return;
+    case order_result::stale:
+        // It has ended here, or was stopped: the next look tells.
+        kept.at = stage::stopped;
+        kept.refusal = "stale";
+        kept.confirmed = now - options_.stop_time;
+        next_look_ = now;
+        return;
+    case order_result::no_room:
+    case order_result::no_ticket:
+    case order_result::rejected:
+    case order_result::unhealthy:
+        break;
+    }
+    refuse(task, kept, std::string(to_string(result)), now);
+}
+
+void run_keeper::on_stopped(const std::string& task, std::int64_t run,
+                            order_result result, time_point now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.order.run != run ||
+        found->second.at != stage::stopping)
+    {
+        return;
+    }
+    kept_run& kept = found->second;
+    kept.call_open = false;
+    if (result == order_result::accepted || result == order_result::stale)
+    {
+        kept.at = stage::stopped;
+        kept.confirmed = now;
+        return;
+    }
+    if (result == order_result::fenced || result == order_result::other_life)
+    {
+        runs_.erase(found);
+        return;
+    }
+    kept.next_call = now + options_.retry_after;
+}
+
+void run_keeper::on_looked(const std::string& life, order_result result,
+                           const std::optional<worker_look>& look,
+                           time_point sent, time_point now)
+{
+    if (!stranger_.what.life.empty() && life == stranger_.what.life)
+    {
+        meet_stranger(result, now);
+    }
+    if (life != worker_.life)
+    {
+        return;
+    }
+    look_open_ = false;
+    next_look_ = now;
+    if (result == order_result::other_life && !looked_)
+    {
+        worker_ = {}; // its heartbeat was late: it never was there
+        return;
+    }
+    if (look && look->ended == ended_ && !ended_.empty())
+    {
+        // A look returns at once while ends are not acknowledged.
+        next_look_ = now + options_.unacknowledged_pause;
+    }
+    if (!look)
+    {
+        next_look_ = now + options_.look_retry;
+        return;
+    }
+    clock_ms_ = look->clock_ms;
+    clock_at_ = now;
+    answered_ = now;
+    news_ = news_ || !looked_ || last_number(look->ended) > last_number(ended_);
+    looked_ = true;
+    running_ = look->running;
+    ended_ = look->ended;
+    settle(sent);
+    std::map<std::string, run_traits> traits;
+    for (const auto& [task, kept] : runs_)
+    {
+        traits[task] = {.fills = kept.order.fills,
+                        .latency_target_ms = kept.order.latency_target_ms,
+                        .image = kept.order.image};
+    }
+    interference_.observe(running_, traits, worker_.capacity.cpu_millis, now);
+}
+
+void run_keeper::on_paced(const pace_run& what, order_result result)
+{
+    const auto found = runs_.find(what.task);
+    if (found == runs_.end() || found->second.order.run != what.run)
+    {
+        return;
+    }
+    found->second.pace_open = false;
+    if (result == order_result::accepted)
+    {
+        found->second.pace = what.percent;
+    }
+}
+
+// Compares the runs with a look that was sent at a time.
+void run_keeper::settle(time_point sent)
+{
+    std::vector<std::string> gone;
+    for (auto& [task, kept] : runs_)
+    {
+        const std::int64_t run = kept.order.run;
+        if (is_ended(task, run))
+        {
+            gone.push_back(task);
+            continue;
+        }
+        const bool there = is_running(task, run);
+        if (there && kept.at == stage::starting)
+        {
+            kept.at = stage::running;
+            kept.confirmed = sent;
+        }
+        if (there)
+        {
+            continue;
+        }
+        if (kept.at == stage::running && kept.confirmed < sent)
+        {
+            gone.push_back(task); // its end was acknowledged
+        }
+        if (kept.at == stage::stopped &&
+            kept.confirmed + options_.stop_time < sent)
+        {
+            refused_.push_back(
+                {.task = task, .run = run, .reason = kept.refusal});
+            gone.push_back(task);
+            news_ = true;
+        }
+    }
+    for (const std::string& task : gone)
+    {
+        runs_.erase(task);
+    }
+}
+
+} // namespace springstair
