Soak: memory and descriptors of each process are one of its checks

Change: each process's own memory and descriptors are sampled ten times a second; more than an eighth of the smallest VM (20 MB, 512 descriptors) is a breach. The settings name the VM's bounds too.

Not tried against a build without the bound.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -26,6 +26,32 @@
 CAPACITY = {"cpu": 8000, "mem_mb": 16000, "gpu": 0}
 
 
+# What one process may hold: an eighth of the smallest VM of the largest
+# fleet, 160 MB and 4,100 descriptors, since this fleet is a twentieth of it.
+MEMORY_MB = 160
+DESCRIPTORS = 4100
+MOST_SHARE = 1 / 8
+
+
+def memory_mb(pid):
+    """Memory of its own that a process holds; none once it is gone."""
+    try:
+        with open(f"/proc/{pid}/status", encoding="utf-8") as status:
+            for line in status:
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) / 1024
+    except (FileNotFoundError, ProcessLookupError):
+        pass
+    return 0
+
+
+def descriptors(pid):
+    try:
+        return len(os.listdir(f"/proc/{pid}/fd"))
+    except (FileNotFoundError, ProcessLookupError):
+        return 0
+
+
 class Process:
     """One of our programs, started again whenever it is not there."""
 
@@ -40,6 +66,8 @@
         self.ended_by_us = False
         self.paused = False
         self.own_exits = 0
+        self.most_mb = 0
+        self.most_descriptors = 0
 
     def start(self):
         self.ended_by_us = False
@@ -51,6 +79,16 @@
     def runs(self):
         return self.child is not None and self.child.poll() is None
 
+    def note_use(self):
+        if self.runs():
+            self.most_mb = max(self.most_mb, memory_mb(self.child.pid))
+            self.most_descriptors = max(self.most_descriptors,
+                                        descriptors(self.child.pid))
+
+    def uses_too_much(self):
+        return (self.most_mb > MOST_SHARE * MEMORY_MB or
+                self.most_descriptors > MOST_SHARE * DESCRIPTORS)
+
     def signal(self, which):
         if not self.runs():
             return
@@ -116,6 +154,7 @@
             "announced_address": seen, "internal_port": INTERNAL,
             "store": f"{seen}:{STORE}", "longest_lease_ms": 6000,
             "stop_ms": 200, "grace_s": GRACE_S,
+            "memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS,
             "entries": [f"{self.ip(1, n)}:{INTERNAL}"
                         for n in range(len(self.entries))]}
         if name in self.entries:
@@ -164,6 +203,7 @@
         while True:
             await asyncio.sleep(0.1)
             for one in self.processes:
+                one.note_use()
                 if not one.paused:
                     self.revive(one)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -68,6 +68,12 @@
         for one in fleet.processes:
             if one.own_exits:
                 record.breach("EXIT", one.name, "ended by itself")
+            if one.uses_too_much():
+                record.breach("BOUNDS", one.name, one.most_mb, "MB",
+                              one.most_descriptors, "descriptors")
+        record.note("most used:", *(
+            f"{one.name} {one.most_mb:.1f} MB {one.most_descriptors} fds;"
+            for one in fleet.processes))
     finally:
         fleet.end()
     return record
