Holder: tells of each lost run why, how long it had been at work, and with how many

Cause: worker_lost told only how many runs went with an executor, so the log could not tell a task that ends its executors from one that was beside it, nor whether anything is counted. Change: event run_lost (1638) for each run, from the one place that loses runs (a new life, a lapsed lease, a guard that never came to a new holder). No decision changes.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -56,6 +56,7 @@
     order_failed = 1635,
     run_moved = 1636,
     tasks_wait = 1637,
+    run_lost = 1638,
     worker_known = 1641,
     worker_lost = 1642,
     worker_ejected = 1643,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 54> catalogue{{
+constexpr std::array<event_description, 55> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -114,6 +114,9 @@
      "A run that is slowed for others' sake is stopped to resume elsewhere."},
     {event_id::tasks_wait, severity::info, "tasks_wait",
      "Tasks of a step find no worker; why, and the most room on any."},
+    {event_id::run_lost, severity::warning, "run_lost",
+     "A run is surely over without a listed end; why, for how long reports had "
+     "shown it at work, and how many went with it."},
     {event_id::worker_known, severity::info, "worker_known",
      "A guard's first report to this holder."},
     {event_id::worker_lost, severity::warning, "worker_lost",
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -21,6 +21,8 @@
     std::int64_t placed_in = 0; ///< the job's change that recorded it
     bool ordered = false;       ///< a start was sent in this office
     bool seen = false;          ///< a report showed it running
+    time_point first_seen{};    ///< in this office
+    time_point last_seen{};
     bool stopping = false;      ///< it is to end; a stop is repeated
     std::int64_t percent = -1;  ///< progress in the newest report
     time_point moved_at{};      ///< when that progress last changed
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -337,6 +337,8 @@
     void stop_all(job_record& of);
     void want(job_record& of, time_point now);
     void lose_worker(worker_record& at, const char* why, time_point now);
+    void lose_runs(const std::set<task_name>& tasks, const char* why,
+                   time_point now);
     void note(event_id id, std::vector<event_field> fields);
 
     job_record* job_of(const std::string& id);
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -311,11 +311,7 @@
     {
         for (const auto& [guard, tasks] : std::exchange(awaited_, {}))
         {
-            for (const task_name& name : tasks)
-            {
-                job_record& of = *job_of(name.job);
-                close_run(of, *of.find(name.at), run_end::lost, {}, now);
-            }
+            lose_runs(tasks, "its guard has not come to this holder", now);
         }
     }
     place_if_due(now, day_ms);
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -143,10 +143,27 @@
           {"runs", std::to_string(at.held.size())},
           {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
           {"why", why}});
-    for (const task_name& name : std::set<task_name>(at.held))
+    lose_runs(std::set<task_name>(at.held), why, now);
+}
+
+void scheduler_core::lose_runs(const std::set<task_name>& tasks,
+                               const char* why, time_point now)
+{
+    for (const task_name& name : tasks)
     {
         job_record& of = *job_of(name.job);
-        close_run(of, *of.find(name.at), run_end::lost, {}, now);
+        job_task& task = *of.find(name.at);
+        const task_run& run = *task.run;
+        const duration shown = run.last_seen - run.first_seen;
+        note(event_id::run_lost,
+             {{"task", name.text()},
+              {"run", std::to_string(run.number)},
+              {"guard", run.guard},
+              {"life", run.life},
+              {"why", why},
+              {"shown_ms", std::to_string(to_milliseconds(shown))},
+              {"beside", std::to_string(tasks.size() - 1)}});
+        close_run(of, task, run_end::lost, {}, now);
     }
 }
 
@@ -161,13 +178,14 @@
     }
     const std::set<task_name> tasks = std::move(found->second);
     awaited_.erase(found);
+    std::set<task_name> lost;
     for (const task_name& name : tasks)
     {
         job_record& of = *job_of(name.job);
         job_task& task = *of.find(name.at);
         if (task.run->life != at.what.life)
         {
-            close_run(of, task, run_end::lost, {}, now);
+            lost.insert(name);
             continue;
         }
         task.run->moved_at = now;
@@ -175,6 +193,7 @@
         task.run->stopping = is_final(of.state());
         reserve(at, of.step_at(name.at), name);
     }
+    lose_runs(lost, "placed by another holder, its executor is gone", now);
 }
 
 void scheduler_core::note_ends(worker_record& at, const worker_report& from,
@@ -285,6 +304,8 @@
                                    const job_step& step,
                                    const running_task& row, time_point now)
 {
+    run.first_seen = run.seen ? run.first_seen : now;
+    run.last_seen = now;
     run.seen = true;
     run.over_target =
         step.latency_target_ms > 0 && row.load > step.latency_target_ms;
