--- /dev/null
+++ b/tests/unit/crashing_task_tests.cpp
@@ -0,0 +1,476 @@
+// Tasks that crash each executor that starts them.
+//
+// Seen on a deployment of 11 workers: two tasks were started 67 and 45 times
+// within two minutes. Each start ended its executor 10 ms later, with all that
+// ran beside it, and the executor was back after 3 s. A run whose executor
+// began another life was `lost`; nothing counted that, and its task waited
+// again at once. Proved by the record (each start is a placement with a number
+// of its own, by different holders) and by the cases below, which fail without
+// the repair.
+//
+// What must hold: at most two starts after the third crash; those that were
+// only beside a crash end well, in time.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::int64_t most_crashes = 3;
+// The platform's bound on starts after the third crash, less one.
+constexpr std::int64_t most_starts_after = 2;
+
+// Workers whose executors crash under some tasks and return some seconds later.
+class crashing_fleet
+{
+public:
+    struct options
+    {
+        int workers = 11;
+        int a_rack = 3;
+        duration away = seconds(3);           ///< until the executor is back
+        duration crashes_after = duration{0}; ///< of work
+        duration work = milliseconds(1000);
+        duration silence = milliseconds(1200); ///< until the guard notices
+    };
+
+    explicit crashing_fleet(options from) : options_(from)
+    {
+        for (int number = 0; number < options_.workers; ++number)
+        {
+            const std::string guard = "g" + std::to_string(number);
+            at.worker(guard).worker.rack =
+                "r" + std::to_string(number / options_.a_rack);
+            workers_[guard];
+        }
+        report_all();
+    }
+
+    // A job of tasks of which the first crashes its executor.
+    std::string submit_crashing(job_step step = step_of(1))
+    {
+        const std::string id = at.submit({std::move(step)}).id;
+        crashing_.insert(id + ".0.0.0");
+        return id;
+    }
+
+    std::string submit(job_step step = step_of(1))
+    {
+        return at.submit({std::move(step)}).id;
+    }
+
+    void run(duration length)
+    {
+        const time_point until = at.now + length;
+        while (at.now < until)
+        {
+            at.turn();
+            for (auto& [guard, worker] : workers_)
+            {
+                settle(guard, worker);
+            }
+            if (at.now >= next_reports_)
+            {
+                report_all();
+            }
+        }
+    }
+
+    void crash(const std::string& guard)
+    {
+        crash(guard, workers_.at(guard));
+    }
+
+    // The VM with executor and guard goes, and both are back together.
+    void lose_power(const std::string& guard)
+    {
+        crash(guard);
+        workers_.at(guard).dark = true;
+    }
+
+    [[nodiscard]] bool is_up(const std::string& guard) const
+    {
+        return workers_.at(guard).back == time_point{};
+    }
+
+    [[nodiscard]] std::int64_t crashes(const std::string& job) const
+    {
+        const auto found = crashes_.find(job + ".0.0.0");
+        return found == crashes_.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] std::int64_t all_crashes() const
+    {
+        return all_crashes_;
+    }
+
+    holder at;
+
+private:
+    struct worker_state
+    {
+        time_point back{}; ///< when the executor is back; none: it is up
+        time_point gone{};
+        bool dark = false; ///< its guard is away, too
+        int lives = 1;
+        std::set<std::string> known; ///< starts that the guard has handled
+        std::map<std::string, time_point> since; ///< of runs at work
+    };
+
+    static std::string key(const running_task& row)
+    {
+        return row.task + "/" + std::to_string(row.run);
+    }
+
+    void settle(const std::string& guard, worker_state& worker)
+    {
+        if (worker.back != time_point{})
+        {
+            settle_down(guard, worker);
+            return;
+        }
+        const auto rows = at.worker(guard).running;
+        for (const running_task& row : rows)
+        {
+            if (worker.known.insert(key(row)).second)
+            {
+                worker.since[key(row)] = at.now;
+            }
+        }
+        for (const running_task& row : rows)
+        {
+            const duration worked = at.now - worker.since.at(key(row));
+            if (crashing_.contains(row.task) &&
+                worked >= options_.crashes_after)
+            {
+                ++crashes_[row.task];
+                crash(guard, worker);
+                return;
+            }
+        }
+        for (const running_task& row : rows)
+        {
+            end_if_over(guard, row, at.now - worker.since.at(key(row)));
+        }
+    }
+
+    void end_if_over(const std::string& guard, const running_task& row,
+                     duration worked)
+    {
+        const auto name = task_name::parse(row.task);
+        const bool lasting = at.accepted.at(name->job).steps.front().lasting;
+        for (running_task& listed : at.worker(guard).running)
+        {
+            if (listed.task == row.task)
+            {
+                listed.percent = lasting
+                                     ? full_percent
+                                     : full_percent * worked / options_.work;
+            }
+        }
+        if (at.stopped.erase(row.task) > 0)
+        {
+            at.end(row.task, run_end::stopped);
+        }
+        else if (!lasting && worked >= options_.work)
+        {
+            at.end(row.task, run_end::done);
+        }
+    }
+
+    // What comes while the executor is down is refused; the guard goes on
+    // listing what it saw there last.
+    void settle_down(const std::string& guard, worker_state& worker)
+    {
+        worker_report& report = at.worker(guard);
+        std::erase_if(report.running,
+                      [&](const running_task& row)
+                      {
+                          const bool fresh =
+                              worker.known.insert(key(row)).second;
+                          if (fresh)
+                          {
+                              report.refused.push_back({.task = row.task,
+                                                        .run = row.run,
+                                                        .reason = "unhealthy"});
+                          }
+                          return fresh;
+                      });
+        report.answering = at.now - worker.gone < options_.silence;
+        report.lapsed = at.now - worker.gone >= lease_;
+        if (at.now >= worker.back)
+        {
+            begin_life(guard, worker);
+        }
+    }
+
+    void begin_life(const std::string& guard, worker_state& worker)
+    {
+        worker_report& report = at.worker(guard);
+        report.worker.life = guard + "-" + std::to_string(++worker.lives);
+        report.running.clear();
+        report.ended.clear();
+        report.refused.clear();
+        report.answering = true;
+        report.lapsed = false;
+        if (worker.dark)
+        {
+            report.incarnation += "i";
+        }
+        worker.dark = false;
+        worker.back = {};
+        worker.since.clear();
+    }
+
+    void crash(const std::string& guard, worker_state& worker)
+    {
+        ++all_crashes_;
+        worker.back = at.now + options_.away;
+        worker.gone = at.now;
+        // Starts that no look has shown yet are not listed.
+        std::erase_if(at.worker(guard).running, [&](const running_task& row)
+                      { return !shown_.contains(guard + key(row)); });
+    }
+
+    void report_all()
+    {
+        next_reports_ = at.now + milliseconds(400);
+        for (auto& [guard, worker] : workers_)
+        {
+            if (worker.dark)
+            {
+                continue;
+            }
+            for (const running_task& row : at.worker(guard).running)
+            {
+                shown_.insert(guard + key(row));
+            }
+            at.say(guard);
+            at.worker(guard).refused.clear();
+        }
+    }
+
+    options options_;
+    duration lease_ = milliseconds(3300);
+    std::map<std::string, worker_state> workers_;
+    std::set<std::string> crashing_;
+    std::set<std::string> shown_; ///< runs that a report has shown
+    std::map<std::string, std::int64_t> crashes_;
+    std::int64_t all_crashes_ = 0;
+    time_point next_reports_{};
+};
+
+// Short jobs that come all the time.
+class passing_jobs
+{
+public:
+    explicit passing_jobs(crashing_fleet& at) : at_(at) {}
+
+    void run(duration length, duration gap)
+    {
+        const time_point until = at_.at.now + length;
+        while (at_.at.now < until)
+        {
+            ids_.push_back(at_.submit(step_of(2, 500)));
+            at_.run(gap);
+        }
+    }
+
+    // Jobs that did not end well.
+    [[nodiscard]] std::size_t unserved() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            ids_, [&](const std::string& id)
+            { return at_.at.shown(id) != job_state::succeeded; }));
+    }
+
+private:
+    crashing_fleet& at_;
+    std::vector<std::string> ids_;
+};
+
+job_step lasting(std::int64_t count)
+{
+    job_step step = step_of(count, 500);
+    step.lasting = true;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a task that crashes each executor that starts it is given up")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    passing.run(seconds(3), milliseconds(100));
+    std::string bad;
+    SUBCASE("alone in its job")
+    {
+        bad = fleet.submit_crashing();
+    }
+    SUBCASE("one of many")
+    {
+        bad = fleet.submit_crashing(step_of(6));
+    }
+    SUBCASE("that lasts")
+    {
+        bad = fleet.submit_crashing(lasting(3));
+    }
+    SUBCASE("of a gang")
+    {
+        job_step step = step_of(3);
+        step.gang = true;
+        bad = fleet.submit_crashing(step);
+    }
+    SUBCASE("with a checkpoint")
+    {
+        job_step step = step_of(1);
+        step.checkpoints = true;
+        bad = fleet.submit_crashing(step);
+    }
+    passing.run(seconds(20), milliseconds(100));
+    fleet.run(seconds(10));
+    CHECK(fleet.at.shown(bad) == job_state::failed);
+    CHECK(fleet.crashes(bad) <= most_crashes);
+    CHECK(passing.unserved() == 0);
+}
+
+TEST_CASE("a task that crashes its executor after some work is given up")
+{
+    crashing_fleet fleet({.crashes_after = milliseconds(700)});
+    passing_jobs passing(fleet);
+    passing.run(seconds(3), milliseconds(100));
+    const std::string bad = fleet.submit_crashing();
+    passing.run(seconds(40), milliseconds(100));
+    fleet.run(seconds(10));
+    CHECK(fleet.at.shown(bad) == job_state::failed);
+    CHECK(fleet.crashes(bad) <= most_crashes + most_starts_after);
+    CHECK(passing.unserved() == 0);
+}
+
+TEST_CASE("crashes are counted where the executor stays away for long")
+{
+    crashing_fleet fleet({.away = seconds(7)});
+    passing_jobs passing(fleet);
+    passing.run(seconds(2), milliseconds(100));
+    const std::string bad = fleet.submit_crashing();
+    passing.run(seconds(45), milliseconds(100));
+    fleet.run(seconds(10));
+    CHECK(fleet.at.shown(bad) == job_state::failed);
+    CHECK(fleet.crashes(bad) <= most_crashes + most_starts_after);
+    CHECK(passing.unserved() == 0);
+}
+
+TEST_CASE("the count of crashes outlives its holder")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    passing.run(seconds(3), milliseconds(100));
+    const std::string bad = fleet.submit_crashing();
+    for (int office = 0; office < 12; ++office)
+    {
+        passing.run(milliseconds(2300), milliseconds(100));
+        fleet.at.take_over();
+    }
+    fleet.run(seconds(15));
+    CHECK(fleet.at.shown(bad) == job_state::failed);
+    CHECK(fleet.crashes(bad) <= most_crashes + most_starts_after);
+    CHECK(passing.unserved() == 0);
+}
+
+TEST_CASE("twenty tasks that crash executors come at once")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    passing.run(seconds(3), milliseconds(100));
+    std::vector<std::string> bad;
+    for (int number = 0; number < 20; ++number)
+    {
+        bad.push_back(fleet.submit_crashing());
+    }
+    passing.run(seconds(60), milliseconds(200));
+    fleet.run(seconds(30));
+    for (const std::string& id : bad)
+    {
+        CHECK(fleet.at.shown(id) == job_state::failed);
+        CHECK(fleet.crashes(id) <= most_crashes + most_starts_after);
+    }
+    CHECK(passing.unserved() == 0);
+}
+
+TEST_CASE("crashes of executors by themselves end no job")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    const std::string lasts = fleet.submit(lasting(8));
+    std::mt19937 random(7);
+    for (int turn = 0; turn < 60; ++turn)
+    {
+        passing.run(milliseconds(500), milliseconds(100));
+        const std::string guard = "g" + std::to_string(random() % 11);
+        if (fleet.is_up(guard))
+        {
+            fleet.crash(guard);
+        }
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
+
+TEST_CASE("an executor that goes down and up by turns ends no job")
+{
+    crashing_fleet fleet({.workers = 3, .away = seconds(2)});
+    const std::string lasts = fleet.submit(lasting(9));
+    passing_jobs passing(fleet);
+    for (int turn = 0; turn < 10; ++turn)
+    {
+        passing.run(seconds(4), milliseconds(200));
+        fleet.crash("g0");
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
+
+TEST_CASE("the loss of a rack, and of all power, ends no job")
+{
+    crashing_fleet fleet({});
+    const std::string lasts = fleet.submit(lasting(8));
+    passing_jobs passing(fleet);
+    for (int turn = 0; turn < 5; ++turn)
+    {
+        passing.run(seconds(4), milliseconds(100));
+        for (int number = 0; number < 11; ++number)
+        {
+            const std::string guard = "g" + std::to_string(number);
+            SUBCASE("a rack of executors")
+            {
+                if (number / 3 == turn % 2)
+                {
+                    fleet.crash(guard);
+                }
+            }
+            SUBCASE("all executors")
+            {
+                fleet.crash(guard);
+            }
+            SUBCASE("all power")
+            {
+                fleet.lose_power(guard);
+            }
+        }
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
--- a/tests/unit/holder_by_hand.hpp
+++ b/tests/unit/holder_by_hand.hpp
@@ -42,6 +42,13 @@
     return step;
 }
 
+// A job's progress in the store.
+struct stored_record
+{
+    std::string text;
+    std::int64_t revision = 0;
+};
+
 // A holder, its store and its guards' reports, moved by hand.
 class holder
 {
@@ -81,9 +88,28 @@
                  .payload = "p",
                  .steps = std::move(steps)};
         core.accept(what, now);
+        accepted[what.id] = what;
         return what;
     }
 
+    // Another entry takes the office, with what the store has.
+    void take_over()
+    {
+        core.take_office(core.epoch() + 1, now);
+        core.set_table(table());
+        for (const auto& [id, what] : accepted)
+        {
+            const auto kept = records.find(id);
+            core.adopt(what,
+                       kept == records.end()
+                           ? std::nullopt
+                           : std::optional(decode_progress(kept->second.text)),
+                       kept == records.end() ? 0 : kept->second.revision, now,
+                       day_ms);
+        }
+        core.begin(now);
+    }
+
     worker_report& worker(const std::string& guard)
     {
         worker_report& report = reports[guard];
@@ -129,7 +155,12 @@
     {
         while (const auto batch = core.next_commit(now))
         {
-            core.committed(*batch, ++revision, now);
+            ++revision;
+            for (const progress_write& one : *batch)
+            {
+                records[one.job] = {.text = one.text, .revision = revision};
+            }
+            core.committed(*batch, revision, now);
             now += milliseconds(25);
         }
         for (const addressed_orders& one : core.take_orders())
@@ -184,6 +215,8 @@
     std::map<std::string, start_order> started;
     std::map<std::string, std::string> where;
     std::set<std::string> stopped;
+    std::map<std::string, job> accepted;
+    std::map<std::string, stored_record> records; ///< of progress, by job
 
 private:
     int jobs_ = 0;
