Holder: a task that crashes the executors that start it is given up

Cause: a run that went with its executor ended as lost; nothing counted that, and its task waited again at once, so the number of its starts had no bound. Class: retry without a budget. Change: each task bears a suspicion, kept with its progress (so in the store before the next start, and read by a successor). It grows by how likely the task was the cause: two for a crash that its own guard saw before reports had shown the run at work for 0.3 s, one for weaker evidence (a lapse, a new guard or holder, a rack that went together), nothing for runs that had proved themselves for a second. A suspect runs apart, on a worker that takes nothing new until it is proven (a fifth of the workers at once, all after 1.5 s). Given up at the second crash that nothing else there can explain, at the third in any case, at the fourth if none was seen as such; the platform allows two starts more after the third. Reports tell how old their lists are: a guard repeats the last look at an executor that is silent, and a run would seem to prove itself after it was gone.

Ruled out: counting every loss (a loss of power or a lapse would end jobs that did nothing); giving up at the second crash always (in random worlds with crashes by themselves it ended lasting jobs); trials without a longest wait (tasks that crash came together again in waves, 22 suspects on 11 workers).

The fixture was corrected while the mend was written (stops name a run, a gang ends with a member, a silent executor is listed as it was last seen); its cases fail on the code before with these corrections, too.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -256,6 +256,7 @@
     std::int64_t acknowledged_ = 0;
     std::map<std::string, kept_run> runs_;
     bool looked_ = false;
+    time_point looked_at_{}; ///< when its lists came last
     bool look_open_ = false;
     time_point next_look_{};
     std::vector<running_task> running_;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -73,6 +73,7 @@
     ended_.clear();
     refused_.clear();
     looked_ = false;
+    looked_at_ = now;
     look_open_ = false;
     acknowledged_ = 0;
     leased_until_ = now + options_.longest_lease; // by an earlier guard
@@ -379,6 +380,7 @@
                       .admission = admission_,
                       .worker = worker_,
                       .looked = looked_,
+                      .lists_age_ms = to_milliseconds(now - looked_at_),
                       .whole = now - whole_told_ >= options_.whole_every,
                       .answering = !is_silent(now),
                       .lapsed = is_silent(now) && now >= leased_until_,
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -147,6 +147,7 @@
     answered_ = now;
     news_ = news_ || !looked_ || last_number(look->ended) > last_number(ended_);
     looked_ = true;
+    looked_at_ = now;
     running_ = look->running;
     ended_ = look->ended;
     settle(sent);
--- a/packages/jobs/include/springstair/detail/jobs/progress.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/progress.hpp
@@ -10,11 +10,12 @@
 {
     task_position at;
     bool done = false;
-    std::int64_t runs = 0;     ///< number of the newest run; 0: none yet
-    std::int64_t failures = 0; ///< runs that ended by a failure
-    std::string guard;         ///< where the newest run may be; empty: nowhere
-    std::string life;          ///< the executor's incarnation there
-    std::string checkpoint;    ///< to resume from; empty: none
+    std::int64_t runs = 0;      ///< number of the newest run; 0: none yet
+    std::int64_t failures = 0;  ///< runs that ended by a failure
+    std::string guard;          ///< where the newest run may be; empty: nowhere
+    std::string life;           ///< the executor's incarnation there
+    std::string checkpoint;     ///< to resume from; empty: none
+    std::int64_t suspicion = 0; ///< of crashing the executors that start it
 
     bool operator==(const task_progress&) const = default;
 };
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -130,6 +130,9 @@
     /// Whether running and ended are a look at this incarnation; false in a
     /// guard that has not yet seen its worker's lists.
     bool looked = false;
+    /// How old running and ended are: a worker that does not answer is told
+    /// of by the last look at it.
+    std::int64_t lists_age_ms = 0;
     /// Whether it tells what runs: running, starting and unknown. Ends that
     /// are told between two such reports travel without.
     bool whole = true;
@@ -231,8 +234,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     worker_report, guard, address, epoch, incarnation, sequence, admission,
-    worker, looked, whole, answering, lapsed, lease_ms, running, ended, refused,
-    paces, starting, unknown)
+    worker, looked, lists_age_ms, whole, answering, lapsed, lease_ms, running,
+    ended, refused, paces, starting, unknown)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
--- a/packages/jobs/src/progress.cpp
+++ b/packages/jobs/src/progress.cpp
@@ -9,9 +9,14 @@
 // A task is a row of values in this order; names would triple its size.
 json row_of(const task_progress& task)
 {
-    return json::array({task.at.round, task.at.step, task.at.index,
-                        task.done ? 1 : 0, task.runs, task.failures, task.guard,
-                        task.life, task.checkpoint});
+    json row = json::array({task.at.round, task.at.step, task.at.index,
+                            task.done ? 1 : 0, task.runs, task.failures,
+                            task.guard, task.life, task.checkpoint});
+    if (task.suspicion > 0)
+    {
+        row.push_back(task.suspicion); // few have any
+    }
+    return row;
 }
 
 task_progress task_of(const json& row)
@@ -22,7 +27,8 @@
             .failures = row.at(5),
             .guard = row.at(6),
             .life = row.at(7),
-            .checkpoint = row.at(8)};
+            .checkpoint = row.at(8),
+            .suspicion = row.size() > 9 ? row.at(9).get<std::int64_t>() : 0};
 }
 
 } // namespace
--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <springstair/core.hpp>
+
+#include <cstdint>
+
+namespace springstair
+{
+
+/// @file
+/// @brief What a lost run says of its task.
+///
+/// A task can crash each executor that starts it. An executor that crashes
+/// lists no end, and takes along whatever ran beside its culprit. So each task
+/// bears a suspicion, kept with its progress, that grows with each executor
+/// lost under it, by how likely it was the task. A suspect runs apart from
+/// other suspects, where nothing new is started until it has proved itself: a
+/// second crash then names it, and those that were only beside it go on.
+/// A task that crashes executors is given up after two or three of them, or
+/// four if no crash was seen as such.
+
+/// @brief Bounds of suspicion and of the trial of suspects.
+struct suspicion_options
+{
+    /// A run that a report shows at work so long after its order hardly
+    /// crashes its executor any more. Above the time that an order takes.
+    duration proven_after = std::chrono::milliseconds(300);
+    /// The same for sure, and for a suspect. A task that crashes executors
+    /// only after more work than this is not found out.
+    duration surely_proven_after = std::chrono::milliseconds(1000);
+    /// A run at work for so long clears its task: crashes of executors by
+    /// themselves do not add up over the life of what lasts.
+    duration sound_after = std::chrono::seconds(3);
+    /// Share of the workers that may be closed for suspects at once; the
+    /// others stay with all other work.
+    double closed_share = 0.2;
+    /// A suspect that has waited for so long may close any worker.
+    duration share_bound_for = std::chrono::milliseconds(1500);
+    /// A suspect of one crash waits no longer than this for a worker to
+    /// itself, then it goes as others do: a job may have nothing running for
+    /// three seconds at most. One of several crashes waits on: tasks that crash
+    /// executors would else come together again on the few that are up, with
+    /// all that waits.
+    duration longest_trial_wait = std::chrono::milliseconds(2500);
+    /// Executors of a rack that went within this time of one another went
+    /// for one reason, their own: above the time that one is away.
+    duration same_fault = std::chrono::seconds(4);
+    /// A suspect does not return to the worker that it left for so long.
+    duration no_return = std::chrono::seconds(10);
+};
+
+/// @brief How surely a run was lost by a crash of its executor alone.
+enum class loss_evidence : std::uint8_t
+{
+    /// The guard that saw the run lived through its executor's crash, and
+    /// other executors of the rack stand.
+    direct,
+    /// A lapsed lease, a new guard or holder, a rack that went together.
+    indirect
+};
+
+/// @brief Suspicion from which on a task is a suspect: one crash right after
+/// its start.
+inline constexpr std::int64_t suspected_at = 2;
+/// @brief Suspicion from which on a crash that nothing else there can have
+/// caused gives the task up: a second one.
+inline constexpr std::int64_t named_at = 4;
+/// @brief Suspicion that gives a task up whatever ran beside it: three
+/// crashes, or four that were seen only indirectly. The platform allows two
+/// starts more after the third.
+inline constexpr std::int64_t certain_at = 6;
+
+/// @brief One run that went with its executor.
+struct lost_run_facts
+{
+    std::int64_t suspicion = 0; ///< of its task, before
+    duration at_work{0};        ///< for how long reports had shown it
+    loss_evidence evidence = loss_evidence::indirect;
+};
+
+/// @brief How long the run of a task must have been shown at work for its
+/// worker to take other runs again.
+[[nodiscard]] constexpr duration
+proof_time(std::int64_t suspicion, const suspicion_options& options) noexcept
+{
+    return suspicion >= suspected_at ? options.surely_proven_after
+                                     : options.proven_after;
+}
+
+/// @brief Whether a run is among the likely causes of the loss.
+[[nodiscard]] constexpr bool
+is_likely_cause(const lost_run_facts& of,
+                const suspicion_options& options) noexcept
+{
+    return of.at_work < options.proven_after;
+}
+
+/// @brief What a loss adds to the suspicion of the run's task.
+[[nodiscard]] constexpr std::int64_t
+added_suspicion(const lost_run_facts& of,
+                const suspicion_options& options) noexcept
+{
+    const bool suspect = of.suspicion >= suspected_at;
+    const bool direct = of.evidence == loss_evidence::direct;
+    if (is_likely_cause(of, options))
+    {
+        return direct || suspect ? 2 : 1;
+    }
+    if (of.at_work < options.surely_proven_after)
+    {
+        return (direct ? 1 : 0) + (suspect ? 1 : 0);
+    }
+    return 0;
+}
+
+/// @brief Whether a task of that suspicion, the last loss counted, is given
+/// up. @param sole whether it alone was a likely cause of that loss
+[[nodiscard]] constexpr bool
+is_given_up(std::int64_t suspicion, loss_evidence evidence, bool sole) noexcept
+{
+    return suspicion >= certain_at ||
+           (suspicion >= named_at && sole && evidence == loss_evidence::direct);
+}
+
+} // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -21,8 +21,8 @@
     std::int64_t placed_in = 0; ///< the job's change that recorded it
     bool ordered = false;       ///< a start was sent in this office
     bool seen = false;          ///< a report showed it running
-    time_point first_seen{};    ///< in this office
-    time_point last_seen{};
+    time_point last_seen{};     ///< by the newest report that showed it
+    time_point ordered_at{};    ///< or when this holder adopted it
     bool stopping = false;      ///< it is to end; a stop is repeated
     std::int64_t percent = -1;  ///< progress in the newest report
     time_point moved_at{};      ///< when that progress last changed
@@ -46,6 +46,7 @@
     bool done = false;
     std::int64_t runs = 0;
     std::int64_t failures = 0;
+    std::int64_t suspicion = 0; ///< of crashing executors; crash_suspicion.hpp
     std::optional<task_run> run;
     std::string checkpoint;
     std::set<std::string> avoided;   ///< guards where it failed or stood still
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -40,6 +40,9 @@
     double same_image_bonus = 0.4;
     /// Score added for each other image that serves there.
     double other_image_penalty = 0.1;
+    /// Score added to a suspect's worker for each run there that is not
+    /// proven: more than a difference in room.
+    double unproven_penalty = 1;
     /// Score added for work away from its data, which takes longer there.
     double far_penalty = 0.5;
 };
@@ -58,6 +61,9 @@
     /// It has waited too long for a worker that bears it: the least harmful
     /// one that has room takes it, and the guard there slows it.
     bool despite_harm = false;
+    /// A suspect: it goes where fewest others are unproven, so that a crash
+    /// tells most.
+    bool apart = false;
     /// By incarnation, if only workers with one may run it; else null.
     const std::map<std::string, std::string>* tickets = nullptr;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/scheduler/crash_suspicion.hpp>
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
@@ -25,6 +26,7 @@
 {
     placement_options placement;
     order_options order;
+    suspicion_options suspicion;
     /// How long a worker's lease may last on one answer to its guard. Above
     /// a guard's restart and a frozen VM; below the platform's most.
     duration permit = std::chrono::seconds(4);
@@ -278,6 +280,9 @@
 
     [[nodiscard]] bool gathers(const job_record& of, const job_step& step,
                                time_point now) const;
+    [[nodiscard]] bool waits_for_trial(const job_task& task,
+                                       time_point now) const;
+    bool try_apart(placement_query query, job_record& of, job_task& task);
     void claim_room(const placement_query& query, std::int64_t tasks);
     void begin_pass();
 
@@ -292,9 +297,6 @@
     worker_record& worker_of(const worker_report& from, time_point now);
     bool believes(worker_record& at, const worker_report& from,
                   report_answer& answer);
-    void change_life(worker_record& at, const std::string& life,
-                     time_point now);
-    void adopt_awaited(worker_record& at, time_point now);
     void note_ends(worker_record& at, const worker_report& from,
                    time_point now);
     void note_refusals(worker_record& at, const worker_report& from,
@@ -321,6 +323,25 @@
     [[nodiscard]] start_order order_for(const job_record& of,
                                         const job_task& task) const;
 
+    // Lost runs (scheduler_losses.cpp).
+    void change_life(worker_record& at, const std::string& life,
+                     bool same_guard, time_point now);
+    void adopt_awaited(worker_record& at, time_point now);
+    void lose_worker(worker_record& at, loss_evidence evidence, const char* why,
+                     time_point now);
+    void lose_runs(const std::set<task_name>& lost, loss_evidence evidence,
+                   const char* why, time_point now);
+    void note_loss(const task_name& name, const job_task& task, const char* why,
+                   std::size_t lost, std::size_t likely);
+    [[nodiscard]] static duration shown_at_work(const task_run& run);
+    std::map<task_name, lost_run_facts>
+    facts_of(const std::set<task_name>& lost, loss_evidence evidence);
+    [[nodiscard]] bool went_with_its_rack(const worker_record& at,
+                                          time_point now) const;
+    void give_up(job_record& of, const job_task& task, time_point now);
+    void note_soundness(worker_record& at, job_task& task,
+                        const task_name& name);
+
     // Ends (scheduler_ends.cpp).
     void close_run(job_record& of, job_task& task, run_end how,
                    const std::string& checkpoint, time_point now);
@@ -336,9 +357,6 @@
     void forget_advice(const job_record& of);
     void stop_all(job_record& of);
     void want(job_record& of, time_point now);
-    void lose_worker(worker_record& at, const char* why, time_point now);
-    void lose_runs(const std::set<task_name>& tasks, const char* why,
-                   time_point now);
     void note(event_id id, std::vector<event_field> fields);
 
     job_record* job_of(const std::string& id);
@@ -360,6 +378,7 @@
     vain_queries vain_;         ///< of this pass over the waiting tasks
     time_point last_lasting_{}; ///< when the newest lasting job came
     std::size_t claims_ = 0;    ///< workers that this pass keeps free
+    std::size_t trials_ = 0;    ///< workers up that are closed for suspects
     bool may_place_ = true;     ///< jobs or room changed since the last pass
     time_point last_pass_{};
     std::int64_t next_due_ms_ = 0; ///< time of day of the next round
--- a/packages/scheduler/include/springstair/detail/scheduler/vain_queries.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/vain_queries.hpp
@@ -51,11 +51,11 @@
     using key = std::tuple<std::string, std::string, std::string, bool>;
 
     // Bounds a worker and tickets depend on the job; who waited too long on
-    // the moment.
+    // the moment. Suspects are bound by the trials that are under way.
     static bool is_comparable(const placement_query& query)
     {
         return query.step.most_per_worker == 0 && !query.despite_harm &&
-               query.tickets == nullptr;
+               !query.apart && query.tickets == nullptr;
     }
 
     static key key_of(const placement_query& query)
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -26,20 +27,25 @@
     std::string guard;
     std::string address; ///< of its guard
     worker_description what;
-    resources used;                ///< by runs that may be there
-    resources settled;             ///< the part of it that lasting runs have
-    resources claimed;             ///< kept free for a task that waits
-    std::int64_t fill_cpu = 0;     ///< asked for by runs that fill
-    std::int64_t fill_runs = 0;    ///< their number
-    std::set<task_name> held;      ///< tasks whose newest run may be there
-    std::string incarnation;       ///< of its guard
-    std::int64_t sequence = 0;     ///< of the newest report
-    std::int64_t offered = 0;      ///< newest admission number
-    std::string offered_to;        ///< incarnation that it was given to
-    bool answering = true;         ///< its guard hears from it
-    time_point reported{};         ///< when its last report came
-    time_point lease_ends{};       ///< by then its lease has surely run out
-    std::int64_t noted = 0;        ///< ends up to here are applied
+    resources used;             ///< by runs that may be there
+    resources settled;          ///< the part of it that lasting runs have
+    resources claimed;          ///< kept free for a task that waits
+    std::int64_t fill_cpu = 0;  ///< asked for by runs that fill
+    std::int64_t fill_runs = 0; ///< their number
+    std::set<task_name> held;   ///< tasks whose newest run may be there
+    /// Of those, the ones not yet seen at work for a while.
+    std::set<task_name> unproven;
+    /// Of those, the suspect for which nothing else is started there.
+    std::optional<task_name> on_trial;
+    time_point life_since{};   ///< when its executor's life was first reported
+    std::string incarnation;   ///< of its guard
+    std::int64_t sequence = 0; ///< of the newest report
+    std::int64_t offered = 0;  ///< newest admission number
+    std::string offered_to;    ///< incarnation that it was given to
+    bool answering = true;     ///< its guard hears from it
+    time_point reported{};     ///< when its last report came
+    time_point lease_ends{};   ///< by then its lease has surely run out
+    std::int64_t noted = 0;    ///< ends up to here are applied
     std::int64_t acknowledged = 0; ///< ends up to here are kept
     std::deque<noted_end> unkept;
     std::int64_t failure_streak = 0; ///< failures of distinct jobs in a row
@@ -77,6 +83,10 @@
 /// @brief Takes a run out of a worker's ledger, if it is in there.
 void release(worker_record& at, const job_step& step, const task_name& task);
 
+/// @brief A run has shown that it does not crash its executor at its start,
+/// or is gone: what was closed for it is open again.
+void end_trial(worker_record& at, const task_name& task);
+
 /// @brief The text that groups the runs of one step of one round.
 std::string step_group(const std::string& job, const task_position& at);
 
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -122,7 +122,8 @@
              .failures = task.failures,
              .guard = task.run ? task.run->guard : std::string(),
              .life = task.run ? task.run->life : std::string(),
-             .checkpoint = task.done ? std::string() : task.checkpoint});
+             .checkpoint = task.done ? std::string() : task.checkpoint,
+             .suspicion = task.done ? 0 : task.suspicion});
     }
     return kept;
 }
@@ -143,6 +144,7 @@
         task->runs = from.runs;
         task->failures = from.failures;
         task->checkpoint = from.checkpoint;
+        task->suspicion = from.suspicion;
         if (!from.guard.empty())
         {
             task->run = task_run{
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -150,6 +150,11 @@
     {
         value += options.far_penalty;
     }
+    if (query.apart)
+    {
+        value +=
+            options.unproven_penalty * static_cast<double>(at.unproven.size());
+    }
     const bool just_left = query.left != nullptr && *query.left == at.guard;
     if (just_left || query.avoided.contains(at.guard))
     {
@@ -171,7 +176,7 @@
                 time_point now, const placement_options& options)
 {
     return at.what.service == service && !at.what.life.empty() &&
-           !at.what.draining && at.answering &&
+           !at.what.draining && at.answering && !at.on_trial &&
            now - at.reported < options.report_age && now >= at.ejected_until;
 }
 
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -199,6 +199,7 @@
                 continue;
             }
             task.run->ordered = true;
+            task.run->ordered_at = now;
             task.run->moved_at = now;
             outbox_[task.run->guard].starts.push_back(order_for(of, task));
         }
@@ -300,7 +301,8 @@
     {
         if (now >= at.lease_ends && !at.held.empty())
         {
-            lose_worker(at, "its lease has surely run out", now);
+            lose_worker(at, loss_evidence::indirect,
+                        "its lease has surely run out", now);
         }
     }
     const duration reach =
@@ -311,7 +313,8 @@
     {
         for (const auto& [guard, tasks] : std::exchange(awaited_, {}))
         {
-            lose_runs(tasks, "its guard has not come to this holder", now);
+            lose_runs(tasks, loss_evidence::indirect,
+                      "its guard has not come to this holder", now);
         }
     }
     place_if_due(now, day_ms);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -56,9 +56,11 @@
 {
     vain_.clear();
     claims_ = 0;
+    trials_ = 0;
     for (auto& [guard, at] : workers_)
     {
         at.claimed = {};
+        trials_ += at.on_trial && at.answering ? 1 : 0;
     }
 }
 
@@ -196,6 +198,15 @@
             .despite_harm = !of.has_runs() &&
                             now - task.ready_since > options_.longest_harm_wait,
             .tickets = queue.advice ? &tickets : nullptr};
+        if (task.suspicion >= suspected_at)
+        {
+            const bool placed = try_apart(query, of, task);
+            left = left || !placed;
+            if (placed || waits_for_trial(task, now))
+            {
+                continue;
+            }
+        }
         worker_record* const at =
             vain_.covers(query)
                 ? nullptr
@@ -221,6 +232,41 @@
            now - of.accepted < options_.longest_gathering;
 }
 
+bool scheduler_core::waits_for_trial(const job_task& task, time_point now) const
+{
+    return task.suspicion >= named_at ||
+           now - task.ready_since < options_.suspicion.longest_trial_wait;
+}
+
+// Starts a suspect where nothing else is started until it has proved itself.
+bool scheduler_core::try_apart(placement_query query, job_record& of,
+                               job_task& task)
+{
+    const suspicion_options& options = options_.suspicion;
+    const bool is_bound =
+        query.now - task.ready_since < options.share_bound_for;
+    const auto most = std::max<std::size_t>(
+        1, static_cast<std::size_t>(options.closed_share *
+                                    static_cast<double>(workers_.size())));
+    if (is_bound && trials_ >= most)
+    {
+        return false;
+    }
+    query.apart = true;
+    worker_record* const at =
+        choose_worker(workers_, query, options_.placement);
+    if (at == nullptr)
+    {
+        return false;
+    }
+    ++trials_;
+    at->on_trial = task_name{of.what().id, of.position_of(task)};
+    static const std::map<std::string, std::string> no_tickets;
+    put(of, task, *at, task.runs + 1,
+        query.tickets == nullptr ? no_tickets : *query.tickets, query.now);
+    return true;
+}
+
 // Keeps workers free for tasks that no worker can take now. Those behind them
 // would else take each piece of room before it is large enough.
 void scheduler_core::claim_room(const placement_query& query,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -24,6 +24,8 @@
     {
         return answer;
     }
+    // What it saw of the former life tells how that ended.
+    const bool same_guard = at.incarnation == from.incarnation;
     at.incarnation = from.incarnation;
     at.sequence = from.sequence;
     at.address = from.address;
@@ -42,7 +44,7 @@
     if (!from.worker.life.empty() &&
         (from.looked || from.worker.life == at.what.life))
     {
-        change_life(at, from.worker.life, now);
+        change_life(at, from.worker.life, same_guard, now);
         at.what = from.worker;
         adopt_awaited(at, now);
     }
@@ -52,7 +54,8 @@
         from.lapsed && !at.held.empty() && from.worker.life == at.what.life;
     if (lapsed)
     {
-        lose_worker(at, "it is silent and its lease has run out", now);
+        lose_worker(at, loss_evidence::indirect,
+                    "it is silent and its lease has run out", now);
     }
     else if (from.looked && from.worker.life == at.what.life)
     {
@@ -116,86 +119,6 @@
     return at;
 }
 
-// Another incarnation of the executor: all that ran there is gone.
-void scheduler_core::change_life(worker_record& at, const std::string& life,
-                                 time_point now)
-{
-    if (at.what.life.empty() || at.what.life == life)
-    {
-        return;
-    }
-    lose_worker(at, "its executor began another life", now);
-    outbox_.erase(at.guard); // meant for the life before
-    at.noted = 0;
-    at.acknowledged = 0;
-    at.unkept.clear();
-    at.failure_streak = 0;
-    at.ejections = 0;
-    at.ejected_until = {};
-}
-
-void scheduler_core::lose_worker(worker_record& at, const char* why,
-                                 time_point now)
-{
-    note(event_id::worker_lost,
-         {{"guard", at.guard},
-          {"life", at.what.life},
-          {"runs", std::to_string(at.held.size())},
-          {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
-          {"why", why}});
-    lose_runs(std::set<task_name>(at.held), why, now);
-}
-
-void scheduler_core::lose_runs(const std::set<task_name>& tasks,
-                               const char* why, time_point now)
-{
-    for (const task_name& name : tasks)
-    {
-        job_record& of = *job_of(name.job);
-        job_task& task = *of.find(name.at);
-        const task_run& run = *task.run;
-        const duration shown = run.last_seen - run.first_seen;
-        note(event_id::run_lost,
-             {{"task", name.text()},
-              {"run", std::to_string(run.number)},
-              {"guard", run.guard},
-              {"life", run.life},
-              {"why", why},
-              {"shown_ms", std::to_string(to_milliseconds(shown))},
-              {"beside", std::to_string(tasks.size() - 1)}});
-        close_run(of, task, run_end::lost, {}, now);
-    }
-}
-
-// Runs of an earlier holder: those of this incarnation are entered into the
-// ledger, those of another are gone.
-void scheduler_core::adopt_awaited(worker_record& at, time_point now)
-{
-    const auto found = awaited_.find(at.guard);
-    if (found == awaited_.end())
-    {
-        return;
-    }
-    const std::set<task_name> tasks = std::move(found->second);
-    awaited_.erase(found);
-    std::set<task_name> lost;
-    for (const task_name& name : tasks)
-    {
-        job_record& of = *job_of(name.job);
-        job_task& task = *of.find(name.at);
-        if (task.run->life != at.what.life)
-        {
-            lost.insert(name);
-            continue;
-        }
-        task.run->moved_at = now;
-        task.run->ordered = true;
-        task.run->stopping = is_final(of.state());
-        reserve(at, of.step_at(name.at), name);
-    }
-    lose_runs(lost, "placed by another holder, its executor is gone", now);
-}
-
 void scheduler_core::note_ends(worker_record& at, const worker_report& from,
                                time_point now)
 {
@@ -285,6 +208,10 @@
             task->checkpoint = row.checkpoint;
         }
         note_progress(at, *task->run, of->step_at(name->at), row, now);
+        task->run->last_seen =
+            std::max(task->run->last_seen,
+                     now - std::chrono::milliseconds(from.lists_age_ms));
+        note_soundness(at, *task, *name);
         const bool undescribed =
             std::find(from.unknown.begin(), from.unknown.end(), row.task) !=
             from.unknown.end();
@@ -304,8 +231,6 @@
                                    const job_step& step,
                                    const running_task& row, time_point now)
 {
-    run.first_seen = run.seen ? run.first_seen : now;
-    run.last_seen = now;
     run.seen = true;
     run.over_target =
         step.latency_target_ms > 0 && row.load > step.latency_target_ms;
--- a/packages/scheduler/src/worker_ledger.cpp
+++ b/packages/scheduler/src/worker_ledger.cpp
@@ -79,6 +79,7 @@
     if (at.held.insert(task).second)
     {
         at.used += reserved_by(step);
+        at.unproven.insert(task);
         if (step.lasting)
         {
             at.settled += reserved_by(step);
@@ -92,6 +93,7 @@
     if (at.held.erase(task) > 0)
     {
         at.used -= reserved_by(step);
+        end_trial(at, task);
         if (step.lasting)
         {
             at.settled -= reserved_by(step);
@@ -100,6 +102,15 @@
     }
 }
 
+void end_trial(worker_record& at, const task_name& task)
+{
+    at.unproven.erase(task);
+    if (at.on_trial == task)
+    {
+        at.on_trial.reset();
+    }
+}
+
 std::string step_group(const std::string& job, const task_position& at)
 {
     return job + '.' + std::to_string(at.round) + '.' + std::to_string(at.step);
--- a/tests/unit/crashing_task_tests.cpp
+++ b/tests/unit/crashing_task_tests.cpp
@@ -177,10 +177,15 @@
                                      : full_percent * worked / options_.work;
             }
         }
-        if (at.stopped.erase(row.task) > 0)
+        const auto stop = at.stops.find(row.task);
+        if (stop != at.stops.end() && stop->second == row.run)
         {
             at.end(row.task, run_end::stopped);
         }
+        else if (broken_.erase(row.task) > 0)
+        {
+            at.end(row.task, run_end::broken);
+        }
         else if (!lasting && worked >= options_.work)
         {
             at.end(row.task, run_end::done);
@@ -192,6 +197,7 @@
     void settle_down(const std::string& guard, worker_state& worker)
     {
         worker_report& report = at.worker(guard);
+        report.lists_age_ms = to_milliseconds(at.now - worker.gone);
         std::erase_if(report.running,
                       [&](const running_task& row)
                       {
@@ -203,7 +209,7 @@
                                                         .run = row.run,
                                                         .reason = "unhealthy"});
                           }
-                          return fresh;
+                          return fresh || !shown_.contains(guard + key(row));
                       });
         report.answering = at.now - worker.gone < options_.silence;
         report.lapsed = at.now - worker.gone >= lease_;
@@ -222,6 +228,7 @@
         report.refused.clear();
         report.answering = true;
         report.lapsed = false;
+        report.lists_age_ms = 0;
         if (worker.dark)
         {
             report.incarnation += "i";
@@ -231,8 +238,27 @@
         worker.since.clear();
     }
 
+    // The members of a gang end with the one that crashed.
+    void break_gang(const running_task& crashed)
+    {
+        const auto name = task_name::parse(crashed.task);
+        const job& what = at.accepted.at(name->job);
+        for (const auto& [task, start] : at.started)
+        {
+            if (what.steps.front().gang && task.starts_with(what.id + ".") &&
+                task != crashed.task)
+            {
+                broken_.insert(task);
+            }
+        }
+    }
+
     void crash(const std::string& guard, worker_state& worker)
     {
+        for (const running_task& row : at.worker(guard).running)
+        {
+            break_gang(row);
+        }
         ++all_crashes_;
         worker.back = at.now + options_.away;
         worker.gone = at.now;
@@ -263,7 +289,8 @@
     duration lease_ = milliseconds(3300);
     std::map<std::string, worker_state> workers_;
     std::set<std::string> crashing_;
-    std::set<std::string> shown_; ///< runs that a report has shown
+    std::set<std::string> shown_;  ///< runs that a report has shown
+    std::set<std::string> broken_; ///< members of a gang that has lost one
     std::map<std::string, std::int64_t> crashes_;
     std::int64_t all_crashes_ = 0;
     time_point next_reports_{};
@@ -427,6 +454,40 @@
     CHECK(fleet.at.shown(lasts) == job_state::running);
 }
 
+TEST_CASE("tasks that crash executors are told from crashes by themselves")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        crashing_fleet fleet({});
+        passing_jobs passing(fleet);
+        const std::string lasts = fleet.submit(lasting(8));
+        std::vector<std::string> bad;
+        std::mt19937 random(seed);
+        for (int turn = 0; turn < 40; ++turn)
+        {
+            passing.run(milliseconds(1000), milliseconds(100));
+            if (turn % 8 == 3)
+            {
+                bad.push_back(fleet.submit_crashing());
+            }
+            const std::string guard = "g" + std::to_string(random() % 11);
+            if (turn % 3 == 0 && fleet.is_up(guard))
+            {
+                fleet.crash(guard);
+            }
+        }
+        fleet.run(seconds(20));
+        for (const std::string& id : bad)
+        {
+            CHECK(fleet.at.shown(id) == job_state::failed);
+            CHECK(fleet.crashes(id) <= most_crashes + most_starts_after);
+        }
+        CHECK(passing.unserved() == 0);
+        CHECK(fleet.at.shown(lasts) == job_state::running);
+    }
+}
+
 TEST_CASE("an executor that goes down and up by turns ends no job")
 {
     crashing_fleet fleet({.workers = 3, .away = seconds(2)});
--- a/tests/unit/holder_by_hand.hpp
+++ b/tests/unit/holder_by_hand.hpp
@@ -180,6 +180,7 @@
         for (const stop_order& one : orders.stops)
         {
             stopped.insert(one.task);
+            stops[one.task] = one.run;
         }
     }
 
@@ -215,6 +216,7 @@
     std::map<std::string, start_order> started;
     std::map<std::string, std::string> where;
     std::set<std::string> stopped;
+    std::map<std::string, std::int64_t> stops; ///< newest run stopped, by task
     std::map<std::string, job> accepted;
     std::map<std::string, stored_record> records; ///< of progress, by job
 
