--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from fleet import HOST
@@ -10,6 +11,7 @@
 
 ASK_EVERY_S = 0.5
 TRIES = 6
+CRASHING_SHARE = 0.03  # of jobs; some seven tasks in a run of 20 s at 6 a second
 
 
 class Caller:
@@ -56,9 +58,18 @@
         job = Submission(f"{draw.getrandbits(64):016x}", "", steps)
         job.spec = json.dumps({"of": job.ident})
         job.queue = kind
+        self.let_crash(job)
         self.record.jobs[job.ident] = job
         return job
 
+    @staticmethod
+    def let_crash(job):
+        """Some have a task that crashes each executor that starts it."""
+        draw = random.Random(job.ident)
+        if draw.random() < CRASHING_SHARE:
+            draw.choice(job.steps)["traits"]["crashes_after"] = draw.choice(
+                (0, draw.uniform(0, 0.3)))
+
     async def submit(self, job):
         """As the platform's clients: again after no answer or a refusal."""
         visible = [{name: value for name, value in step.items()
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -90,6 +90,11 @@
             if lapsed:
                 self.record.lapsed(self)
             for task, run in list(self.runs.items()):
+                crash = run.traits["crashes_after"]
+                if crash is not None and now - run.began >= crash:
+                    self.record.note("crash under", task, self.life)
+                    self.crash(self.draw.uniform(1, 4))
+                    break
                 if lapsed:
                     self.end(task, run, "lapsed")
                 elif run.stopping and now >= run.stopping:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -6,6 +6,9 @@
 CANCEL_S = 3.0  # after a cancellation nothing starts any more
 CALM_S = 4.0  # bounds on time hold once nothing was disturbed for so long
 MOST_ATTEMPTS = 3
+CRASHES_TO_GIVE_UP = 2  # a job may end for a task after so many
+MOST_CRASHES = 3  # of executors that one task may bring about ...
+STARTS_AFTER = 2  # ... and starts of it after that
 FINAL = ("succeeded", "failed", "cancelled")
 
 
@@ -42,6 +45,8 @@
         self.noted_failures = {}  # task: ... and taken note of
         self.listed = {}  # task: ends "done" that are not taken note of yet
         self.restarted = set()  # ... and after which the task was started
+        self.crashes = {}  # task: executors that crashed under it
+        self.starts_after = {}  # ... and its starts after the last allowed one
         self.disturbed = self.began
         self.start_count = 0
         self.breaches = []
@@ -76,13 +81,16 @@
         job, step = self.starts_as(task)
         if job is None or job.spec != order["spec"]:
             self.breach("UNASKED", task, "was not submitted so")
-            return {"lasts": False, "seconds": 0.1, "fails": False}
+            return {"lasts": False, "seconds": 0.1, "fails": False,
+                    "crashes_after": None}
         job.started = True
         self.check_start(executor, job, step, task)
         self.live.setdefault(task, []).append(executor)
         return {"lasts": step.get("long_running", False),
                 "seconds": step["traits"]["seconds"],
-                "fails": step["traits"]["fails"]}
+                "fails": step["traits"]["fails"],
+                "crashes_after": step["traits"].get("crashes_after")
+                if task.endswith(".0") else None}
 
     def check_start(self, executor, job, step, task):
         others = [one.life for one in self.live.get(task, [])]
@@ -98,11 +106,20 @@
         failures = self.noted_failures.get(task, 0)
         if failures >= MOST_ATTEMPTS and not job.lasts():
             self.breach("BUDGET", task, "after", failures)
+        self.check_crashes(step, task)
         late = job.cancelled and time.monotonic() - job.cancelled > CANCEL_S
         if late and self.calm():
             self.breach("UNASKED", task, "was cancelled")
         self.check_room(executor, step, task)
 
+    def check_crashes(self, step, task):
+        if self.crashes.get(task, 0) < MOST_CRASHES:
+            return
+        self.starts_after[task] = self.starts_after.get(task, 0) + 1
+        crashes = "crashes_after" in step["traits"] and task.endswith(".0")
+        if crashes and self.starts_after[task] > STARTS_AFTER:
+            self.breach("BUDGET", task, "has crashed", self.crashes[task])
+
     def check_room(self, executor, step, task):
         used = {"cpu": 0, "mem_mb": 0}
         for other in [*executor.runs, task]:
@@ -120,6 +137,7 @@
 
     def vanished(self, executor, task):
         self.gone(executor, task)
+        self.crashes[task] = self.crashes.get(task, 0) + 1
         self.note("vanished", task, executor.life)
 
     def ended(self, executor, task, number, how):
@@ -193,6 +211,7 @@
 
     def has_cause(self, job):
         return any(self.failures.get(task, 0) >= MOST_ATTEMPTS
+                   or self.crashes.get(task, 0) >= CRASHES_TO_GIVE_UP
                    for task in job.tasks())
 
     # -- in the end --------------------------------------------------------------
@@ -201,7 +220,7 @@
         """Accepted jobs that are not where they should be in the end."""
         out = []
         for job in self.jobs.values():
-            if not job.accepted or job.cancelled:
+            if not job.accepted or job.cancelled or job.shown == "failed":
                 continue
             if job.lasts():
                 away = [task for task in job.tasks() if not self.live.get(task)]
