Suspicion: the guard says what had begun when its executor crashed

Cause: the holder's book cannot tell a start that crashed its executor from one that was lost on the way or came to the next life. The job world, given tasks that crash executors, found within 300 worlds jobs that were given up although nothing had crashed under them, and tasks whose crashes in a takeover were not counted (a sixth crash). Change: the guard tells, with the news of the next life and for 6 s after a holder first heard it, which runs had begun or had a start under way, and for how long looks had shown them; each crash is counted once a task (the run's number is kept with the count); a task is given up only with two crashes surely under it, or at its fourth. Lapses, guards that went with their VM and holders that heard nothing count nothing. A worker that names no rack shares none.

Ruled out by the same world: a sole start without an answer as proof (a lost order beside a crash by itself ended a job). A check of the world takes an end that was not acknowledged before its executor crashed as gone with it, by the platform's own rule on ends.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -57,6 +57,7 @@
     run_moved = 1636,
     tasks_wait = 1637,
     run_lost = 1638,
+    task_suspected = 1639,
     worker_known = 1641,
     worker_lost = 1642,
     worker_ejected = 1643,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 55> catalogue{{
+constexpr std::array<event_description, 56> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -117,6 +117,9 @@
     {event_id::run_lost, severity::warning, "run_lost",
      "A run is surely over without a listed end; why, for how long reports had "
      "shown it at work, and how many went with it."},
+    {event_id::task_suspected, severity::warning, "task_suspected",
+     "A task may be why an executor crashed; from suspicion 2 on it runs "
+     "apart, at 4 or 6 its job is given up."},
     {event_id::worker_known, severity::info, "worker_known",
      "A guard's first report to this holder."},
     {event_id::worker_lost, severity::warning, "worker_lost",
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -51,6 +51,12 @@
     /// took 62 ms of the holder's processor time a second at 160 workers and
     /// 440 starts a second, and 1.26 MB; without, 30 ms and 0.86 MB.
     duration whole_every = std::chrono::milliseconds(400);
+    /// What went with a former life is told for so long after a holder has
+    /// first heard it: above the time that a new one needs to hear its guards.
+    duration former_told_for = std::chrono::seconds(6);
+    /// Former lives that are told of at most: a guard that no holder hears
+    /// for a minute, while its executor crashes every few seconds.
+    std::size_t most_former = 16;
     interference_options interference;
 };
 
@@ -204,12 +210,26 @@
         bool call_open = false;
         std::int64_t unanswered = 0;
         time_point next_call{};
+        /// When a start was sent that the worker, which had answered just
+        /// before, may have taken; one that has been gone for longer than a
+        /// look takes cannot have.
+        std::optional<time_point> under_way;
+        std::optional<time_point> begun; ///< it has, or may have, since then
+        bool surely_begun = false;       ///< the worker said so
+        time_point listed{};             ///< by the newest look that shows it
         time_point confirmed{};  ///< when the present stage was confirmed
         std::string refusal;     ///< why it is given back once it is gone
         std::int64_t pace = 100; ///< percent that the worker has taken
         bool pace_open = false;
     };
 
+    /// A life that is over, and when a holder first heard of it.
+    struct remembered_life
+    {
+        former_life what;
+        std::optional<time_point> told;
+    };
+
     /// An executor of another life, until its address has told who is there.
     struct unproven_life
     {
@@ -226,6 +246,9 @@
     void refuse(const std::string& task, kept_run& run,
                 const std::string& reason, time_point now);
     void settle(time_point sent);
+    void remember_life();
+    void remember_run(const std::string& task, const kept_run& run);
+    void forget_told_lives(const worker_report& report, time_point now);
     void list_runs(worker_report& out) const;
     void act_on_run(const std::string& task, kept_run& run, time_point now,
                     std::vector<keeper_action>& out);
@@ -246,6 +269,8 @@
     worker_description worker_;
     unproven_life stranger_;
     std::set<std::string> past_lives_; ///< surely over
+    std::vector<remembered_life> former_;
+    former_life over_; ///< what surely went with the present life
     guard_admission admission_;
     std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
     time_point clock_at_{};
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -65,9 +65,61 @@
     answered_ = now;
 }
 
+// A run that began here and did not end goes with the life.
+void run_keeper::remember_run(const std::string& task, const kept_run& run)
+{
+    const auto begun = run.begun ? run.begun : run.under_way;
+    if (!begun || is_ended(task, run.order.run))
+    {
+        return;
+    }
+    const duration shown = std::max(duration{0}, run.listed - *begun);
+    over_.begun.push_back({.task = task,
+                           .run = run.order.run,
+                           .at_work_ms = to_milliseconds(shown),
+                           .is_sure = run.surely_begun});
+}
+
+void run_keeper::remember_life()
+{
+    for (const auto& [task, kept] : runs_)
+    {
+        remember_run(task, kept);
+    }
+    if (!over_.begun.empty())
+    {
+        over_.life = worker_.life;
+        former_.push_back({.what = std::exchange(over_, {})});
+    }
+    if (former_.size() > options_.most_former)
+    {
+        former_.erase(former_.begin());
+    }
+}
+
+// A holder has heard a report. It may fall before it has written what it
+// makes of that, so its successor hears the same for a while.
+void run_keeper::forget_told_lives(const worker_report& report, time_point now)
+{
+    for (remembered_life& one : former_)
+    {
+        const bool was_told =
+            std::find(report.former.begin(), report.former.end(), one.what) !=
+            report.former.end();
+        if (was_told && !one.told)
+        {
+            one.told = now;
+        }
+    }
+    std::erase_if(
+        former_, [&](const remembered_life& one)
+        { return one.told && now - *one.told > options_.former_told_for; });
+}
+
 // A new incarnation runs nothing and has seen no order.
 void run_keeper::begin_life(time_point now)
 {
+    remember_life();
     runs_.clear();
     running_.clear();
     ended_.clear();
@@ -233,6 +285,7 @@
         news_ = true; // to be repeated at once
         return;
     }
+    forget_told_lives(report, now);
     permit_until_ = std::max(
         permit_until_, sent + std::chrono::milliseconds(answer.permit_ms));
     std::erase_if(refused_,
@@ -332,6 +385,10 @@
         return;
     }
     run.call_open = true;
+    if (now - answered_ <= options_.look_wait + options_.look_retry)
+    {
+        run.under_way = run.under_way.value_or(now);
+    }
     out.emplace_back(start_run{.order = run.order,
                                .deadline_ms = lease_to(left, now),
                                .epoch = epoch_,
@@ -392,6 +449,14 @@
     {
         list_runs(out);
     }
+    for (const remembered_life& one : former_)
+    {
+        // With the news of the next life, so that nothing is placed between.
+        if (out.whole || !one.told)
+        {
+            out.former.push_back(one.what);
+        }
+    }
     return out;
 }
 
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -46,6 +46,11 @@
     }
     kept_run& kept = found->second;
     kept.call_open = false;
+    if (result == order_result::unanswered)
+    {
+        kept.begun = kept.begun ? kept.begun : kept.under_way;
+    }
+    kept.under_way.reset();
     if (kept.at != stage::starting)
     {
         return; // a stop was ordered meanwhile
@@ -55,6 +60,8 @@
     case order_result::accepted:
         kept.at = stage::running;
         kept.confirmed = now;
+        kept.begun = kept.begun.value_or(now);
+        kept.surely_begun = true;
         return;
     case order_result::late:
         kept.next_call = now + options_.retry_after;
@@ -67,8 +74,10 @@
             refuse(task, kept, std::string(to_string(result)), now);
         }
         return;
-    case order_result::fenced:
     case order_result::other_life:
+        remember_run(task, kept);
+        [[fallthrough]];
+    case order_result::fenced:
         runs_.erase(found); // a newer holder or life decides
         news_ = true;
         return;
@@ -105,6 +114,10 @@
         kept.confirmed = now;
         return;
     }
+    if (result == order_result::other_life)
+    {
+        remember_run(task, kept);
+    }
     if (result == order_result::fenced || result == order_result::other_life)
     {
         runs_.erase(found);
@@ -188,6 +201,12 @@
             continue;
         }
         const bool there = is_running(task, run);
+        if (there)
+        {
+            kept.begun = kept.begun.value_or(sent);
+            kept.surely_begun = true;
+            kept.listed = sent;
+        }
         if (there && kept.at == stage::starting)
         {
             kept.at = stage::running;
--- a/packages/jobs/include/springstair/detail/jobs/progress.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/progress.hpp
@@ -16,6 +16,8 @@
     std::string life;           ///< the executor's incarnation there
     std::string checkpoint;     ///< to resume from; empty: none
     std::int64_t suspicion = 0; ///< of crashing the executors that start it
+    std::int64_t crashes = 0;   ///< of executors, surely under it
+    std::int64_t judged_run = 0; ///< the newest whose crash is in there
 
     bool operator==(const task_progress&) const = default;
 };
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -96,6 +96,35 @@
 // Guard to scheduler
 // ---------------------------------------------------------------------------
 
+/// @brief A run that had begun, or may have, when its executor's incarnation
+/// was over.
+struct begun_run
+{
+    std::string task;
+    std::int64_t run = 0;
+    /// For how long looks at the worker had shown it at work.
+    std::int64_t at_work_ms = 0;
+    /// Whether the executor took the start or a look showed the run; else the
+    /// start got no answer.
+    bool is_sure = false;
+
+    bool operator==(const begun_run&) const = default;
+};
+
+/// @brief An incarnation of the executor that the guard lived through, and
+/// what went with it.
+struct former_life
+{
+    std::string life;
+    std::vector<begun_run> begun;
+
+    bool operator==(const former_life&) const = default;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(begun_run, task, run,
+                                                at_work_ms, is_sure)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(former_life, life, begun)
+
 /// @brief What orders the incarnations of one guard, before one holder.
 ///
 /// A report can be held back by a cut until after its sender's end, and come
@@ -148,6 +177,9 @@
     std::map<std::string, std::int64_t> paces; ///< of images that are slowed
     std::vector<std::string> starting; ///< ordered, not yet seen running
     std::vector<std::string> unknown;  ///< running, but never described to it
+    /// Incarnations that were over lately; told for some seconds, so that a
+    /// change of holder loses none.
+    std::vector<former_life> former;
 
     bool operator==(const worker_report&) const = default;
 };
@@ -235,7 +267,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     worker_report, guard, address, epoch, incarnation, sequence, admission,
     worker, looked, lists_age_ms, whole, answering, lapsed, lease_ms, running,
-    ended, refused, paces, starting, unknown)
+    ended, refused, paces, starting, unknown, former)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
--- a/packages/jobs/src/progress.cpp
+++ b/packages/jobs/src/progress.cpp
@@ -15,12 +15,15 @@
     if (task.suspicion > 0)
     {
         row.push_back(task.suspicion); // few have any
+        row.push_back(task.crashes);
+        row.push_back(task.judged_run);
     }
     return row;
 }
 
 task_progress task_of(const json& row)
 {
+    const bool has_suspicion = row.size() > 11;
     return {.at = {.round = row.at(0), .step = row.at(1), .index = row.at(2)},
             .done = row.at(3).get<int>() != 0,
             .runs = row.at(4),
@@ -28,7 +31,9 @@
             .guard = row.at(6),
             .life = row.at(7),
             .checkpoint = row.at(8),
-            .suspicion = row.size() > 9 ? row.at(9).get<std::int64_t>() : 0};
+            .suspicion = has_suspicion ? row.at(9).get<std::int64_t>() : 0,
+            .crashes = has_suspicion ? row.at(10).get<std::int64_t>() : 0,
+            .judged_run = has_suspicion ? row.at(11).get<std::int64_t>() : 0};
 }
 
 } // namespace
--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -16,8 +16,10 @@
 /// lost under it, by how likely it was the task. A suspect runs apart from
 /// other suspects, where nothing new is started until it has proved itself: a
 /// second crash then names it, and those that were only beside it go on.
-/// A task that crashes executors is given up after two or three of them, or
-/// four if no crash was seen as such.
+/// A task that crashes executors is given up after two or three of them, four
+/// if they go rack by rack. Only crashes count that the guard beside the
+/// executor lived through: a lapsed lease, a VM without power or a change of
+/// the holder says nothing of a task.
 
 /// @brief Bounds of suspicion and of the trial of suspects.
 struct suspicion_options
@@ -49,33 +51,35 @@
     duration no_return = std::chrono::seconds(10);
 };
 
-/// @brief How surely a run was lost by a crash of its executor alone.
-enum class loss_evidence : std::uint8_t
+/// @brief What else went when an executor crashed.
+enum class crash_scope : std::uint8_t
 {
-    /// The guard that saw the run lived through its executor's crash, and
-    /// other executors of the rack stand.
-    direct,
-    /// A lapsed lease, a new guard or holder, a rack that went together.
-    indirect
+    executor, ///< others of its rack stand: it may be a task's doing
+    rack      ///< half of the rack or more: hardly
 };
 
 /// @brief Suspicion from which on a task is a suspect: one crash right after
 /// its start.
 inline constexpr std::int64_t suspected_at = 2;
 /// @brief Suspicion from which on a crash that nothing else there can have
-/// caused gives the task up: a second one.
+/// caused gives the task up, if two crashes are known to have been under it.
 inline constexpr std::int64_t named_at = 4;
-/// @brief Suspicion that gives a task up whatever ran beside it: three
-/// crashes, or four that were seen only indirectly. The platform allows two
-/// starts more after the third.
+/// @brief The same whatever ran beside it.
 inline constexpr std::int64_t certain_at = 6;
+/// @brief Suspicion that gives a task up in any case: four crashes with a
+/// start of it under way, five of whole racks. The platform allows two starts
+/// more after the third.
+inline constexpr std::int64_t last_at = 8;
+/// @brief Crashes that must surely have been under a task before its job may
+/// be told that it failed (platform).
+inline constexpr std::int64_t least_crashes = 2;
 
 /// @brief One run that went with its executor.
 struct lost_run_facts
 {
     std::int64_t suspicion = 0; ///< of its task, before
-    duration at_work{0};        ///< for how long reports had shown it
-    loss_evidence evidence = loss_evidence::indirect;
+    duration at_work{0};        ///< for how long looks had shown it
+    crash_scope scope = crash_scope::rack;
 };
 
 /// @brief How long the run of a task must have been shown at work for its
@@ -101,25 +105,35 @@
                 const suspicion_options& options) noexcept
 {
     const bool suspect = of.suspicion >= suspected_at;
-    const bool direct = of.evidence == loss_evidence::direct;
+    const bool alone = of.scope == crash_scope::executor;
     if (is_likely_cause(of, options))
     {
-        return direct || suspect ? 2 : 1;
+        return alone || suspect ? 2 : 1;
     }
     if (of.at_work < options.surely_proven_after)
     {
-        return (direct ? 1 : 0) + (suspect ? 1 : 0);
+        return (alone ? 1 : 0) + (suspect ? 1 : 0);
     }
     return 0;
 }
 
-/// @brief Whether a task of that suspicion, the last loss counted, is given
-/// up. @param sole whether it alone was a likely cause of that loss
-[[nodiscard]] constexpr bool
-is_given_up(std::int64_t suspicion, loss_evidence evidence, bool sole) noexcept
+/// @brief What is known of a task once a crash is counted.
+struct crash_verdict
+{
+    std::int64_t suspicion = 0;
+    std::int64_t crashes = 0; ///< surely under it
+    crash_scope scope = crash_scope::rack;
+    bool is_sole = false; ///< it alone was a likely cause of this one
+};
+
+/// @brief Whether a task is given up.
+[[nodiscard]] constexpr bool is_given_up(const crash_verdict& of) noexcept
 {
-    return suspicion >= certain_at ||
-           (suspicion >= named_at && sole && evidence == loss_evidence::direct);
+    const bool named = of.suspicion >= named_at && of.is_sole &&
+                       of.scope == crash_scope::executor;
+    const bool known = of.crashes >= least_crashes;
+    return (known && (named || of.suspicion >= certain_at)) ||
+           of.suspicion >= last_at;
 }
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -46,7 +46,9 @@
     bool done = false;
     std::int64_t runs = 0;
     std::int64_t failures = 0;
-    std::int64_t suspicion = 0; ///< of crashing executors; crash_suspicion.hpp
+    std::int64_t suspicion = 0;  ///< of crashing executors; crash_suspicion.hpp
+    std::int64_t crashes = 0;    ///< of executors, surely under it
+    std::int64_t judged_run = 0; ///< the newest whose crash is in there
     std::optional<task_run> run;
     std::string checkpoint;
     std::set<std::string> avoided;   ///< guards where it failed or stood still
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -324,20 +324,32 @@
                                         const job_task& task) const;
 
     // Lost runs (scheduler_losses.cpp).
+
+    // What one crash says of a task.
+    struct crash_count
+    {
+        std::int64_t run = 0;
+        std::int64_t added = 0; ///< to its suspicion
+        bool is_likely = false;
+        bool is_sole = false; ///< nothing else there is likely
+        bool is_sure = false; ///< the run had surely begun
+    };
+
     void change_life(worker_record& at, const std::string& life,
-                     bool same_guard, time_point now);
-    void adopt_awaited(worker_record& at, time_point now);
-    void lose_worker(worker_record& at, loss_evidence evidence, const char* why,
                      time_point now);
-    void lose_runs(const std::set<task_name>& lost, loss_evidence evidence,
-                   const char* why, time_point now);
-    void note_loss(const task_name& name, const job_task& task, const char* why,
-                   std::size_t lost, std::size_t likely);
+    void adopt_awaited(worker_record& at, time_point now);
+    void lose_worker(worker_record& at, const char* why, time_point now);
+    void lose_runs(const std::set<task_name>& lost, const char* why,
+                   time_point now);
     [[nodiscard]] static duration shown_at_work(const task_run& run);
-    std::map<task_name, lost_run_facts>
-    facts_of(const std::set<task_name>& lost, loss_evidence evidence);
+    void judge_crashes(worker_record& at, const worker_report& from,
+                       time_point now);
+    void judge_crash(worker_record& at, const former_life& over,
+                     time_point now);
     [[nodiscard]] bool went_with_its_rack(const worker_record& at,
                                           time_point now) const;
+    void suspect(const worker_record& at, const task_name& name,
+                 const crash_count& count, crash_scope scope, time_point now);
     void give_up(job_record& of, const job_task& task, time_point now);
     void note_soundness(worker_record& at, job_task& task,
                         const task_name& name);
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -37,6 +37,8 @@
     std::set<task_name> unproven;
     /// Of those, the suspect for which nothing else is started there.
     std::optional<task_name> on_trial;
+    /// Former lives that its guard still tells of and that were judged.
+    std::set<std::string> judged_lives;
     time_point life_since{};   ///< when its executor's life was first reported
     std::string incarnation;   ///< of its guard
     std::int64_t sequence = 0; ///< of the newest report
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -123,7 +123,9 @@
              .guard = task.run ? task.run->guard : std::string(),
              .life = task.run ? task.run->life : std::string(),
              .checkpoint = task.done ? std::string() : task.checkpoint,
-             .suspicion = task.done ? 0 : task.suspicion});
+             .suspicion = task.done ? 0 : task.suspicion,
+             .crashes = task.crashes,
+             .judged_run = task.judged_run});
     }
     return kept;
 }
@@ -145,6 +147,8 @@
         task->failures = from.failures;
         task->checkpoint = from.checkpoint;
         task->suspicion = from.suspicion;
+        task->crashes = from.crashes;
+        task->judged_run = from.judged_run;
         if (!from.guard.empty())
         {
             task->run = task_run{
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -301,8 +301,7 @@
     {
         if (now >= at.lease_ends && !at.held.empty())
         {
-            lose_worker(at, loss_evidence::indirect,
-                        "its lease has surely run out", now);
+            lose_worker(at, "its lease has surely run out", now);
         }
     }
     const duration reach =
@@ -313,8 +312,7 @@
     {
         for (const auto& [guard, tasks] : std::exchange(awaited_, {}))
         {
-            lose_runs(tasks, loss_evidence::indirect,
-                      "its guard has not come to this holder", now);
+            lose_runs(tasks, "its guard has not come to this holder", now);
         }
     }
     place_if_due(now, day_ms);
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -9,15 +9,13 @@
 
 // Another incarnation of the executor: all that ran there is gone.
 void scheduler_core::change_life(worker_record& at, const std::string& life,
-                                 bool same_guard, time_point now)
+                                 time_point now)
 {
     if (at.what.life.empty() || at.what.life == life)
     {
         return;
     }
-    const bool alone = same_guard && !went_with_its_rack(at, now);
-    lose_worker(at, alone ? loss_evidence::direct : loss_evidence::indirect,
-                "its executor began another life", now);
+    lose_worker(at, "its executor began another life", now);
     outbox_.erase(at.guard); // meant for the life before
     at.life_since = now;
     at.noted = 0;
@@ -32,6 +30,10 @@
 bool scheduler_core::went_with_its_rack(const worker_record& at,
                                         time_point now) const
 {
+    if (at.what.rack.empty())
+    {
+        return false; // nobody said what it shares with others
+    }
     std::size_t all = 0;
     std::size_t gone = 0;
     for (const auto& [guard, other] : workers_)
@@ -51,8 +53,8 @@
     return gone > 1 && 2 * gone >= all;
 }
 
-void scheduler_core::lose_worker(worker_record& at, loss_evidence evidence,
-                                 const char* why, time_point now)
+void scheduler_core::lose_worker(worker_record& at, const char* why,
+                                 time_point now)
 {
     note(event_id::worker_lost,
          {{"guard", at.guard},
@@ -60,7 +62,7 @@
           {"runs", std::to_string(at.held.size())},
           {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
           {"why", why}});
-    lose_runs(std::set<task_name>(at.held), evidence, why, now);
+    lose_runs(std::set<task_name>(at.held), why, now);
 }
 
 // Runs of an earlier holder: those of this incarnation are entered into the
@@ -90,100 +92,127 @@
         task.run->stopping = is_final(of.state());
         reserve(at, of.step_at(name.at), name);
     }
-    lose_runs(lost, loss_evidence::indirect,
-              "placed by another holder, its executor is gone", now);
+    lose_runs(lost, "placed by another holder, its executor is gone", now);
 }
 
-namespace
-{
-
-// A run of this holder that was not ordered yet cannot have begun.
-bool may_have_begun(const task_run& run)
-{
-    const bool of_earlier_holder = run.placed_in == 0;
-    return run.ordered || of_earlier_holder;
-}
-
-} // namespace
-
 duration scheduler_core::shown_at_work(const task_run& run)
 {
     return run.seen ? run.last_seen - run.ordered_at : duration{0};
 }
 
-// What each run that was lost with others says of its task.
-std::map<task_name, lost_run_facts>
-scheduler_core::facts_of(const std::set<task_name>& lost,
-                         loss_evidence evidence)
+void scheduler_core::lose_runs(const std::set<task_name>& lost, const char* why,
+                               time_point now)
 {
-    std::map<task_name, lost_run_facts> facts;
     for (const task_name& name : lost)
     {
-        const job_task& task = *job_of(name.job)->find(name.at);
-        if (may_have_begun(*task.run))
-        {
-            facts[name] = {.suspicion = task.suspicion,
-                           .at_work = shown_at_work(*task.run),
-                           .evidence = evidence};
-        }
+        job_record& of = *job_of(name.job);
+        job_task& task = *of.find(name.at);
+        const task_run& run = *task.run;
+        note(event_id::run_lost,
+             {{"task", name.text()},
+              {"run", std::to_string(run.number)},
+              {"guard", run.guard},
+              {"life", run.life},
+              {"why", why},
+              {"shown_ms", std::to_string(to_milliseconds(shown_at_work(run)))},
+              {"beside", std::to_string(lost.size() - 1)}});
+        close_run(of, task, run_end::lost, {}, now);
     }
-    return facts;
 }
 
-void scheduler_core::lose_runs(const std::set<task_name>& lost,
-                               loss_evidence evidence, const char* why,
-                               time_point now)
+// ---------------------------------------------------------------------------
+// Who is behind a crash
+// ---------------------------------------------------------------------------
+
+// Guards repeat what went with a former life; each is judged once.
+void scheduler_core::judge_crashes(worker_record& at, const worker_report& from,
+                                   time_point now)
 {
-    const auto facts = facts_of(lost, evidence);
-    std::set<task_name> likely;
-    for (const auto& [name, fact] : facts)
+    std::set<std::string> told;
+    for (const former_life& one : from.former)
     {
-        if (is_likely_cause(fact, options_.suspicion))
+        told.insert(one.life);
+        if (!at.judged_lives.contains(one.life))
         {
-            likely.insert(name);
+            judge_crash(at, one, now);
         }
     }
-    for (const task_name& name : lost)
+    if (from.whole)
     {
-        job_record& of = *job_of(name.job);
-        job_task& task = *of.find(name.at);
-        const auto fact = facts.find(name);
-        const std::int64_t added =
-            fact == facts.end()
-                ? 0
-                : added_suspicion(fact->second, options_.suspicion);
-        task.suspicion += added;
-        note_loss(name, task, why, lost.size(), likely.size());
-        if (task.suspicion >= suspected_at)
+        at.judged_lives = std::move(told);
+    }
+}
+
+void scheduler_core::judge_crash(worker_record& at, const former_life& over,
+                                 time_point now)
+{
+    const crash_scope scope =
+        went_with_its_rack(at, now) ? crash_scope::rack : crash_scope::executor;
+    std::map<task_name, crash_count> counts;
+    std::int64_t likely = 0; // those of jobs that have ended, too
+    for (const begun_run& begun : over.begun)
+    {
+        const auto name = task_name::parse(begun.task);
+        job_record* const of = name ? job_of(name->job) : nullptr;
+        const job_task* const task =
+            of == nullptr ? nullptr : of->find(name->at);
+        const lost_run_facts facts{
+            .suspicion = task == nullptr ? 0 : task->suspicion,
+            .at_work = std::chrono::milliseconds(begun.at_work_ms),
+            .scope = scope};
+        const bool is_likely = is_likely_cause(facts, options_.suspicion);
+        likely += is_likely ? 1 : 0;
+        if (task == nullptr || is_final(of->state()) || task->done ||
+            begun.run <= task->judged_run)
         {
-            task.left =
-                left_worker{.guard = task.run->guard,
-                            .until = now + options_.suspicion.no_return};
+            continue;
         }
-        close_run(of, task, run_end::lost, {}, now);
-        const bool sole = likely.size() == 1 && likely.contains(name);
-        if (added > 0 && is_given_up(task.suspicion, evidence, sole))
+        counts[*name] = {.run = begun.run,
+                         .added = added_suspicion(facts, options_.suspicion),
+                         .is_likely = is_likely,
+                         .is_sure = begun.is_sure};
+    }
+    for (auto& [name, count] : counts)
+    {
+        if (count.added > 0)
         {
-            give_up(of, task, now);
+            count.is_sole = count.is_likely && likely == 1;
+            suspect(at, name, count, scope, now);
         }
     }
 }
 
-void scheduler_core::note_loss(const task_name& name, const job_task& task,
-                               const char* why, std::size_t lost,
-                               std::size_t likely)
+void scheduler_core::suspect(const worker_record& at, const task_name& name,
+                             const crash_count& count, crash_scope scope,
+                             time_point now)
 {
-    const task_run& run = *task.run;
-    note(event_id::run_lost,
+    job_record& of = *job_of(name.job);
+    job_task& task = *of.find(name.at);
+    task.suspicion += count.added;
+    task.crashes += count.is_sure ? 1 : 0;
+    task.judged_run = count.run;
+    ++of.change;
+    want(of, now);
+    note(event_id::task_suspected,
          {{"task", name.text()},
-          {"run", std::to_string(run.number)},
-          {"guard", run.guard},
-          {"life", run.life},
-          {"why", why},
-          {"shown_ms", std::to_string(to_milliseconds(shown_at_work(run)))},
-          {"beside", std::to_string(lost - 1)},
-          {"likely", std::to_string(likely)},
+          {"run", std::to_string(count.run)},
+          {"guard", at.guard},
+          {"scope", scope == crash_scope::rack ? "rack" : "executor"},
+          {"sole", count.is_sole ? "yes" : "no"},
+          {"crashes", std::to_string(task.crashes)},
           {"suspicion", std::to_string(task.suspicion)}});
+    if (task.suspicion >= suspected_at)
+    {
+        task.left = left_worker{.guard = at.guard,
+                                .until = now + options_.suspicion.no_return};
+    }
+    if (is_given_up({.suspicion = task.suspicion,
+                     .crashes = task.crashes,
+                     .scope = scope,
+                     .is_sole = count.is_sole}))
+    {
+        give_up(of, task, now);
+    }
 }
 
 // A task that goes on crashing executors takes more from others than its job
@@ -198,6 +227,7 @@
     finish(of, job_state::failed, now,
            {{"task", task_name{of.what().id, of.position_of(task)}.text()},
             {"why", "it crashes the executors that start it"},
+            {"crashes", std::to_string(task.crashes)},
             {"suspicion", std::to_string(task.suspicion)}});
     stop_all(of);
     want(of, now);
@@ -217,6 +247,7 @@
     if (at_work >= options_.suspicion.sound_after)
     {
         task.suspicion = 0;
+        task.crashes = 0;
     }
 }
 
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -24,8 +24,6 @@
     {
         return answer;
     }
-    // What it saw of the former life tells how that ended.
-    const bool same_guard = at.incarnation == from.incarnation;
     at.incarnation = from.incarnation;
     at.sequence = from.sequence;
     at.address = from.address;
@@ -44,9 +42,10 @@
     if (!from.worker.life.empty() &&
         (from.looked || from.worker.life == at.what.life))
     {
-        change_life(at, from.worker.life, same_guard, now);
+        change_life(at, from.worker.life, now);
         at.what = from.worker;
         adopt_awaited(at, now);
+        judge_crashes(at, from, now);
     }
     at.answering = from.answering;
     at.paces = from.paces;
@@ -54,8 +53,7 @@
         from.lapsed && !at.held.empty() && from.worker.life == at.what.life;
     if (lapsed)
     {
-        lose_worker(at, loss_evidence::indirect,
-                    "it is silent and its lease has run out", now);
+        lose_worker(at, "it is silent and its lease has run out", now);
     }
     else if (from.looked && from.worker.life == at.what.life)
     {
--- a/tests/unit/crashing_task_tests.cpp
+++ b/tests/unit/crashing_task_tests.cpp
@@ -58,7 +58,7 @@
     // A job of tasks of which the first crashes its executor.
     std::string submit_crashing(job_step step = step_of(1))
     {
-        const std::string id = at.submit({std::move(step)}).id;
+        std::string id = at.submit({std::move(step)}).id;
         crashing_.insert(id + ".0.0.0");
         return id;
     }
@@ -123,7 +123,9 @@
         bool dark = false; ///< its guard is away, too
         int lives = 1;
         std::set<std::string> known; ///< starts that the guard has handled
-        std::map<std::string, time_point> since; ///< of runs at work
+        std::map<std::string, time_point> since;  ///< of runs that began
+        std::map<std::string, time_point> listed; ///< by the newest look
+        std::set<std::string> ended;
     };
 
     static std::string key(const running_task& row)
@@ -163,6 +165,12 @@
         }
     }
 
+    void end(const std::string& guard, const running_task& row, run_end how)
+    {
+        workers_.at(guard).ended.insert(key(row));
+        at.end(row.task, how);
+    }
+
     void end_if_over(const std::string& guard, const running_task& row,
                      duration worked)
     {
@@ -180,15 +188,15 @@
         const auto stop = at.stops.find(row.task);
         if (stop != at.stops.end() && stop->second == row.run)
         {
-            at.end(row.task, run_end::stopped);
+            end(guard, row, run_end::stopped);
         }
         else if (broken_.erase(row.task) > 0)
         {
-            at.end(row.task, run_end::broken);
+            end(guard, row, run_end::broken);
         }
         else if (!lasting && worked >= options_.work)
         {
-            at.end(row.task, run_end::done);
+            end(guard, row, run_end::done);
         }
     }
 
@@ -219,9 +227,32 @@
         }
     }
 
+    former_life former_of(const std::string& guard, const worker_state& worker)
+    {
+        former_life over{.life = at.worker(guard).worker.life};
+        for (const auto& [run, since] : worker.since)
+        {
+            if (worker.ended.contains(run))
+            {
+                continue;
+            }
+            const auto listed = worker.listed.find(run);
+            const duration shown = listed == worker.listed.end()
+                                       ? duration{0}
+                                       : listed->second - since;
+            const std::size_t slash = run.find('/');
+            over.begun.push_back({.task = run.substr(0, slash),
+                                  .run = std::stoll(run.substr(slash + 1)),
+                                  .at_work_ms = to_milliseconds(shown),
+                                  .is_sure = true});
+        }
+        return over;
+    }
+
     void begin_life(const std::string& guard, worker_state& worker)
     {
         worker_report& report = at.worker(guard);
+        report.former = {former_of(guard, worker)};
         report.worker.life = guard + "-" + std::to_string(++worker.lives);
         report.running.clear();
         report.ended.clear();
@@ -232,10 +263,12 @@
         if (worker.dark)
         {
             report.incarnation += "i";
+            report.former.clear(); // the guard is another one
         }
         worker.dark = false;
         worker.back = {};
         worker.since.clear();
+        worker.listed.clear();
     }
 
     // The members of a gang end with the one that crashed.
@@ -279,6 +312,8 @@
             for (const running_task& row : at.worker(guard).running)
             {
                 shown_.insert(guard + key(row));
+                worker.listed[key(row)] =
+                    worker.back == time_point{} ? at.now : worker.gone;
             }
             at.say(guard);
             at.worker(guard).refused.clear();
@@ -419,10 +454,10 @@
     crashing_fleet fleet({});
     passing_jobs passing(fleet);
     passing.run(seconds(3), milliseconds(100));
-    std::vector<std::string> bad;
-    for (int number = 0; number < 20; ++number)
+    std::vector<std::string> bad(20);
+    for (std::string& id : bad)
     {
-        bad.push_back(fleet.submit_crashing());
+        id = fleet.submit_crashing();
     }
     passing.run(seconds(60), milliseconds(200));
     fleet.run(seconds(30));
--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -26,6 +26,8 @@
 constexpr resources capacity{.cpu_millis = 4000, .memory_mb = 4000};
 constexpr std::int64_t most_attempts = 3;
 constexpr std::size_t guard_count = 4;
+constexpr std::int64_t crashes_to_give_up = 2;
+constexpr std::int64_t most_crashes = 5; // three, and two starts more
 
 // Chances in a hundred thousand, at each step or message.
 struct job_faults
@@ -42,6 +44,7 @@
     int cut_guard = 0; ///< from all holders, for seconds
     int fail = 0;
     int cancel = 0;
+    int crashing_job = 0; ///< its first task ends each executor that starts it
 };
 
 // One run at a worker, for the check of histories.
@@ -150,6 +153,13 @@
             {
                 check_done(what);
             }
+            const bool unfounded =
+                *state == job_state::failed && !has_cause(what);
+            if (unfounded)
+            {
+                tell_job(id);
+            }
+            RC_ASSERT(!unfounded);
         }
         // Nothing runs on that nobody wants any more.
         for (const guard_process& guard : guards_)
@@ -230,6 +240,10 @@
             what.steps.push_back(one);
         }
         jobs_[what.id] = what;
+        if (chance(faults_.crashing_job))
+        {
+            crashing_.insert(what.id + ".0.0.0");
+        }
         holder_.core->accept(what, now_);
     }
 
@@ -396,6 +410,15 @@
         {
             past_[work.interval].end = now_;
             past_[work.interval].how = "crashed";
+            ++crashes_[task];
+            ++went_with_executor_[task];
+        }
+        // An end that was not taken note of went with the executor, too: by
+        // the platform's rules the run has not ended.
+        for (const auto& [one, interval] : guard.executor.ended)
+        {
+            went_with_executor_[one.task] +=
+                past_[interval].acknowledged ? 0 : 1;
         }
         guard.executor = {.life = guard.name + "-life-" +
                                   std::to_string(++guard.lives),
@@ -857,6 +880,23 @@
         }
     }
 
+    void crash_if_told(std::size_t index)
+    {
+        for (const auto& [task, work] : guards_[index].executor.running)
+        {
+            if (crashing_.contains(task))
+            {
+                if (crashes_[task] >= most_crashes)
+                {
+                    tell(task);
+                }
+                RC_ASSERT(crashes_[task] < most_crashes);
+                begin_life(index);
+                return;
+            }
+        }
+    }
+
     void advance()
     {
         now_ += step;
@@ -868,6 +908,7 @@
         }
         for (std::size_t index = 0; index < guard_count; ++index)
         {
+            crash_if_told(index);
             settle(guards_[index].executor);
             serve(index);
         }
@@ -937,6 +978,17 @@
                  << one.how << "\n";
     }
 
+    void tell(const std::string& task) const
+    {
+        for (const run_interval& one : past_)
+        {
+            if (one.task == task)
+            {
+                tell(one);
+            }
+        }
+    }
+
     // Nothing starts once an end has been acknowledged as done.
     void check_after_done(const run_interval& done,
                           const run_interval& start) const
@@ -946,6 +998,36 @@
         RC_ASSERT(!wrong);
     }
 
+    void tell_job(const std::string& id) const
+    {
+        for (const run_interval& one : past_)
+        {
+            if (one.task.starts_with(id + "."))
+            {
+                tell(one);
+            }
+        }
+    }
+
+    // A task of it failed, or executors crashed under it, often enough.
+    [[nodiscard]] bool has_cause(const job& what) const
+    {
+        const std::string prefix = what.id + ".";
+        const bool crashed =
+            std::ranges::any_of(went_with_executor_,
+                                [&](const auto& entry)
+                                {
+                                    return entry.first.starts_with(prefix) &&
+                                           entry.second >= crashes_to_give_up;
+                                });
+        return crashed ||
+               std::ranges::any_of(past_,
+                                   [&](const run_interval& one) {
+                                       return one.task.starts_with(prefix) &&
+                                              one.how == "failed";
+                                   });
+    }
+
     void check_done(const job& what) const
     {
         for (std::size_t number = 0; number < what.steps.size(); ++number)
@@ -968,6 +1050,9 @@
     queue_table table_;
     std::map<std::string, job> jobs_;
     std::set<std::string> cancelled_;
+    std::set<std::string> crashing_; ///< tasks that end their executors
+    std::map<std::string, std::int64_t> crashes_; ///< under each task
+    std::map<std::string, std::int64_t> went_with_executor_;
     std::map<std::string, std::pair<std::string, std::int64_t>> progress_;
     std::int64_t revision_ = 0;
     std::int64_t epoch_ = 0;
@@ -1000,7 +1085,8 @@
                             .crash_worker = *rc::gen::element(0, 10, 60),
                             .cut_guard = *rc::gen::element(0, 20, 60),
                             .fail = *rc::gen::element(0, 5000, 30'000),
-                            .cancel = *rc::gen::element(0, 100)};
+                            .cancel = *rc::gen::element(0, 100),
+                            .crashing_job = *rc::gen::element(0, 0, 10'000)};
                         job_world world(seed, faults);
                         world.run(seconds(20), true);
                         world.check_histories();
