Heartbeats and refusals of executors: read whole or not at all

Cause: a heartbeat without service, address, state, room, clock or count was read with empty values, an unknown state as ready; so another writer's words made an executor that takes runs. A 409 whose body is no JSON object threw out of the reading of an order's result, which could end a guard.

--- /dev/null
+++ b/tests/unit/foreign_words_tests.cpp
@@ -0,0 +1,187 @@
+// Heartbeats and answers that another writer wrote: members missing or of
+// another type, states that nobody named, bytes that are no document. What
+// cannot be read names no executor to use, and ends no process.
+
+#include "platform.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace springstair; // NOLINT: a test
+namespace adapter = springstair::platform;
+
+namespace
+{
+
+json valid_heartbeat()
+{
+    return {{"service", "s"},
+            {"address", "10.0.0.1:1"},
+            {"zone", "z"},
+            {"version", "v1"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"cold_remaining_ms", 0},
+            {"capacity", {{"cpu", 16000}, {"mem_mb", 100}, {"gpu", 0}}},
+            {"labels", {"a", "r1-3"}},
+            {"clock_ms", 5},
+            {"seq", 4}};
+}
+
+std::optional<adapter::worker_heartbeat> decode(const std::string& body)
+{
+    http_request from;
+    from.method = "POST";
+    from.path = "/springstair/executors/i-7/heartbeat";
+    from.body = make_body(body);
+    return adapter::decode_heartbeat(from);
+}
+
+const std::vector<json>& strange_values()
+{
+    static const std::vector<json> values{nullptr,
+                                          true,
+                                          -1,
+                                          1.5,
+                                          "",
+                                          "other",
+                                          json::array(),
+                                          json::object(),
+                                          json::array({1, 2}),
+                                          json{{"cpu", "many"}}};
+    return values;
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat without what an executor is used by is refused")
+{
+    for (const char* member : {"service", "address", "zone", "state",
+                               "capacity", "labels", "clock_ms", "seq"})
+    {
+        CAPTURE(member);
+        json body = valid_heartbeat();
+        body.erase(member);
+        CHECK_THROWS_AS(decode(body.dump()), document_error);
+    }
+    for (const char* member : {"cpu", "mem_mb"})
+    {
+        CAPTURE(member);
+        json body = valid_heartbeat();
+        body["capacity"].erase(member);
+        CHECK_THROWS_AS(decode(body.dump()), document_error);
+    }
+}
+
+TEST_CASE("a heartbeat with members of another type or sense is refused")
+{
+    const std::vector<std::pair<const char*, json>> cases{
+        {"state", "resting"},
+        {"state", 1},
+        {"service", ""},
+        {"service", json::array()},
+        {"address", 8080},
+        {"labels", "a"},
+        {"labels", json::array({1, 2})},
+        {"capacity", 16000},
+        {"capacity", json{{"cpu", "many"}, {"mem_mb", 1}}},
+        {"capacity", json{{"cpu", -1}, {"mem_mb", 1}}},
+        {"clock_ms", "5"},
+        {"seq", -1},
+        {"remaining_ms", "soon"}};
+    for (const auto& [member, value] : cases)
+    {
+        CAPTURE(member);
+        CAPTURE(value.dump());
+        json body = valid_heartbeat();
+        body[member] = value;
+        CHECK_THROWS_AS(decode(body.dump()), document_error);
+    }
+    CHECK_THROWS_AS(decode("[]"), document_error);
+    CHECK_THROWS_AS(decode(""), document_error);
+    CHECK_THROWS_AS(decode("\xff\xfe{}"), document_error);
+}
+
+TEST_CASE("what a refused heartbeat lacks is told together, with its place")
+{
+    json body = valid_heartbeat();
+    body.erase("service");
+    body["capacity"]["cpu"] = "many";
+    try
+    {
+        decode(body.dump());
+        FAIL("it was read");
+    }
+    catch (const document_error& error)
+    {
+        const std::string text = error.what();
+        CHECK(text.find("/service") != std::string::npos);
+        CHECK(text.find("/capacity/cpu") != std::string::npos);
+    }
+}
+
+TEST_CASE("a heartbeat is read whole or not at all")
+{
+    CHECK(rc::check(
+        "whatever is dropped, retyped, cut off or replaced",
+        []
+        {
+            json body = valid_heartbeat();
+            const auto changes = *rc::gen::inRange(0, 4);
+            for (int change = 0; change < changes; ++change)
+            {
+                auto member = body.begin();
+                std::advance(member,
+                             *rc::gen::inRange<std::size_t>(0, body.size()));
+                if (*rc::gen::arbitrary<bool>())
+                {
+                    body.erase(member);
+                }
+                else
+                {
+                    *member = *rc::gen::elementOf(strange_values());
+                }
+            }
+            std::string text = body.dump();
+            if (*rc::gen::inRange(0, 4) == 0)
+            {
+                text.resize(*rc::gen::inRange<std::size_t>(0, text.size()));
+            }
+            if (!text.empty() && *rc::gen::inRange(0, 4) == 0)
+            {
+                text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+                    *rc::gen::arbitrary<char>();
+            }
+            try
+            {
+                const auto beat = decode(text);
+                RC_ASSERT(beat.has_value());
+                RC_ASSERT(beat->worker.life == "i-7");
+                RC_ASSERT(!beat->worker.service.empty());
+                RC_ASSERT(!beat->address.empty());
+                RC_ASSERT(beat->worker.capacity.cpu_millis >= 0);
+                RC_ASSERT(beat->worker.capacity.memory_mb >= 0);
+                RC_ASSERT(beat->sequence >= 0);
+            }
+            catch (const document_error&)
+            {
+                // Refused, and told why.
+            }
+        }));
+}
+
+TEST_CASE("an answer of a worker that is no document refuses or tells nothing")
+{
+    for (const char* body : {"", "no", "[]", "7", "null", R"({"reason": 7})",
+                             R"({"running": 3})", R"({"ended": [[]]})"})
+    {
+        CAPTURE(body);
+        http_result answer;
+        answer.how = delivery::answered;
+        answer.response.status = 409;
+        answer.response.body = make_body(body);
+        CHECK(adapter::decode_result(answer) == order_result::no_room);
+        answer.response.status = 200;
+        CHECK_FALSE(adapter::decode_look(answer).has_value());
+    }
+}
