Losses: a former life is remembered as judged at once

A report without lists could be followed by another that told of the same life before a whole one came; the counts were safe by the run's number, the work was done twice.

--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -18,8 +18,8 @@
 /// until it has proved itself: a third crash then names it, and those that were
 /// only beside it go on. To run apart from the first crash on cost 0.02 of all
 /// worth on days with crashes by themselves (32 pairs of days, 11 workers).
-/// A task that crashes executors is given up after two or three of them, four
-/// if they go rack by rack. Only crashes count that the guard beside the
+/// A task that crashes executors is given up after two to four of them, five if
+/// they go rack by rack. Only crashes count that the guard beside the
 /// executor lived through: a lapsed lease, a VM without power or a change of
 /// the holder says nothing of a task.
 
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -132,14 +132,14 @@
     for (const former_life& one : from.former)
     {
         told.insert(one.life);
-        if (!at.judged_lives.contains(one.life))
+        if (at.judged_lives.insert(one.life).second)
         {
             judge_crash(at, one, now);
         }
     }
     if (from.whole)
     {
-        at.judged_lives = std::move(told);
+        at.judged_lives = std::move(told); // the others are told no more
     }
 }
 
