--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -398,8 +398,16 @@
     {
         const auto index =
             static_cast<std::size_t>(std::stoi(one.guard.substr(6)));
-        if (chance(faults_.report_lost) || now_ < guards_[index].cut_until)
+        const bool is_cut = now_ < guards_[index].cut_until;
+        if (chance(faults_.report_lost) || is_cut)
         {
+            if (is_cut && chance(faults_.report_held))
+            {
+                // What a cut holds back arrives when it heals.
+                later(guards_[index].cut_until - now_ + delay(),
+                      [this, index, orders = one.orders]
+                      { guards_[index].keeper->on_orders(orders, now_); });
+            }
             return;
         }
         later(delay(), [this, index, orders = one.orders]
