Orders: starts are void once the holder may have given the worker up

Cause: orders that the holder pushes to a guard had no bound of their own. A cut holds them back; it heals after the holder has given up what it last heard of, the guard gets a fresh permit, and starts a run beside or after its successor. Change: a report carries the guard's clock; orders carry until when their starts hold, by that clock: the newest believed report and its permit, so never later than the holder's own wait. Ruled out: the guard judging by its present permit (it is fresh again when the cut has healed).

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -258,6 +258,7 @@
     void act_on_pace(const std::string& task, kept_run& run,
                      std::vector<keeper_action>& out);
     [[nodiscard]] std::int64_t worker_clock(time_point now) const;
+    [[nodiscard]] static std::int64_t vm_clock_ms(time_point now);
     [[nodiscard]] bool is_silent(time_point now) const;
     std::int64_t lease_to(duration left, time_point now);
     [[nodiscard]] std::int64_t lease_left(time_point now) const;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -180,6 +180,11 @@
     return now - answered_ > options_.silence;
 }
 
+std::int64_t run_keeper::vm_clock_ms(time_point now)
+{
+    return to_milliseconds(now - time_point{});
+}
+
 // The permit may still be used; what was asked for may be in force.
 std::int64_t run_keeper::lease_left(time_point now) const
 {
@@ -232,8 +237,14 @@
         return false;
     }
     acknowledged_ = std::max(acknowledged_, orders.acknowledged);
+    const bool are_void =
+        orders.starts_until_ms > 0 && vm_clock_ms(now) > orders.starts_until_ms;
     for (const start_order& order : orders.starts)
     {
+        if (are_void)
+        {
+            continue;
+        }
         kept_run& kept = runs_[order.task];
         if (order.run < kept.order.run)
         {
@@ -435,6 +446,7 @@
 worker_report run_keeper::report(time_point now) const
 {
     worker_report out{.epoch = epoch_,
+                      .sent_ms = vm_clock_ms(now),
                       .admission = admission_,
                       .worker = worker_,
                       .looked = looked_,
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -153,6 +153,7 @@
     std::int64_t epoch = 0;    ///< newest holder that the guard knows
     std::string incarnation;   ///< of the guard itself
     std::int64_t sequence = 0; ///< grows with each report of an incarnation
+    std::int64_t sent_ms = 0;  ///< on the clock of the guard's VM, since boot
     /// The newest admission that a holder gave this incarnation.
     guard_admission admission;
     worker_description worker;
@@ -220,6 +221,10 @@
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::int64_t acknowledged = 0; ///< ends up to this number are kept
+    /// Starts are void from then on, by the clock of the guard's VM: orders
+    /// that a cut held back arrive when it heals, and the holder has given up
+    /// by then what it last heard of before. 0: no bound.
+    std::int64_t starts_until_ms = 0;
 
     bool operator==(const guard_orders&) const = default;
 
@@ -265,15 +270,16 @@
 void from_json(const json& from, ended_task& to);
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    worker_report, guard, address, epoch, incarnation, sequence, admission,
-    worker, looked, lists_age_ms, whole, answering, lapsed, lease_ms, running,
-    ended, refused, paces, starting, unknown, former)
+    worker_report, guard, address, epoch, incarnation, sequence, sent_ms,
+    admission, worker, looked, lists_age_ms, whole, answering, lapsed, lease_ms,
+    running, ended, refused, paces, starting, unknown, former)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
-                                                starts, stops, acknowledged)
+                                                starts, stops, acknowledged,
+                                                starts_until_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pair_harm, serving, filling,
                                                 harm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -46,8 +46,11 @@
     std::string offered_to;    ///< incarnation that it was given to
     bool answering = true;     ///< its guard hears from it
     time_point reported{};     ///< when its last report came
-    time_point lease_ends{};   ///< by then its lease has surely run out
-    std::int64_t noted = 0;    ///< ends up to here are applied
+    /// Starts for it are void from then on, by its guard's clock: no later
+    /// than its runs are given up by ours.
+    std::int64_t starts_until_ms = 0;
+    time_point lease_ends{};       ///< by then its lease has surely run out
+    std::int64_t noted = 0;        ///< ends up to here are applied
     std::int64_t acknowledged = 0; ///< ends up to here are kept
     std::deque<noted_end> unkept;
     std::int64_t failure_streak = 0; ///< failures of distinct jobs in a row
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -219,6 +219,7 @@
         orders.epoch = epoch_;
         orders.life = at->second.what.life;
         orders.acknowledged = at->second.acknowledged;
+        orders.starts_until_ms = at->second.starts_until_ms;
         out.push_back({.guard = guard,
                        .address = at->second.address,
                        .orders = std::move(orders)});
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -31,6 +31,9 @@
     const duration left = verified + options_.office_reach - now;
     const duration permit = std::clamp(left, duration{0}, options_.permit);
     answer.permit_ms = to_milliseconds(permit);
+    at.starts_until_ms =
+        std::max(at.starts_until_ms, from.sent_ms + answer.permit_ms);
+    answer.orders.starts_until_ms = at.starts_until_ms;
     const duration drifted =
         from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
     // What an earlier holder permitted may still be in force.
--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -1025,6 +1025,11 @@
     {
         const bool wrong = done.how == "done" && done.acknowledged &&
                            start.begin > done.acknowledged_at;
+        if (wrong)
+        {
+            tell(done);
+            tell(start);
+        }
         RC_ASSERT(!wrong);
     }
 
