Guard: a start that was not begun in time is given back

Change: it is void by the same bound as in orders and is given back, stopped first if the worker may have it. The guard's memory of former lives moved to the file of results.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -207,6 +207,7 @@
     {
         start_order order;
         stage at = stage::starting;
+        std::int64_t start_until_ms = 0; ///< see guard_orders; 0: no bound
         bool call_open = false;
         std::int64_t unanswered = 0;
         time_point next_call{};
@@ -255,6 +256,9 @@
                     std::vector<keeper_action>& out);
     void act_on_worker(time_point now, std::vector<keeper_action>& out);
     void give_back_unstarted(time_point now);
+    void give_back(const std::vector<std::string>& tasks, const char* why,
+                   time_point now);
+    [[nodiscard]] static bool is_void(std::int64_t until_ms, time_point now);
     void act_on_pace(const std::string& task, kept_run& run,
                      std::vector<keeper_action>& out);
     [[nodiscard]] std::int64_t worker_clock(time_point now) const;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -65,57 +65,6 @@
     answered_ = now;
 }
 
-// A run that began here and did not end goes with the life.
-void run_keeper::remember_run(const std::string& task, const kept_run& run)
-{
-    const auto begun = run.begun ? run.begun : run.under_way;
-    if (!begun || is_ended(task, run.order.run))
-    {
-        return;
-    }
-    const duration shown = std::max(duration{0}, run.listed - *begun);
-    over_.begun.push_back({.task = task,
-                           .run = run.order.run,
-                           .at_work_ms = to_milliseconds(shown),
-                           .is_sure = run.surely_begun});
-}
-
-void run_keeper::remember_life()
-{
-    for (const auto& [task, kept] : runs_)
-    {
-        remember_run(task, kept);
-    }
-    if (!over_.begun.empty())
-    {
-        over_.life = worker_.life;
-        former_.push_back({.what = std::exchange(over_, {})});
-    }
-    if (former_.size() > options_.most_former)
-    {
-        former_.erase(former_.begin());
-    }
-}
-
-// A holder has heard a report. It may fall before it has written what it
-// makes of that, so its successor hears the same for a while.
-void run_keeper::forget_told_lives(const worker_report& report, time_point now)
-{
-    for (remembered_life& one : former_)
-    {
-        const bool was_told =
-            std::find(report.former.begin(), report.former.end(), one.what) !=
-            report.former.end();
-        if (was_told && !one.told)
-        {
-            one.told = now;
-        }
-    }
-    std::erase_if(
-        former_, [&](const remembered_life& one)
-        { return one.told && now - *one.told > options_.former_told_for; });
-}
-
 // A new incarnation runs nothing and has seen no order.
 void run_keeper::begin_life(time_point now)
 {
@@ -237,8 +186,7 @@
         return false;
     }
     acknowledged_ = std::max(acknowledged_, orders.acknowledged);
-    const bool are_void =
-        orders.starts_until_ms > 0 && vm_clock_ms(now) > orders.starts_until_ms;
+    const bool are_void = is_void(orders.starts_until_ms, now);
     for (const start_order& order : orders.starts)
     {
         if (are_void)
@@ -254,6 +202,8 @@
         {
             kept = {.order = order, .next_call = now};
         }
+        kept.start_until_ms =
+            std::max(kept.start_until_ms, orders.starts_until_ms);
         if (is_running(order.task, order.run) && kept.at == stage::starting)
         {
             kept.at = stage::running;
@@ -326,10 +276,7 @@
     {
         return out;
     }
-    if (worker_.draining)
-    {
-        give_back_unstarted(now);
-    }
+    give_back_unstarted(now);
     for (auto& [task, kept] : runs_)
     {
         act_on_run(task, kept, now, out);
@@ -340,20 +287,42 @@
     return out;
 }
 
-// A draining worker begins nothing more.
+bool run_keeper::is_void(std::int64_t until_ms, time_point now)
+{
+    return until_ms > 0 && vm_clock_ms(now) > until_ms;
+}
+
+// A draining worker begins nothing more, and no worker what the holder may
+// have given up by now.
 void run_keeper::give_back_unstarted(time_point now)
 {
-    std::vector<std::string> unstarted;
+    std::vector<std::string> draining;
+    std::vector<std::string> too_late;
     for (const auto& [task, kept] : runs_)
     {
-        if (kept.at == stage::starting && !kept.call_open)
+        if (kept.at != stage::starting || kept.call_open)
         {
-            unstarted.push_back(task);
+            continue;
+        }
+        if (is_void(kept.start_until_ms, now))
+        {
+            too_late.push_back(task);
+        }
+        else if (worker_.draining)
+        {
+            draining.push_back(task);
         }
     }
-    for (const std::string& task : unstarted)
+    give_back(draining, "draining", now);
+    give_back(too_late, "too_late", now);
+}
+
+void run_keeper::give_back(const std::vector<std::string>& tasks,
+                           const char* why, time_point now)
+{
+    for (const std::string& task : tasks)
     {
-        refuse(task, runs_.at(task), "draining", now);
+        refuse(task, runs_.at(task), why, now);
     }
 }
 
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -250,4 +250,59 @@
     }
 }
 
+// ---------------------------------------------------------------------------
+// Former lives of the executor
+// ---------------------------------------------------------------------------
+
+// A run that began here and did not end goes with the life.
+void run_keeper::remember_run(const std::string& task, const kept_run& run)
+{
+    const auto begun = run.begun ? run.begun : run.under_way;
+    if (!begun || is_ended(task, run.order.run))
+    {
+        return;
+    }
+    const duration shown = std::max(duration{0}, run.listed - *begun);
+    over_.begun.push_back({.task = task,
+                           .run = run.order.run,
+                           .at_work_ms = to_milliseconds(shown),
+                           .is_sure = run.surely_begun});
+}
+
+void run_keeper::remember_life()
+{
+    for (const auto& [task, kept] : runs_)
+    {
+        remember_run(task, kept);
+    }
+    if (!over_.begun.empty())
+    {
+        over_.life = worker_.life;
+        former_.push_back({.what = std::exchange(over_, {})});
+    }
+    if (former_.size() > options_.most_former)
+    {
+        former_.erase(former_.begin());
+    }
+}
+
+// A holder has heard a report. It may fall before it has written what it
+// makes of that, so its successor hears the same for a while.
+void run_keeper::forget_told_lives(const worker_report& report, time_point now)
+{
+    for (remembered_life& one : former_)
+    {
+        const bool was_told =
+            std::find(report.former.begin(), report.former.end(), one.what) !=
+            report.former.end();
+        if (was_told && !one.told)
+        {
+            one.told = now;
+        }
+    }
+    std::erase_if(
+        former_, [&](const remembered_life& one)
+        { return one.told && now - *one.told > options_.former_told_for; });
+}
+
 } // namespace springstair
