Holder: one way to fail a job for one of its tasks

Found on reading the change again: giving up a task that crashes executors wrote again what the bound of attempts does (not if final, name the task, finish, stop the rest); both call fail() now. Placing a suspect apart takes the tickets that its caller has, in place of an empty map of its own.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -280,8 +280,8 @@
 
     [[nodiscard]] bool gathers(const job_record& of, const job_step& step,
                                time_point now) const;
-    bool try_apart(const placement_query& query, job_record& of,
-                   job_task& task);
+    bool try_apart(const placement_query& query, job_record& of, job_task& task,
+                   const std::map<std::string, std::string>& tickets);
     void claim_room(const placement_query& query, std::int64_t tasks);
     void begin_pass();
 
@@ -349,7 +349,6 @@
                                           time_point now) const;
     void suspect(const worker_record& at, const task_name& name,
                  const crash_count& count, crash_scope scope, time_point now);
-    void give_up(job_record& of, const job_task& task, time_point now);
     void note_soundness(worker_record& at, job_task& task,
                         const task_name& name);
 
@@ -364,6 +363,8 @@
                       const task_run& run, run_end how, time_point now);
     void finish(job_record& of, job_state state, time_point now,
                 std::vector<event_field> why);
+    void fail(job_record& of, const job_task& task, time_point now,
+              std::vector<event_field> why);
     void finish_if_done(job_record& of, time_point now);
     void forget_advice(const job_record& of);
     void stop_all(job_record& of);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -120,15 +120,27 @@
     const queue_row* const queue = table_.queue(of.what().queue);
     const bool exhausted = !step.lasting && queue != nullptr &&
                            task.failures >= queue->most_attempts;
-    if (!exhausted || is_final(of.state()))
+    if (!exhausted)
     {
         return;
     }
-    finish(of, job_state::failed, now,
-           {{"task", task_name{of.what().id, of.position_of(task)}.text()},
-            {"failures", std::to_string(task.failures)},
-            {"most_attempts", std::to_string(queue->most_attempts)},
-            {"table_version", std::to_string(table_.version)}});
+    fail(of, task, now,
+         {{"failures", std::to_string(task.failures)},
+          {"most_attempts", std::to_string(queue->most_attempts)},
+          {"table_version", std::to_string(table_.version)}});
+}
+
+// One task of a job can not be done: the others stop.
+void scheduler_core::fail(job_record& of, const job_task& task, time_point now,
+                          std::vector<event_field> why)
+{
+    if (is_final(of.state()))
+    {
+        return;
+    }
+    why.insert(why.begin(),
+               {"task", task_name{of.what().id, of.position_of(task)}.text()});
+    finish(of, job_state::failed, now, std::move(why));
     stop_all(of);
 }
 
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -192,7 +192,6 @@
     task.crashes += count.is_sure ? 1 : 0;
     task.judged_run = count.run;
     ++of.change;
-    want(of, now);
     note(event_id::task_suspected,
          {{"task", name.text()},
           {"run", std::to_string(count.run)},
@@ -211,25 +210,12 @@
                      .scope = scope,
                      .is_sole = count.is_sole}))
     {
-        give_up(of, task, now);
-    }
-}
-
-// A task that goes on crashing executors takes more from others than its job
-// is worth.
-void scheduler_core::give_up(job_record& of, const job_task& task,
-                             time_point now)
-{
-    if (is_final(of.state()))
-    {
-        return;
+        // It takes more from others than its job is worth.
+        fail(of, task, now,
+             {{"why", "it crashes the executors that start it"},
+              {"crashes", std::to_string(task.crashes)},
+              {"suspicion", std::to_string(task.suspicion)}});
     }
-    finish(of, job_state::failed, now,
-           {{"task", task_name{of.what().id, of.position_of(task)}.text()},
-            {"why", "it crashes the executors that start it"},
-            {"crashes", std::to_string(task.crashes)},
-            {"suspicion", std::to_string(task.suspicion)}});
-    stop_all(of);
     want(of, now);
 }
 
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -201,7 +201,7 @@
             .tickets = queue.advice ? &tickets : nullptr};
         if (task.suspicion >= tried_at)
         {
-            left = !try_apart(query, of, task) || left;
+            left = !try_apart(query, of, task, tickets) || left;
             continue;
         }
         worker_record* const at =
@@ -230,8 +230,9 @@
 }
 
 // Starts a suspect where nothing else is started until it has proved itself.
-bool scheduler_core::try_apart(const placement_query& query, job_record& of,
-                               job_task& task)
+bool scheduler_core::try_apart(
+    const placement_query& query, job_record& of, job_task& task,
+    const std::map<std::string, std::string>& tickets)
 {
     const suspicion_options& options = options_.suspicion;
     const bool is_bound =
@@ -251,9 +252,7 @@
     }
     ++trials_;
     at->on_trial = task_name{of.what().id, of.position_of(task)};
-    static const std::map<std::string, std::string> no_tickets;
-    put(of, task, *at, task.runs + 1,
-        query.tickets == nullptr ? no_tickets : *query.tickets, query.now);
+    put(of, task, *at, task.runs + 1, tickets, query.now);
     return true;
 }
 
