Test, red: runs begin in data centres that an operator has closed

No part of the program knew of closures. Now the operator's entries are read and watched together (one call, as before for the configuration alone), a closure is heard and told by each entry and by the holder, with its age and what runs there. Nothing acts on it yet: the unit cases are red, and so are random worlds in which data centres close and open beside takeovers, cuts and late orders.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 56> catalogue{{
+constexpr std::array<event_description, 60> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -87,6 +87,17 @@
     {event_id::advice_came, severity::info, "advice_came",
      "The advice service told which workers may run a step, or gave no "
      "answer."},
+    {event_id::data_centre_closed, severity::info, "data_centre_closed",
+     "This entry heard from the store that no run is to begin in a data "
+     "centre."},
+    {event_id::data_centre_opened, severity::info, "data_centre_opened",
+     "This entry heard from the store that a data centre takes runs again."},
+    {event_id::closure_in_force, severity::info, "closure_in_force",
+     "The holder places nothing in a data centre any more, or again; how old "
+     "its knowledge is, and what runs on there."},
+    {event_id::starts_withheld, severity::warning, "starts_withheld",
+     "The holder starts nothing: what it knows of closed data centres is too "
+     "old."},
     {event_id::job_accepted, severity::info, "job_accepted",
      "A job is in the store and its caller was told so."},
     {event_id::job_not_taken, severity::warning, "job_not_taken",
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -1,9 +1,9 @@
 // The parts of an entry of the job system.
 
-#include "configuration_watch.hpp"
 #include "job_desk.hpp"
 #include "job_holder.hpp"
 #include "office_keeper.hpp"
+#include "operator_watch.hpp"
 
 #include <thread>
 #include <utility>
@@ -42,12 +42,18 @@
                }}),
           holder_(process, store_, office_),
           desk_(process, store_, office_, holder_),
-          configuration_(process, store_,
+          operator_(process, store_,
+                    {.table =
                          [this](const queue_table& table)
-                         {
-                             holder_.set_table(table);
-                             desk_.set_table(table);
-                         })
+                     {
+                         holder_.set_table(table);
+                         desk_.set_table(table);
+                     },
+                     .closed =
+                         [this](const closed_data_centres& known)
+                     {
+                         holder_.set_closed(known);
+                     }})
     {
         rpc_.add("report",
                  [this](const json& message) {
@@ -102,7 +108,7 @@
 private:
     void tick(time_point now)
     {
-        configuration_.tick(now);
+        operator_.tick(now);
         office_.tick(now);
         holder_.tick(now);
         desk_.tick(now);
@@ -134,8 +140,7 @@
     [[nodiscard]] bool is_ready(time_point now) const
     {
         return !stop_since_ && desk_.table().version > 0 &&
-               now - std::max(office_.store_answered(),
-                              configuration_.fresh_at()) <
+               now - std::max(office_.store_answered(), operator_.fresh_at()) <
                    store_patience + std::chrono::seconds(5);
     }
 
@@ -173,7 +178,7 @@
     office_keeper office_;
     job_holder holder_;
     job_desk desk_;
-    configuration_watch configuration_;
+    operator_watch operator_;
     rpc_dispatcher rpc_;
     std::optional<time_point> stop_since_;
     bool was_ready_ = false;
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -33,6 +33,7 @@
 job_holder::job_holder(job_process& process, platform::store_client& store,
                        office_keeper& office)
     : process_(process), store_(store), office_(office),
+      core_({.closing = {.close_within = process.from.close_within}}),
       page_timeout_(longest_page)
 {
 }
@@ -485,6 +486,11 @@
     core_.set_table(table);
 }
 
+void job_holder::set_closed(const closed_data_centres& known)
+{
+    core_.set_closed(known, boot_clock::now());
+}
+
 void job_holder::job_was_accepted(const job& what)
 {
     if (ready())
@@ -567,6 +573,10 @@
     to.set("runs_failed", static_cast<double>(figures.failed_runs));
     to.set("jobs_open", static_cast<double>(figures.jobs_open));
     to.set("workers", static_cast<double>(figures.workers));
+    to.set("data_centres_closed",
+           static_cast<double>(figures.closed_data_centres));
+    to.set("runs_in_closed_data_centres",
+           static_cast<double>(figures.runs_in_closed));
     show_service("lasting", figures.lasting);
     show_service("largest_lasting", figures.largest_lasting);
     to.set("office_epoch", static_cast<double>(core_.epoch()));
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -28,6 +28,7 @@
     void tick(time_point now);
 
     void set_table(const queue_table& table);
+    void set_closed(const closed_data_centres& known);
     /// A guard's report, as the internal interface carries it.
     report_answer report(const worker_report& from);
     /// A job that this entry has just accepted or cancelled itself.
--- /dev/null
+++ b/packages/daemon/src/operator_watch.cpp
@@ -0,0 +1,198 @@
+#include "operator_watch.hpp"
+
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+using platform::store_item;
+using platform::store_result;
+using platform::store_status;
+
+// A watch may hear nothing for a second while the history is dropped; the
+// next one is then told to read anew. So short, a change is in force within
+// two seconds all the same.
+constexpr duration watch_wait = std::chrono::milliseconds(700);
+constexpr duration pause = std::chrono::milliseconds(150);
+
+} // namespace
+
+operator_watch::operator_watch(job_process& process,
+                               platform::store_client& store, callbacks then)
+    : process_(process), store_(store), then_(std::move(then))
+{
+}
+
+void operator_watch::tick(time_point now)
+{
+    if (busy_ || now < next_read_)
+    {
+        return;
+    }
+    watched_ == 0 ? read() : watch();
+}
+
+// ---------------------------------------------------------------------------
+// Reading
+// ---------------------------------------------------------------------------
+
+void operator_watch::read()
+{
+    busy_ = true;
+    const time_point sent = boot_clock::now();
+    store_.range(platform::operator_prefix, page_after_, timeout_.value(),
+                 process_.on_control<store_result>(
+                     [this, sent](const store_result& result)
+                     { on_read(result, sent); }));
+}
+
+void operator_watch::on_read(const store_result& result, time_point sent)
+{
+    busy_ = false;
+    if (result.status != store_status::done)
+    {
+        timeout_.unanswered();
+        page_after_.clear();
+        next_read_ = boot_clock::now() + pause;
+        return;
+    }
+    timeout_.answered(result.took);
+    if (page_after_.empty())
+    {
+        reading_since_ = result.revision;
+        reading_sent_ = sent;
+        closed_read_.clear();
+    }
+    for (const store_item& item : result.items)
+    {
+        take_table(item);
+        if (const auto name = platform::closed_data_centre(item.key))
+        {
+            closed_read_.insert(*name);
+            note_closure(*name, true, item.revision);
+        }
+    }
+    page_after_ = result.more && !result.items.empty() ? result.items.back().key
+                                                       : std::string();
+    if (page_after_.empty())
+    {
+        end_reading();
+    }
+}
+
+// What is not in a reading is gone.
+void operator_watch::end_reading()
+{
+    const std::set<std::string> before = closed_.names;
+    for (const std::string& name : before)
+    {
+        if (!closed_read_.contains(name))
+        {
+            note_closure(name, false, reading_since_);
+        }
+    }
+    watched_ = reading_since_;
+    fresh_at_ = reading_sent_;
+    tell_closed(reading_sent_);
+}
+
+// ---------------------------------------------------------------------------
+// Watching
+// ---------------------------------------------------------------------------
+
+void operator_watch::watch()
+{
+    busy_ = true;
+    const time_point sent = boot_clock::now();
+    store_.watch(platform::operator_prefix, watched_, watch_wait,
+                 process_.on_control<store_result>(
+                     [this, sent](const store_result& result)
+                     { on_watch(result, sent); }));
+}
+
+void operator_watch::on_watch(const store_result& result, time_point sent)
+{
+    busy_ = false;
+    const time_point now = boot_clock::now();
+    if (result.status != store_status::done)
+    {
+        watched_ = 0;
+        const bool at_once = now - sent > pause;
+        next_read_ = now + (at_once ? duration{0} : pause);
+        return;
+    }
+    fresh_at_ = now;
+    for (const store_item& item : result.items)
+    {
+        watched_ = std::max(watched_, item.revision);
+        take(item);
+    }
+    // Without a change the store has waited to the end; with one, all that is
+    // known of its answer's age is that it came after the call.
+    tell_closed(result.items.empty() ? std::min(now, sent + watch_wait) : sent);
+}
+
+void operator_watch::take(const store_item& item)
+{
+    if (const auto name = platform::closed_data_centre(item.key))
+    {
+        note_closure(*name, !item.gone, item.revision);
+    }
+    else if (!item.gone)
+    {
+        take_table(item);
+    }
+}
+
+void operator_watch::take_table(const store_item& item)
+{
+    if (item.key != platform::configuration_key)
+    {
+        return;
+    }
+    try
+    {
+        const queue_table table = platform::decode_configuration(item.value);
+        if (table.version <= version_)
+        {
+            return;
+        }
+        version_ = table.version;
+        log_event(event_id::configuration_in_force,
+                  {{"version", std::to_string(table.version)},
+                   {"revision", std::to_string(item.revision)},
+                   {"queues", std::to_string(table.queues.size())}});
+        then_.table(table);
+    }
+    catch (const document_error& error)
+    {
+        log_event(event_id::configuration_refused, {{"why", error.what()}});
+    }
+}
+
+// The key alone says what is meant: an entry whose value cannot be read
+// closes its data centre, too.
+void operator_watch::note_closure(const std::string& data_centre,
+                                  bool is_closed, std::int64_t revision)
+{
+    const bool changed = is_closed ? closed_.names.insert(data_centre).second
+                                   : closed_.names.erase(data_centre) > 0;
+    if (changed)
+    {
+        log_event(is_closed ? event_id::data_centre_closed
+                            : event_id::data_centre_opened,
+                  {{"data_centre", data_centre},
+                   {"revision", std::to_string(revision)}});
+    }
+}
+
+void operator_watch::tell_closed(time_point known_at)
+{
+    closed_.known_at = std::max(closed_.known_at, known_at);
+    then_.closed(closed_);
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/operator_watch.hpp
@@ -0,0 +1,67 @@
+#pragma once
+// What the operator has written to the store: the configuration, and the data
+// centres that are closed.
+
+#include "job_process.hpp"
+
+#include "platform.hpp"
+
+#include <functional>
+
+namespace springstair
+{
+
+/// Reads and watches the operator's entries; hands on each newer version of
+/// the table, and what is closed each time the store confirms it.
+///
+/// One watch serves both, since each call to the store has its price.
+class operator_watch
+{
+public:
+    struct callbacks
+    {
+        std::function<void(const queue_table&)> table;
+        std::function<void(const closed_data_centres&)> closed;
+    };
+
+    operator_watch(job_process& process, platform::store_client& store,
+                   callbacks then);
+
+    void tick(time_point now);
+    /// When the store last answered.
+    [[nodiscard]] time_point fresh_at() const noexcept
+    {
+        return fresh_at_;
+    }
+
+private:
+    void read();
+    void on_read(const platform::store_result& result, time_point sent);
+    void end_reading();
+    void watch();
+    void on_watch(const platform::store_result& result, time_point sent);
+    void take(const platform::store_item& item);
+    void take_table(const platform::store_item& item);
+    void note_closure(const std::string& data_centre, bool is_closed,
+                      std::int64_t revision);
+    void tell_closed(time_point known_at);
+
+    job_process& process_;
+    platform::store_client& store_;
+    callbacks then_;
+    adaptive_timeout timeout_;
+    std::int64_t version_ = 0;
+    std::int64_t watched_ = 0; ///< changes above it are watched; 0: read first
+    bool busy_ = false;
+    time_point next_read_{};
+    time_point fresh_at_{};
+    closed_data_centres closed_;
+
+    // A reading, page by page; changes since its first page are watched.
+    std::string page_after_;
+    std::int64_t reading_since_ = 0; ///< revision of its first page
+    time_point reading_sent_{};
+    std::set<std::string> closed_read_;
+};
+
+} // namespace springstair
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -225,6 +225,8 @@
     /// that a cut held back arrive when it heals, and the holder has given up
     /// by then what it last heard of before. 0: no bound.
     std::int64_t starts_until_ms = 0;
+    /// The worker's data centre is closed: no start of any order begins.
+    bool closed = false;
 
     bool operator==(const guard_orders&) const = default;
 
@@ -279,7 +281,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
                                                 starts, stops, acknowledged,
-                                                starts_until_ms)
+                                                starts_until_ms, closed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pair_harm, serving, filling,
                                                 harm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
--- a/packages/jobs/include/springstair/jobs.hpp
+++ b/packages/jobs/include/springstair/jobs.hpp
@@ -4,6 +4,7 @@
 /// @brief Jobs: what callers submit, what workers run and what is kept.
 
 #include <springstair/detail/jobs/advice.hpp>
+#include <springstair/detail/jobs/closed_data_centres.hpp>
 #include <springstair/detail/jobs/job.hpp>
 #include <springstair/detail/jobs/progress.hpp>
 #include <springstair/detail/jobs/queue_table.hpp>
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
+#include <springstair/detail/scheduler/data_centre_book.hpp>
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
@@ -27,6 +28,7 @@
     placement_options placement;
     order_options order;
     suspicion_options suspicion;
+    closing_options closing;
     /// How long a worker's lease may last on one answer to its guard. Above
     /// a guard's restart and a frozen VM; below the platform's most.
     duration permit = std::chrono::seconds(4);
@@ -164,6 +166,8 @@
     service_account lasting; ///< at the newest sample
     /// Of it, the tenth of the lasting jobs that reserves most processors.
     service_account largest_lasting;
+    std::int64_t closed_data_centres = 0;
+    std::int64_t runs_in_closed = 0; ///< that may still be at work there
 };
 
 /// @brief All jobs and workers of one holder, and every decision on them.
@@ -195,6 +199,8 @@
 
     /// @brief A newer table is in force. Older ones are ignored.
     void set_table(const queue_table& table);
+    /// @brief What an operator has closed, as newly heard from the store.
+    void set_closed(const closed_data_centres& known, time_point now);
     /// @brief A job was accepted. Known jobs are ignored.
     void accept(job what, time_point now);
     /// @brief A job was cancelled, and the store has it.
@@ -285,6 +291,10 @@
     void claim_room(const placement_query& query, std::int64_t tasks);
     void begin_pass();
 
+    // Closed data centres (scheduler_closing.cpp).
+    void tell_closure(const std::string& data_centre, time_point now);
+    [[nodiscard]] std::int64_t runs_in(const std::string& data_centre) const;
+
     // What is told of waits and service (scheduler_sight.cpp).
     void tell_wait(const placement_query& query, const job_record& of,
                    const job_task& first);
@@ -375,6 +385,7 @@
 
     scheduler_options options_;
     queue_table table_;
+    data_centre_book data_centres_;
     std::int64_t epoch_ = 0;
     bool begun_ = false;
     time_point office_since_{};
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -6,6 +6,7 @@
 /// Nothing here does I/O or reads a clock; every call is given the time.
 
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
+#include <springstair/detail/scheduler/data_centre_book.hpp>
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
--- /dev/null
+++ b/packages/scheduler/src/data_centre_book.cpp
@@ -0,0 +1,53 @@
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace springstair
+{
+
+namespace
+{
+
+std::vector<std::string> without(const std::set<std::string>& all,
+                                 const std::set<std::string>& others)
+{
+    std::vector<std::string> left;
+    std::ranges::set_difference(all, others, std::back_inserter(left));
+    return left;
+}
+
+} // namespace
+
+data_centre_book::data_centre_book(closing_options options) : options_(options)
+{
+}
+
+closing_change data_centre_book::take(const closed_data_centres& known)
+{
+    if (known.known_at <= known_.known_at)
+    {
+        return {};
+    }
+    closing_change change{.closed = without(known.names, known_.names),
+                          .opened = without(known_.names, known.names)};
+    known_ = known;
+    return change;
+}
+
+bool data_centre_book::is_closed(const std::string& data_centre) const
+{
+    return known_.names.contains(data_centre);
+}
+
+time_point data_centre_book::starts_until() const noexcept
+{
+    if (options_.close_within == duration{0})
+    {
+        return time_point::max();
+    }
+    return known_.known_at + options_.close_within - options_.deaf_watch -
+           options_.delivery;
+}
+
+} // namespace springstair
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -15,13 +15,18 @@
 
 } // namespace
 
-scheduler_core::scheduler_core(scheduler_options options) : options_(options) {}
+scheduler_core::scheduler_core(scheduler_options options)
+    : options_(options), data_centres_(options.closing)
+{
+}
 
 void scheduler_core::take_office(std::int64_t epoch, time_point now)
 {
     const queue_table table = table_;
+    const data_centre_book data_centres = data_centres_;
     *this = scheduler_core(options_);
     table_ = table;
+    data_centres_ = data_centres;
     epoch_ = epoch;
     office_since_ = now;
 }
@@ -59,6 +64,10 @@
     {
         finish_if_done(*of, now);
     }
+    for (const std::string& data_centre : data_centres_.closed())
+    {
+        tell_closure(data_centre, now);
+    }
 }
 
 void scheduler_core::set_table(const queue_table& table)
@@ -270,6 +279,11 @@
                                   [](const auto& entry)
                                   { return !is_final(entry.second->state()); });
     now.workers = static_cast<std::int64_t>(workers_.size());
+    for (const std::string& data_centre : data_centres_.closed())
+    {
+        ++now.closed_data_centres;
+        now.runs_in_closed += runs_in(data_centre);
+    }
     return now;
 }
 
--- /dev/null
+++ b/tests/unit/closed_data_centre_tests.cpp
@@ -0,0 +1,282 @@
+// An operator closes a data centre: executors there turned cold, or are about
+// to be taken away. Nothing may begin there later than a bound after the store
+// has acknowledged it; what runs there stays. Found on a played day: no part
+// of the program knew of closures, and 2,600 runs began in a closed data
+// centre in ten seconds.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+#include <springstair/guard.hpp>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+
+namespace
+{
+
+constexpr duration bound = seconds(5);
+
+scheduler_options closing_holder()
+{
+    return {.closing = {.close_within = bound}, .gather_lasting = duration{0}};
+}
+
+struct two_data_centres : holder
+{
+    two_data_centres() : holder(closing_holder())
+    {
+        add("g1", "east");
+        add("g2", "west");
+        hear({});
+        say_all();
+    }
+
+    void add(const std::string& guard, const std::string& data_centre)
+    {
+        worker_report& report = worker(guard);
+        report.worker.data_centre = data_centre;
+        report.sent_ms = 1'000'000;
+    }
+
+    void hear(std::set<std::string> closed)
+    {
+        core.set_closed({.names = std::move(closed), .known_at = now}, now);
+    }
+
+    void say_all()
+    {
+        for (auto& [guard, report] : reports)
+        {
+            say(guard);
+        }
+    }
+
+    // Turns in which guards report and the store is heard of as it was.
+    void turns(int count, const std::set<std::string>& closed)
+    {
+        for (int turn_number = 0; turn_number < count; ++turn_number)
+        {
+            hear(closed);
+            say_all();
+            turn();
+        }
+    }
+
+    [[nodiscard]] std::int64_t runs_at(const std::string& guard) const
+    {
+        return std::ranges::count_if(where, [&](const auto& entry)
+                                     { return entry.second == guard; });
+    }
+};
+
+// A guard with an executor of one life that answers.
+struct guard_by_hand
+{
+    guard_by_hand()
+    {
+        keeper.on_worker({.life = "x", .service = "s", .capacity = room}, 0,
+                         now);
+        keeper.on_answer({.holds = true,
+                          .permit_ms = 4000,
+                          .orders = {.epoch = 7, .life = "x"}},
+                         keeper.report(now), now, now);
+        look();
+    }
+
+    void look(std::vector<running_task> running = {})
+    {
+        keeper.on_looked("x", order_result::accepted,
+                         worker_look{.running = std::move(running)}, now, now);
+    }
+
+    void order(bool closed, std::vector<start_order> starts)
+    {
+        keeper.on_orders({.epoch = 7,
+                          .life = "x",
+                          .starts = std::move(starts),
+                          .closed = closed},
+                         now);
+    }
+
+    template <class Action>
+    std::vector<Action> due()
+    {
+        std::vector<Action> out;
+        for (const keeper_action& one : keeper.due(now))
+        {
+            if (const auto* const found = std::get_if<Action>(&one))
+            {
+                out.push_back(*found);
+            }
+        }
+        return out;
+    }
+
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper;
+};
+
+} // namespace
+
+TEST_CASE("nothing is placed in a closed data centre, what runs there stays")
+{
+    two_data_centres with;
+    with.submit({step_of(4)});
+    with.turns(2, {});
+    const std::int64_t before = with.runs_at("g1");
+    REQUIRE(before == 2);
+
+    with.submit({step_of(3)});
+    with.turns(8, {"east"});
+    CHECK(with.runs_at("g1") == before);
+    CHECK(with.runs_at("g2") == 4);
+    CHECK(with.stopped.empty());
+
+    SUBCASE("it takes runs again once it is open")
+    {
+        with.turns(2, {});
+        CHECK(with.runs_at("g1") == before + 1);
+    }
+    SUBCASE("a successor knows it before its first placement")
+    {
+        with.take_over();
+        with.turns(8, {"east"});
+        CHECK(with.runs_at("g1") == before);
+    }
+    SUBCASE("all of them are closed: work waits, and none of it fails")
+    {
+        const job waits = with.submit({step_of(1)});
+        with.end("job1.0.0.0", run_end::done);
+        with.turns(8, {"east", "west"});
+        CHECK(with.shown(waits.id) == job_state::pending);
+    }
+}
+
+TEST_CASE("a worker that comes to a closed data centre gets nothing")
+{
+    two_data_centres with;
+    with.turns(1, {"north"});
+    with.add("g3", "north");
+    with.submit({step_of(12)});
+    with.turns(4, {"north"});
+    CHECK(with.runs_at("g1") == 4);
+    CHECK(with.runs_at("g3") == 0);
+}
+
+TEST_CASE("a closure during the write of a placement keeps it from its start")
+{
+    two_data_centres with;
+    with.submit({step_of(1, 4000)});
+    with.now += milliseconds(25);
+    with.core.tick(with.now, 0);
+    const auto batch = with.core.next_commit(with.now);
+    REQUIRE(batch);
+    with.now += milliseconds(800);
+    with.hear({"east", "west"});
+    with.core.committed(*batch, 1, with.now);
+    for (const addressed_orders& one : with.core.take_orders())
+    {
+        CHECK(one.orders.starts.empty());
+        CHECK(one.orders.stops.size() == 1);
+    }
+}
+
+TEST_CASE("a start that was lost is not repeated into a closed data centre")
+{
+    two_data_centres with;
+    with.submit({step_of(1, 4000)});
+    with.turns(2, {});
+    REQUIRE(with.where.size() == 1);
+    const auto [task, guard] = *with.where.begin();
+    with.worker(guard).running.clear(); // the order never arrived
+    with.started.clear();
+    with.turns(60, {"east", "west"});
+    CHECK(with.started.empty());
+    CHECK(with.stopped.contains(task));
+}
+
+TEST_CASE("starts are void before a closure unheard of could be broken")
+{
+    two_data_centres with;
+    with.submit({step_of(1)});
+    with.turns(2, {});
+    // The store is silent from here on; guards still report.
+    const time_point heard = with.now;
+    with.submit({step_of(6)});
+    bool all_void = false;
+    while (with.now - heard < bound)
+    {
+        for (auto& [guard, report] : with.reports)
+        {
+            report.sent_ms += 25;
+            const guard_orders orders = with.say(guard).orders;
+            const std::int64_t since = to_milliseconds(with.now - heard);
+            const std::int64_t heard_by_guard = report.sent_ms - since;
+            CHECK(orders.starts_until_ms > 0);
+            CHECK(orders.starts_until_ms < heard_by_guard + 5000 - 1000);
+        }
+        const std::size_t before = with.started.size();
+        with.turn();
+        all_void = with.now - heard > seconds(4);
+        CHECK((!all_void || with.started.size() == before));
+    }
+    CHECK(all_void);
+}
+
+TEST_CASE("a holder that has not heard what is closed places nothing")
+{
+    holder with(closing_holder());
+    with.say("g1");
+    const job what = with.submit({step_of(1)});
+    with.turn();
+    with.say("g1");
+    with.turn();
+    CHECK(with.started.empty());
+    with.core.set_closed({.known_at = with.now}, with.now);
+    with.say("g1");
+    with.turn();
+    CHECK(with.runs(what.id + ".0.0.0"));
+}
+
+TEST_CASE("a guard begins nothing in a closed data centre")
+{
+    guard_by_hand with;
+    with.order(true, {{.task = "j.0.0.0", .run = 1}});
+    CHECK(with.due<start_run>().empty());
+    const worker_report report = with.keeper.report(with.now);
+    REQUIRE(report.refused.size() == 1);
+    CHECK(report.refused.front().reason == "data_centre_closed");
+
+    SUBCASE("open again, it begins the next")
+    {
+        with.order(false, {{.task = "j.0.0.0", .run = 2}});
+        CHECK(with.due<start_run>().size() == 1);
+    }
+}
+
+TEST_CASE("a start without an answer is stopped in a closed data centre")
+{
+    guard_by_hand with;
+    with.order(false, {{.task = "j.0.0.0", .run = 1}});
+    REQUIRE(with.due<start_run>().size() == 1);
+    with.keeper.on_started("j.0.0.0", 1, order_result::unanswered, with.now);
+    with.order(true, {});
+    with.now += milliseconds(200);
+    CHECK(with.due<start_run>().empty());
+    CHECK(with.due<stop_run>().size() == 1);
+}
+
+TEST_CASE("a run goes on in a closed data centre")
+{
+    guard_by_hand with;
+    with.order(false, {{.task = "j.0.0.0", .run = 1}});
+    REQUIRE(with.due<start_run>().size() == 1);
+    with.keeper.on_started("j.0.0.0", 1, order_result::accepted, with.now);
+    with.look({{.task = "j.0.0.0", .run = 1}});
+    with.order(true, {});
+    with.now += milliseconds(200);
+    CHECK(with.due<stop_run>().empty());
+    CHECK(with.keeper.report(with.now).refused.empty());
+}
--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -1,6 +1,7 @@
 // Holders that fall and linger, guards that restart, workers that crash,
-// messages that are lost or carried out late, a store that loses answers:
-// every task runs in one place, in order, to one end.
+// messages that are lost or carried out late, a store that loses answers, data
+// centres that an operator closes and opens: every task runs in one place, in
+// order, to one end.
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -32,6 +33,11 @@
 // neither started nor cut off for so long before.
 constexpr std::int64_t most_starts_after = 2;
 constexpr duration in_touch_after = seconds(3);
+constexpr std::size_t data_centre_count = 2;
+// No run begins in a data centre later than this after it was closed.
+constexpr duration close_within = seconds(5);
+// A watch may hear nothing of a change for so long (platform).
+constexpr int deaf_watch_ms = 1000;
 
 // Chances in a hundred thousand, at each step or message.
 struct job_faults
@@ -49,6 +55,8 @@
     int fail = 0;
     int cancel = 0;
     int crashing_job = 0; ///< its first task ends each executor that starts it
+    int close = 0;        ///< a data centre is closed, or opened again
+    int cut_watch = 0;    ///< a holder hears nothing of the operator, seconds
 };
 
 // One run at a worker, for the check of histories.
@@ -132,6 +140,10 @@
     void calm()
     {
         faults_ = {};
+        for (auto& [name, changes] : closures_)
+        {
+            changes[now_] = false;
+        }
     }
 
     void check_histories() const
@@ -144,6 +156,7 @@
             }
         }
         RC_ASSERT(!overfull_);
+        RC_ASSERT(begun_in_closed_ == 0);
     }
 
     void check_all_ended() const
@@ -180,6 +193,7 @@
         time_point verified;
         std::optional<commit_batch> batch;
         bool writing = false;
+        time_point next_hearing{}; ///< of what the operator has closed
     };
 
     struct guard_process
@@ -335,7 +349,8 @@
         }
         epoch_ = ++revision_;
         current_ = std::make_shared<holder_process>();
-        current_->core = std::make_shared<scheduler_core>();
+        current_->core = std::make_shared<scheduler_core>(
+            scheduler_options{.closing = {.close_within = close_within}});
         current_->epoch = epoch_;
         current_->verified = now_;
         scheduler_core& core = *current_->core;
@@ -382,6 +397,7 @@
         {
             return;
         }
+        hear_operator(*by);
         by->core->tick(now_, 0);
         write(by);
         for (addressed_orders& one : by->core->take_orders())
@@ -394,6 +410,58 @@
         }
     }
 
+    // The store's answer is on its way for a moment. A deaf watch tells that
+    // nothing has changed for up to a second.
+    void hear_operator(holder_process& by)
+    {
+        if (now_ < by.next_hearing)
+        {
+            return;
+        }
+        by.next_hearing = now_ + milliseconds(100 + draw(900));
+        if (chance(faults_.cut_watch))
+        {
+            by.next_hearing = now_ + milliseconds(1000 + draw(9000));
+        }
+        const bool deaf = draw(4) == 0;
+        const time_point asked =
+            deaf ? now_ - milliseconds(draw(deaf_watch_ms)) : now_;
+        later(delay(),
+              [core = by.core, this, sent = now_, names = closed_at(asked)]
+              { core->set_closed({.names = names, .known_at = sent}, now_); });
+    }
+
+    static std::string data_centre_of(std::size_t index)
+    {
+        return "dc-" + std::to_string(index % data_centre_count);
+    }
+
+    [[nodiscard]] std::set<std::string> closed_at(time_point when) const
+    {
+        std::set<std::string> names;
+        for (const auto& [name, changes] : closures_)
+        {
+            const auto after = changes.upper_bound(when);
+            if (after != changes.begin() && std::prev(after)->second)
+            {
+                names.insert(name);
+            }
+        }
+        return names;
+    }
+
+    // Whether a run may begin there now.
+    [[nodiscard]] bool may_begin(std::size_t index) const
+    {
+        const auto found = closures_.find(data_centre_of(index));
+        if (found == closures_.end())
+        {
+            return true;
+        }
+        const auto& [since, closed] = *found->second.rbegin();
+        return !closed || now_ - since <= close_within;
+    }
+
     void deliver(const addressed_orders& one)
     {
         const auto index =
@@ -482,6 +550,7 @@
     {
         const worker_description what{.life = guards_[index].executor.life,
                                       .service = "s",
+                                      .data_centre = data_centre_of(index),
                                       .capacity = capacity};
         const std::int64_t clock = guards_[index].executor.clock(now_);
         guards_[index].keeper->on_worker(what, clock, now_);
@@ -608,8 +677,13 @@
         {
             if (late)
             {
-                later(milliseconds(2000 + draw(4000)), [this, index, what]
-                      { static_cast<void>(carry_out(index, what)); });
+                later(milliseconds(2000 + draw(4000)),
+                      [this, index, what]
+                      {
+                          is_late_ = true; // no bound of time holds for it
+                          static_cast<void>(carry_out(index, what));
+                          is_late_ = false;
+                      });
             }
             later(milliseconds(300), [this, keeper, what]
                   { answer(*keeper, what, order_result::unanswered); });
@@ -712,6 +786,10 @@
         {
             return order_result::late;
         }
+        if (!is_late_ && !may_begin(index))
+        {
+            ++begun_in_closed_;
+        }
         start(at, task, what.order.run);
         return order_result::accepted;
     }
@@ -906,6 +984,12 @@
                 guard.cut_until = now_ + milliseconds(1000 + draw(14'000));
             }
         }
+        if (chance(faults_.close))
+        {
+            auto& changes = closures_[data_centre_of(
+                static_cast<std::size_t>(draw(data_centre_count)))];
+            changes[now_] = changes.empty() || !changes.rbegin()->second;
+        }
         if (chance(faults_.cancel) && !jobs_.empty())
         {
             const std::string id =
@@ -1098,6 +1182,10 @@
     std::array<guard_process, guard_count> guards_;
     std::vector<run_interval> past_;
     bool overfull_ = false;
+    /// Of each data centre, when it was closed (true) and opened.
+    std::map<std::string, std::map<time_point, bool>> closures_;
+    bool is_late_ = false; ///< the order at hand is carried out late
+    int begun_in_closed_ = 0;
     std::vector<std::string> story_; ///< every decision, for a failed check
 };
 
@@ -1122,7 +1210,9 @@
                             .cut_guard = *rc::gen::element(0, 20, 60),
                             .fail = *rc::gen::element(0, 5000, 30'000),
                             .cancel = *rc::gen::element(0, 100),
-                            .crashing_job = *rc::gen::element(0, 0, 10'000)};
+                            .crashing_job = *rc::gen::element(0, 0, 10'000),
+                            .close = *rc::gen::element(0, 100, 400),
+                            .cut_watch = *rc::gen::element(0, 5000, 20'000)};
                         job_world world(seed, faults);
                         world.run(seconds(20), true);
                         world.check_histories();
