Holder, guard: no run begins in a data centre that is closed

Now a worker's record says whether its data centre is closed: nothing is placed or claimed there, a placement that was written meanwhile and a start that was lost are stopped instead of begun. Orders tell the guard, the second line: it gives back what has not begun and stops what may begin late.

Ruled out: each write conditioned on the operator's entries.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -281,6 +281,7 @@
     std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
     time_point clock_at_{};
     std::int64_t epoch_ = 0;
+    bool closed_ = false; ///< the data centre, by the newest orders
     time_point permit_until_{};
     time_point answered_{};     ///< when the worker last answered or spoke
     time_point leased_until_{}; ///< no lease asked for lasts longer
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -186,6 +186,7 @@
         return false;
     }
     acknowledged_ = std::max(acknowledged_, orders.acknowledged);
+    closed_ = orders.closed;
     const bool are_void = is_void(orders.starts_until_ms, now);
     for (const start_order& order : orders.starts)
     {
@@ -292,11 +293,12 @@
     return until_ms > 0 && vm_clock_ms(now) > until_ms;
 }
 
-// A draining worker begins nothing more, and no worker what the holder may
-// have given up by now.
+// A draining worker begins nothing more, nor does one in a closed data centre,
+// and no worker what the holder may have given up by now.
 void run_keeper::give_back_unstarted(time_point now)
 {
     std::vector<std::string> draining;
+    std::vector<std::string> closed;
     std::vector<std::string> too_late;
     for (const auto& [task, kept] : runs_)
     {
@@ -312,8 +314,13 @@
         {
             draining.push_back(task);
         }
+        else if (closed_)
+        {
+            closed.push_back(task);
+        }
     }
     give_back(draining, "draining", now);
+    give_back(closed, "data_centre_closed", now);
     give_back(too_late, "too_late", now);
 }
 
@@ -361,7 +368,7 @@
     }
     const duration left = std::min(permit_until_ - now, options_.start_limit);
     if (run.at != stage::starting || left <= duration{0} || worker_.draining ||
-        is_silent(now))
+        closed_ || is_silent(now))
     {
         return;
     }
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -293,6 +293,10 @@
 
     // Closed data centres (scheduler_closing.cpp).
     void tell_closure(const std::string& data_centre, time_point now);
+    bool may_start(time_point now);
+    [[nodiscard]] std::int64_t starts_until_ms(const worker_record& at) const;
+    void keep_from_start(job_task& task, const std::string& name,
+                         guard_orders& out);
     [[nodiscard]] std::int64_t runs_in(const std::string& data_centre) const;
 
     // What is told of waits and service (scheduler_sight.cpp).
@@ -386,6 +390,7 @@
     scheduler_options options_;
     queue_table table_;
     data_centre_book data_centres_;
+    bool withheld_ = false; ///< starts, for want of news of data centres
     std::int64_t epoch_ = 0;
     bool begun_ = false;
     time_point office_since_{};
--- a/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
@@ -15,6 +15,7 @@
 enum class wait_cause : std::uint8_t
 {
     no_worker, ///< none of the service takes runs now
+    closed,    ///< those that might are in data centres that are closed
     label,     ///< none of those has the label
     size,      ///< it is larger than each of those
     lasting,   ///< nothing is large enough beside what lasts there
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -45,7 +45,10 @@
     std::int64_t offered = 0;  ///< newest admission number
     std::string offered_to;    ///< incarnation that it was given to
     bool answering = true;     ///< its guard hears from it
-    time_point reported{};     ///< when its last report came
+    bool closed = false;       ///< its data centre takes no new runs
+    /// Its guard's clock reads at least so much more than ours.
+    std::int64_t clock_ahead_ms = 0;
+    time_point reported{}; ///< when its last report came
     /// Starts for it are void from then on, by its guard's clock: no later
     /// than its runs are given up by ours.
     std::int64_t starts_until_ms = 0;
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -176,7 +176,7 @@
                 time_point now, const placement_options& options)
 {
     return at.what.service == service && !at.what.life.empty() &&
-           !at.what.draining && at.answering && !at.on_trial &&
+           !at.what.draining && at.answering && !at.closed && !at.on_trial &&
            now - at.reported < options.report_age && now >= at.ejected_until;
 }
 
--- a/packages/scheduler/src/scheduler_closing.cpp
+++ b/packages/scheduler/src/scheduler_closing.cpp
@@ -2,6 +2,9 @@
 
 #include <springstair/scheduler.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace springstair
 {
 
@@ -9,6 +12,11 @@
                                 time_point now)
 {
     const closing_change change = data_centres_.take(known);
+    for (auto& [guard, at] : workers_)
+    {
+        at.closed = data_centres_.is_closed(at.what.data_centre);
+    }
+    may_place_ = may_place_ || !change.opened.empty();
     if (!begun_)
     {
         return;
@@ -23,6 +31,46 @@
     }
 }
 
+// Whether what is known of data centres is young enough to decide starts.
+bool scheduler_core::may_start(time_point now)
+{
+    const bool was_withheld =
+        std::exchange(withheld_, now >= data_centres_.starts_until());
+    if (withheld_ && !was_withheld)
+    {
+        const duration age = now - data_centres_.known_at();
+        note(event_id::starts_withheld,
+             {{"known_age_ms", std::to_string(to_milliseconds(age))}});
+    }
+    return !withheld_;
+}
+
+// Until when a worker's guard may begin what is ordered now, by its own clock:
+// neither after its runs are given up here, nor after a closure that this
+// holder has not heard of may bind.
+std::int64_t scheduler_core::starts_until_ms(const worker_record& at) const
+{
+    const time_point until = data_centres_.starts_until();
+    if (until == time_point::max())
+    {
+        return at.starts_until_ms;
+    }
+    const std::int64_t by_closure =
+        to_milliseconds(until - time_point{}) + at.clock_ahead_ms;
+    // No bound is told by 0; a bound that lies before the guard's first
+    // reading is as good as that reading.
+    return std::max<std::int64_t>(1, std::min(at.starts_until_ms, by_closure));
+}
+
+// A start that may not have begun must not: its data centre has closed. The
+// worker remembers the stop, so that a start under way does nothing either.
+void scheduler_core::keep_from_start(job_task& task, const std::string& name,
+                                     guard_orders& out)
+{
+    task.run->stopping = true;
+    out.stops.push_back({.task = name, .run = task.run->number});
+}
+
 std::int64_t scheduler_core::runs_in(const std::string& data_centre) const
 {
     std::size_t runs = 0;
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -210,7 +210,14 @@
             task.run->ordered = true;
             task.run->ordered_at = now;
             task.run->moved_at = now;
-            outbox_[task.run->guard].starts.push_back(order_for(of, task));
+            guard_orders& out = outbox_[task.run->guard];
+            if (at->second.closed)
+            {
+                const task_name name{of.what().id, of.position_of(task)};
+                keep_from_start(task, name.text(), out);
+                continue;
+            }
+            out.starts.push_back(order_for(of, task));
         }
     }
 }
@@ -228,7 +235,8 @@
         orders.epoch = epoch_;
         orders.life = at->second.what.life;
         orders.acknowledged = at->second.acknowledged;
-        orders.starts_until_ms = at->second.starts_until_ms;
+        orders.starts_until_ms = starts_until_ms(at->second);
+        orders.closed = at->second.closed;
         out.push_back({.guard = guard,
                        .address = at->second.address,
                        .orders = std::move(orders)});
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -41,7 +41,8 @@
 {
     const bool due = may_place_ || day_ms >= next_due_ms_ ||
                      now - last_pass_ >= options_.placing_gap;
-    if (!due || !may_write(now) || now - last_pass_ < options_.commit_gap)
+    if (!due || !may_write(now) || now - last_pass_ < options_.commit_gap ||
+        !may_start(now))
     {
         return;
     }
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -33,7 +33,7 @@
     answer.permit_ms = to_milliseconds(permit);
     at.starts_until_ms =
         std::max(at.starts_until_ms, from.sent_ms + answer.permit_ms);
-    answer.orders.starts_until_ms = at.starts_until_ms;
+    at.clock_ahead_ms = from.sent_ms - to_milliseconds(now - time_point{});
     const duration drifted =
         from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
     // What an earlier holder permitted may still be in force.
@@ -47,6 +47,7 @@
     {
         change_life(at, from.worker.life, now);
         at.what = from.worker;
+        at.closed = data_centres_.is_closed(at.what.data_centre);
         adopt_awaited(at, now);
         judge_crashes(at, from, now);
     }
@@ -74,6 +75,8 @@
     }
     answer.orders.life = at.what.life;
     answer.orders.acknowledged = acknowledge(at);
+    answer.orders.starts_until_ms = starts_until_ms(at);
+    answer.orders.closed = at.closed;
     return answer;
 }
 
@@ -290,9 +293,9 @@
             continue;
         }
         run.moved_at = now;
-        if (run.stopping)
+        if (run.stopping || at.closed)
         {
-            out.stops.push_back({.task = text, .run = run.number});
+            keep_from_start(task, text, out);
         }
         else
         {
--- a/packages/scheduler/src/wait_report.cpp
+++ b/packages/scheduler/src/wait_report.cpp
@@ -45,6 +45,8 @@
     {
     case wait_cause::no_worker:
         return "no_worker";
+    case wait_cause::closed:
+        return "closed";
     case wait_cause::label:
         return "label";
     case wait_cause::size:
@@ -72,6 +74,9 @@
     {
         if (!takes_runs(at, query.service, query.now, options))
         {
+            const bool closed = at.closed && at.what.service == query.service;
+            found.cause = std::max(found.cause, closed ? wait_cause::closed
+                                                       : wait_cause::no_worker);
             continue;
         }
         ++found.workers;
--- a/tests/unit/closed_data_centre_tests.cpp
+++ b/tests/unit/closed_data_centre_tests.cpp
@@ -264,8 +264,8 @@
     with.keeper.on_started("j.0.0.0", 1, order_result::unanswered, with.now);
     with.order(true, {});
     with.now += milliseconds(200);
-    CHECK(with.due<start_run>().empty());
     CHECK(with.due<stop_run>().size() == 1);
+    CHECK(with.due<start_run>().empty());
 }
 
 TEST_CASE("a run goes on in a closed data centre")
