--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -386,44 +386,82 @@
 // ---------------------------------------------------------------------------
 
 // Reads logs only: it works while nothing else does.
-int explain_job(const std::vector<std::string>& words, bool as_json)
+std::optional<std::vector<log_line>>
+read_logs(const std::vector<std::string>& words, std::size_t first)
 {
-    if (words.size() < 4 || words[1] != "explain")
-    {
-        throw usage_error{"job explain ID LOG...; see --help"};
-    }
     std::vector<log_line> lines;
-    for (std::size_t index = 3; index < words.size(); ++index)
+    for (std::size_t index = first; index < words.size(); ++index)
     {
         std::ifstream file(words[index]);
         if (!file)
         {
             std::cerr << words[index] << ": cannot be read\n";
-            return exit_failed;
+            return std::nullopt;
         }
         const auto of_file = read_log(file);
         lines.insert(lines.end(), of_file.begin(), of_file.end());
     }
-    const auto story = story_of(words[2], std::move(lines));
+    return lines;
+}
+
+void print_lines(const std::vector<log_line>& lines, bool as_json)
+{
+    for (const log_line& line : lines)
+    {
+        std::cout << (as_json ? line.event.dump() : text_of(line)) << "\n";
+    }
+}
+
+int explain_job(const std::vector<std::string>& words, bool as_json)
+{
+    auto lines = read_logs(words, 3);
+    if (!lines)
+    {
+        return exit_failed;
+    }
+    const auto story = story_of(words[2], std::move(*lines));
     if (story.empty())
     {
         std::cerr << "no line of these logs tells of job " << words[2] << "\n";
         return exit_failed;
     }
-    for (const log_line& line : story)
+    print_lines(story, as_json);
+    return exit_good;
+}
+
+int show_closures(const std::vector<std::string>& words, bool as_json)
+{
+    const auto lines = read_logs(words, 2);
+    if (!lines)
     {
-        std::cout << (as_json ? line.event.dump() : text_of(line)) << "\n";
+        return exit_failed;
     }
+    print_lines(closures_in(*lines), as_json);
     return exit_good;
 }
 
+int job_command(const std::vector<std::string>& words, bool as_json)
+{
+    const std::string verb = words.size() < 2 ? "" : words[1];
+    if (verb == "explain" && words.size() >= 4)
+    {
+        return explain_job(words, as_json);
+    }
+    if (verb == "closures" && words.size() >= 3)
+    {
+        return show_closures(words, as_json);
+    }
+    throw usage_error{"job explain ID LOG... or job closures LOG...; see "
+                      "--help"};
+}
+
 int dispatch(session& with)
 {
     const std::vector<std::string>& words = with.call().words;
     const std::string noun = words.empty() ? "" : words[0];
     if (noun == "job")
     {
-        return explain_job(words, with.call().as_json);
+        return job_command(words, with.call().as_json);
     }
     if (with.call().entries.empty())
     {
@@ -458,7 +496,7 @@
     return "table show|history|get ROW COLUMN|set ROW COLUMN VALUE|"
            "add-row ROW JSON|remove-row ROW|import FILE|export FILE, "
            "status, drain GUARD, task submit JSON|show ID|cancel ID|list, "
-           "job explain ID LOG...";
+           "job explain ID LOG..., job closures LOG...";
 }
 
 std::vector<std::string> split(const std::string& text, char at)
--- a/packages/cli/explain.cpp
+++ b/packages/cli/explain.cpp
@@ -1,6 +1,7 @@
 #include "explain.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <regex>
 #include <set>
@@ -33,7 +34,9 @@
                                              "store_lost",
                                              "store_back",
                                              "commit_uncertain",
-                                             "configuration_in_force"};
+                                             "configuration_in_force",
+                                             "closure_in_force",
+                                             "starts_withheld"};
     return names.contains(text_field(event, "name"));
 }
 
@@ -122,6 +125,29 @@
     return lines;
 }
 
+std::vector<log_line> closures_in(const std::vector<log_line>& lines)
+{
+    std::map<std::string, log_line> newest; // by data centre
+    for (const log_line& line : lines)
+    {
+        if (text_field(line.event, "name") != "closure_in_force")
+        {
+            continue;
+        }
+        log_line& known = newest[text_field(line.event, "data_centre")];
+        if (known.time <= line.time)
+        {
+            known = line;
+        }
+    }
+    std::vector<log_line> out;
+    for (const auto& [data_centre, line] : newest)
+    {
+        out.push_back(line);
+    }
+    return out;
+}
+
 std::string text_of(const log_line& line)
 {
     static const std::set<std::string> shown{"event", "name", "process"};
--- a/packages/cli/explain.hpp
+++ b/packages/cli/explain.hpp
@@ -30,6 +30,10 @@
 std::vector<log_line> story_of(const std::string& job,
                                std::vector<log_line> lines);
 
+/// @brief Of each data centre that was ever closed or opened, the newest line
+/// that says so of a holder, in the order of their names.
+std::vector<log_line> closures_in(const std::vector<log_line>& lines);
+
 /// @brief One line of a story for a person.
 std::string text_of(const log_line& line);
 
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -542,3 +542,11 @@
     CHECK(budget.admit(now, true));
     CHECK(budget.dropped() == 3);
 }
+
+TEST_CASE("an entry of the operator's closes a data centre by its key alone")
+{
+    CHECK(platform::closed_data_centre("op/evacuate/pos-a") == "pos-a");
+    CHECK(platform::closed_data_centre("op/evacuate/") == std::nullopt);
+    CHECK(platform::closed_data_centre("op/config") == std::nullopt);
+    CHECK(platform::closed_data_centre("jobs/op/evacuate/x") == std::nullopt);
+}
--- a/tests/unit/explain_tests.cpp
+++ b/tests/unit/explain_tests.cpp
@@ -52,3 +52,19 @@
           "job=aa");
     CHECK(story_of("a", lines).empty());
 }
+
+TEST_CASE("of each data centre the newest word on whether it is closed")
+{
+    std::istringstream in(R"(
+2026-12-02 10:00:00.500000 info {"name":"closure_in_force","process":"entry-0","data_centre":"east","closed":"yes"}
+2026-12-02 10:00:02.500000 info {"name":"closure_in_force","process":"entry-1","data_centre":"east","closed":"no"}
+2026-12-02 10:00:01.500000 info {"name":"closure_in_force","process":"entry-0","data_centre":"west","closed":"yes"}
+2026-12-02 10:00:03.500000 info {"name":"data_centre_closed","process":"entry-0","data_centre":"north"}
+)");
+    const auto closures = closures_in(read_log(in));
+    REQUIRE(closures.size() == 2);
+    CHECK(text_of(closures[0]) ==
+          "2026-12-02 10:00:02.500000  entry-1  closure_in_force  closed=no  "
+          "data_centre=east");
+    CHECK(closures[1].event.at("closed") == "yes");
+}
