Losses: a crash that no guard lived through raises suspicion by the least

Cause: only what the guard beside an executor says of a former life counted. A guard that is stopped, killed or without power at that moment says nothing, so a task's first crashes could be free. A holder that knows another incarnation of the guard from before, and sees another life of the executor, now counts the runs not yet proven there as it counts those of a whole rack: one each, never as a sure crash, so that nobody is given up for it alone.

Ruled out: the same for runs of an earlier holder. After a loss of all power every run would be counted, and their guards cannot tell it from crashes.

--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -19,9 +19,9 @@
 /// only beside it go on. To run apart from the first crash on cost 0.02 of all
 /// worth on days with crashes by themselves (32 pairs of days, 11 workers).
 /// A task that crashes executors is given up after two to four of them, five if
-/// they go rack by rack. Only crashes count that the guard beside the
-/// executor lived through: a lapsed lease, a VM without power or a change of
-/// the holder says nothing of a task.
+/// they go rack by rack. Only crashes that the guard beside the executor lived
+/// through are sure; one that it did not raises the suspicion by the least. A
+/// lapsed lease or a change of the holder says nothing of a task.
 
 /// @brief Bounds of suspicion and of the trial of suspects.
 struct suspicion_options
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -348,8 +348,12 @@
         bool is_sure = false; ///< the run had surely begun
     };
 
-    void change_life(worker_record& at, const std::string& life,
-                     time_point now);
+    void change_life(worker_record& at, const worker_report& from,
+                     bool is_known_guard, time_point now);
+    std::map<task_name, std::int64_t> unproven_runs(const worker_record& at);
+    void suspect_unwitnessed(const worker_record& at,
+                             const std::map<task_name, std::int64_t>& runs,
+                             time_point now);
     void adopt_awaited(worker_record& at, time_point now);
     void lose_worker(worker_record& at, const char* why, time_point now);
     void lose_runs(const std::set<task_name>& lost, const char* why,
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -8,14 +8,22 @@
 {
 
 // Another incarnation of the executor: all that ran there is gone.
-void scheduler_core::change_life(worker_record& at, const std::string& life,
-                                 time_point now)
+// @param is_known_guard whether the guard's incarnation has reported before
+void scheduler_core::change_life(worker_record& at, const worker_report& from,
+                                 bool is_known_guard, time_point now)
 {
-    if (at.what.life.empty() || at.what.life == life)
+    if (at.what.life.empty() || at.what.life == from.worker.life)
     {
         return;
     }
+    const bool is_witnessed =
+        is_known_guard ||
+        std::ranges::find(from.former, at.what.life, &former_life::life) !=
+            from.former.end();
+    const auto suspects =
+        is_witnessed ? std::map<task_name, std::int64_t>{} : unproven_runs(at);
     lose_worker(at, "its executor began another life", now);
+    suspect_unwitnessed(at, suspects, now);
     outbox_.erase(at.guard); // meant for the life before
     at.life_since = now;
     at.noted = 0;
@@ -26,6 +34,44 @@
     at.ejected_until = {};
 }
 
+// Runs, by their task, that may have been at their start just now.
+std::map<task_name, std::int64_t>
+scheduler_core::unproven_runs(const worker_record& at)
+{
+    std::map<task_name, std::int64_t> runs;
+    for (const task_name& name : at.held)
+    {
+        const task_run& run = *job_of(name.job)->find(name.at)->run;
+        if (shown_at_work(run) < options_.suspicion.proven_after)
+        {
+            runs.emplace(name, run.number);
+        }
+    }
+    return runs;
+}
+
+// The guard that could say what had begun went with its executor, or was
+// stopped at that moment. Each of these runs may have been the cause; it counts
+// as if the whole rack had gone, and never as a crash that is sure. Without it,
+// a task whose first two crashes nobody saw was started six times.
+void scheduler_core::suspect_unwitnessed(
+    const worker_record& at, const std::map<task_name, std::int64_t>& runs,
+    time_point now)
+{
+    for (const auto& [name, run] : runs)
+    {
+        const job_record& of = *job_of(name.job);
+        const job_task& task = *job_of(name.job)->find(name.at);
+        if (is_final(of.state()) || task.done || run <= task.judged_run)
+        {
+            continue;
+        }
+        const std::int64_t added =
+            added_suspicion({.suspicion = 0}, options_.suspicion);
+        suspect(at, name, {.run = run, .added = added}, crash_scope::rack, now);
+    }
+}
+
 // Whether half of the executors of its rack are away, or were a moment ago.
 bool scheduler_core::went_with_its_rack(const worker_record& at,
                                         time_point now) const
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -24,6 +24,7 @@
     {
         return answer;
     }
+    const bool is_known_guard = at.incarnation == from.incarnation;
     at.incarnation = from.incarnation;
     at.sequence = from.sequence;
     at.address = from.address;
@@ -45,7 +46,7 @@
     if (!from.worker.life.empty() &&
         (from.looked || from.worker.life == at.what.life))
     {
-        change_life(at, from.worker.life, now);
+        change_life(at, from, is_known_guard, now);
         at.what = from.worker;
         at.closed = data_centres_.is_closed(at.what.data_centre);
         adopt_awaited(at, now);
