Office: a holder that is started again takes its office back at once

Cause: an entry whose process had ended waited for the lease of its own former process, up to 2 s, as any other entry has to. Who finds the key of a former process of its own VM claims it by its revision; the process surely is gone, since this one has its port. A process that has held the office itself waits as before: it may have just given it away.

--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -119,6 +119,7 @@
     {
         return;
     }
+    replaces_ = 0;
     if (!item)
     {
         holder_.clear();
@@ -133,9 +134,23 @@
         return;
     }
     note_holder(*item, document);
+    if (is_of_former_process())
+    {
+        replaces_ = item->revision;
+        at_ = stage::taking;
+        return;
+    }
     at_ = stage::watching;
 }
 
+// The key of a process of this VM that is gone: this one has its port. It need
+// not wait for the end of the lease, 1.1 s of 2.2 between a loss of all power
+// and the first placement after it (a played day, 62 workers).
+bool office_keeper::is_of_former_process() const
+{
+    return !has_held_ && holder_ == announced_address(process_.from);
+}
+
 void office_keeper::note_holder(const platform::store_item& item,
                                 const json& document)
 {
@@ -222,15 +237,15 @@
     lease_fresh_until_ = boot_clock::now() + lease_ttl / 2;
 }
 
-// The same claim is repeated until its outcome is known: it is conditioned
-// on the key's absence, so it takes effect once at most.
+// The same claim is repeated until its outcome is known: it is conditioned on
+// the key's absence, or on one revision of it, so it takes effect once at most.
 void office_keeper::claim()
 {
     busy_ = true;
     const time_point sent = boot_clock::now();
     store_.transact({.compares = {{.key = holder_key,
                                    .of = kv_compare::number::mod_revision,
-                                   .equals = 0}},
+                                   .equals = replaces_}},
                      .puts = {{.key = holder_key,
                                .value = holder_value(process_, nonce_).dump(),
                                .lease = lease_}}},
@@ -274,6 +289,8 @@
 void office_keeper::hold(std::int64_t revision, time_point sent)
 {
     at_ = stage::holding;
+    has_held_ = true;
+    replaces_ = 0;
     epoch_ = revision;
     verified_ = sent;
     next_renewal_ = sent + renew_every;
--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -70,6 +70,7 @@
 
     void follow(const std::optional<platform::store_item>& item);
     void note_holder(const platform::store_item& item, const json& document);
+    [[nodiscard]] bool is_of_former_process() const;
     void ask_for_office();
     void send_request();
     void take();
@@ -92,6 +93,9 @@
     std::string nonce_; ///< tells this attempt's key from any other
     std::string holder_;
     std::int64_t holder_epoch_ = 0;
+    std::int64_t replaces_ =
+        0;                  ///< revision of the key that is claimed; 0: none
+    bool has_held_ = false; ///< this process, at some time
     double holder_processors_ = 0;
     time_point next_request_{}; ///< when to ask a smaller holder again
     bool busy_ = false;         ///< a claim is under way
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -20,6 +20,7 @@
 UP_S = 20  # ends a drill whose fleet does not come up
 LONG_TASK_S = 3.0  # ends after the office has moved
 ARRIVES_S = 0.1  # a question is at the paused program by then
+BACK_S = 1.0  # the process is started again after 0.1 s; its lease ends at 2 s
 SOON_S = 1.6  # a caller that is given up on waits no longer for its answer
 
 
@@ -96,6 +97,23 @@
         await self.until("entry-0 holds", lambda: self.holds(larger))
         await self.until("jobs are accepted", self.accepts)
 
+    async def test_a_holder_that_is_started_again_takes_its_office_back(self):
+        holder = self.fleet.processes[0]
+        await self.until("entry-0 holds", lambda: self.holds(
+            holder.settings["announced_address"]))
+        items = self.fleet.store.items
+        before = items["springstair/holder"]["revision"]
+
+        async def is_new():
+            item = items.get("springstair/holder")
+            return item is not None and item["revision"] > before
+
+        killed = time.monotonic()
+        holder.signal(signal.SIGKILL)
+        await self.until("an entry holds again", is_new)
+        self.assertLess(time.monotonic() - killed, BACK_S)
+        self.assertTrue(await self.holds(holder.settings["announced_address"]))
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.until("entry-0 holds", lambda: self.holds(
