--- a/packages/cli/explain.cpp
+++ b/packages/cli/explain.cpp
@@ -141,6 +141,7 @@
         }
     }
     std::vector<log_line> out;
+    out.reserve(newest.size());
     for (const auto& [data_centre, line] : newest)
     {
         out.push_back(line);
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -136,7 +136,8 @@
     {event_id::worker_lost, severity::warning, "worker_lost",
      "A worker's runs are surely over; its tasks wait again."},
     {event_id::worker_ejected, severity::warning, "worker_ejected",
-     "A worker failed different jobs in a row; it gets nothing for a while."},
+     "A worker fails what it starts; it gets nothing for a while. What the "
+     "fleet fails at present follows."},
     {event_id::worker_unreadable, severity::error, "worker_unreadable",
      "A worker's message cannot be read and is ignored."},
     {event_id::worker_paced, severity::info, "worker_paced",
--- a/tests/unit/failure_test_tests.cpp
+++ b/tests/unit/failure_test_tests.cpp
@@ -124,6 +124,7 @@
         with.say("g" + std::to_string(guard));
     }
     std::vector<std::string> jobs;
+    jobs.reserve(200);
     for (int number = 0; number < 200; ++number)
     {
         jobs.push_back(with.submit({step_of(1)}).id);
