--- /dev/null
+++ b/tests/unit/job_world.hpp
@@ -0,0 +1,210 @@
+// Holders that fall and linger, guards that restart, workers that crash,
+// messages that are lost or carried out late, a store that loses answers, data
+// centres that an operator closes and opens: every task runs in one place, in
+// order, to one end.
+
+#pragma once
+
+#include "job_world_parts.hpp"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace springstair::job_worlds
+{
+
+/// @brief A fleet under faults, drawn from a seed.
+class job_world
+{
+public:
+    job_world(std::uint32_t seed, job_faults faults);
+    void run(duration length, bool submitting);
+    void calm();
+    void check_histories() const;
+    void check_all_ended() const;
+
+private:
+    struct holder_process
+    {
+        std::shared_ptr<scheduler_core> core;
+        std::int64_t epoch = 0;
+        time_point verified;
+        std::optional<commit_batch> batch;
+        bool writing = false;
+        time_point next_hearing{}; ///< of what the operator has closed
+    };
+
+    struct guard_process
+    {
+        std::string name;
+        std::shared_ptr<run_keeper> keeper;
+        std::string incarnation;
+        std::int64_t sequence = 0;
+        std::int64_t holder = 0; ///< epoch of the one it reports to
+        bool reporting = false;
+        time_point next_report{};
+        time_point next_heartbeat{};
+        time_point cut_until{};
+        time_point began{}; ///< the guard, not its executor
+        fake_executor executor;
+        std::int64_t lives = 0;
+    };
+
+    int draw(int below);
+    bool chance(int of);
+    void later(duration after, std::function<void()> what);
+    duration delay();
+
+    // Jobs
+    duration held();
+    void submit();
+
+    // The store
+    void write(const std::shared_ptr<holder_process>& by);
+    bool apply(const holder_process& by);
+    void written(const std::shared_ptr<holder_process>& by, bool lost,
+                 bool applied, time_point sent);
+
+    // Holders
+    void take_over();
+    std::shared_ptr<holder_process> holder_of(std::int64_t epoch);
+    void serve(const std::shared_ptr<holder_process>& by);
+    // The store's answer is on its way for a moment. A deaf watch tells that
+    // nothing has changed for up to a second.
+    void hear_operator(holder_process& by);
+    static std::string data_centre_of(std::size_t index);
+    [[nodiscard]] std::set<std::string> closed_at(time_point when) const;
+    // Whether a run may begin there now.
+    [[nodiscard]] bool may_begin(std::size_t index) const;
+    void deliver(const addressed_orders& one);
+
+    // Guards
+    void begin_life(std::size_t index);
+    void begin_guard(std::size_t index);
+    void serve(std::size_t index);
+    void beat(std::size_t index);
+    // A held report comes to a holder that it was sent to, or to a process
+    // that holds the jobs by now; nobody waits for the answer.
+    void hold_back(const worker_report& out,
+                   const std::shared_ptr<holder_process>& sent_to);
+    void report(std::size_t index);
+    void end_report(std::size_t index, const std::shared_ptr<run_keeper>& of,
+                    duration pause);
+    // An end that the holder acknowledges is in the store.
+    void note_acknowledged(std::size_t index, const std::string& life,
+                           std::int64_t number);
+
+    // Workers
+    // An order reaches its executor, answered or not, now or late.
+    template <class Order>
+    void order(std::size_t index, const Order& what)
+    {
+        const auto keeper = guards_[index].keeper;
+        const bool late = chance(faults_.order_late);
+        const bool lost = !late && chance(faults_.order_lost);
+        if (late || lost)
+        {
+            if (late)
+            {
+                later(milliseconds(2000 + draw(4000)),
+                      [this, index, what]
+                      {
+                          is_late_ = true; // no bound of time holds for it
+                          static_cast<void>(carry_out(index, what));
+                          is_late_ = false;
+                      });
+            }
+            later(milliseconds(300), [this, keeper, what]
+                  { answer(*keeper, what, order_result::unanswered); });
+            return;
+        }
+        later(milliseconds(1),
+              [this, index, what, keeper]
+              {
+                  const order_result result = carry_out(index, what);
+                  std::optional<worker_look> look;
+                  if (result == order_result::accepted)
+                  {
+                      look = look_of(guards_[index].executor);
+                  }
+                  later(milliseconds(1), [this, keeper, what, result, look]
+                        { answer(*keeper, what, result, look); });
+              });
+    }
+
+    void answer(run_keeper& to, const start_run& what, order_result result,
+                const std::optional<worker_look>& /*look*/ = {});
+    void answer(run_keeper& to, const stop_run& what, order_result result,
+                const std::optional<worker_look>& /*look*/ = {});
+    void answer(run_keeper& to, const pace_run& what, order_result result,
+                const std::optional<worker_look>& /*look*/ = {});
+    void answer(run_keeper& to, const look_at_worker& what, order_result result,
+                const std::optional<worker_look>& look = {});
+    worker_look look_of(const fake_executor& at) const;
+    std::int64_t draw_percent(const fake_executor::at_work& work) const;
+    bool admits(fake_executor& at, const std::string& life,
+                std::int64_t epoch) const;
+    order_result refusal(const fake_executor& at,
+                         const std::string& life) const;
+    order_result carry_out(std::size_t index, const start_run& what);
+    void start(fake_executor& at, const std::string& task, std::int64_t run);
+    void count_start_after_crashes(const std::string& task,
+                                   const fake_executor& at);
+    // ORDER and BUDGET at the moment of a start.
+    void check_start(const task_name& name) const;
+    std::int64_t ended_so(const task_name& name, const std::string& how) const;
+    order_result carry_out(std::size_t index, const stop_run& what);
+    order_result carry_out(std::size_t /*index*/, const pace_run& /*what*/);
+    order_result carry_out(std::size_t index, const look_at_worker& what);
+    void end(fake_executor& at, const std::string& task, run_end how);
+    void settle(fake_executor& at);
+
+    // Faults and time
+    void break_things();
+    void crash_if_told(std::size_t index);
+    void advance();
+
+    // Checks
+    void check_pair(const run_interval& one, const run_interval& other) const;
+    [[nodiscard]] std::string told(const decision& one,
+                                   std::int64_t epoch) const;
+    void tell(const run_interval& one) const;
+    void tell(const std::string& task) const;
+    // Nothing starts once an end has been acknowledged as done.
+    void check_after_done(const run_interval& done,
+                          const run_interval& start) const;
+    void tell_job(const std::string& id) const;
+    // A task of it failed, or executors crashed under it, often enough.
+    [[nodiscard]] bool has_cause(const job& what) const;
+    void check_done(const job& what) const;
+
+    std::mt19937 random_;
+    job_faults faults_;
+    time_point now_{std::chrono::hours(1)};
+    std::multimap<time_point, std::function<void()>> events_;
+    queue_table table_;
+    std::map<std::string, job> jobs_;
+    std::set<std::string> cancelled_;
+    std::set<std::string> crashing_; ///< tasks that end their executors
+    std::map<std::string, std::int64_t> crashes_; ///< under each task
+    std::map<std::string, std::int64_t> went_with_executor_;
+    std::map<std::string, std::int64_t> starts_after_;
+    std::map<std::string, std::pair<std::string, std::int64_t>> progress_;
+    std::int64_t revision_ = 0;
+    std::int64_t epoch_ = 0;
+    std::shared_ptr<holder_process> current_;
+    holder_process holder_;
+    std::vector<std::shared_ptr<holder_process>> lingering_;
+    std::array<guard_process, guard_count> guards_;
+    std::vector<run_interval> past_;
+    bool overfull_ = false;
+    /// Of each data centre, when it was closed (true) and opened.
+    std::map<std::string, std::map<time_point, bool>> closures_;
+    bool is_late_ = false; ///< the order at hand is carried out late
+    int begun_in_closed_ = 0;
+    std::vector<std::string> story_; ///< every decision, for a failed check
+};
+
+} // namespace springstair::job_worlds
--- /dev/null
+++ b/tests/unit/job_world_checks.cpp
@@ -0,0 +1,205 @@
+// Faults and time of a world, and what must hold of its runs.
+
+#include "job_world.hpp"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace springstair::job_worlds
+{
+
+void job_world::break_things()
+{
+    if (chance(faults_.takeover))
+    {
+        take_over();
+    }
+    for (std::size_t index = 0; index < guard_count; ++index)
+    {
+        guard_process& guard = guards_[index];
+        if (chance(faults_.kill_guard))
+        {
+            begin_guard(index);
+        }
+        if (chance(faults_.crash_worker))
+        {
+            begin_life(index);
+        }
+        if (chance(faults_.cut_guard))
+        {
+            guard.cut_until = now_ + milliseconds(1000 + draw(14'000));
+        }
+    }
+    if (chance(faults_.close))
+    {
+        auto& changes = closures_[data_centre_of(
+            static_cast<std::size_t>(draw(data_centre_count)))];
+        changes[now_] = changes.empty() || !changes.rbegin()->second;
+    }
+    if (chance(faults_.cancel) && !jobs_.empty())
+    {
+        const std::string id =
+            "job-" + std::to_string(draw(static_cast<int>(jobs_.size())));
+        cancelled_.insert(id);
+        current_->core->cancel(id, now_);
+    }
+}
+
+void job_world::crash_if_told(std::size_t index)
+{
+    for (const auto& [task, work] : guards_[index].executor.running)
+    {
+        if (crashing_.contains(task))
+        {
+            begin_life(index);
+            return;
+        }
+    }
+}
+
+void job_world::advance()
+{
+    now_ += step;
+    while (!events_.empty() && events_.begin()->first <= now_)
+    {
+        const auto what = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        what();
+    }
+    for (std::size_t index = 0; index < guard_count; ++index)
+    {
+        crash_if_told(index);
+        settle(guards_[index].executor);
+        serve(index);
+    }
+    serve(current_);
+    for (const auto& one : lingering_)
+    {
+        serve(one);
+    }
+    holder_ = *current_;
+}
+
+void job_world::check_pair(const run_interval& one,
+                           const run_interval& other) const
+{
+    if (one.task != other.task)
+    {
+        return;
+    }
+    const bool apart = one.end <= other.begin || other.end <= one.begin;
+    if (!apart)
+    {
+        tell(one);
+        tell(other);
+    }
+    RC_ASSERT(apart);
+    check_after_done(one, other);
+    check_after_done(other, one);
+}
+
+std::string job_world::told(const decision& one, std::int64_t epoch) const
+{
+    std::string line = std::to_string(to_milliseconds(now_ - time_point{} -
+                                                      std::chrono::hours(1))) +
+                       " epoch " + std::to_string(epoch) + " event " +
+                       std::to_string(static_cast<int>(one.id));
+    for (const event_field& field : one.fields)
+    {
+        line += " " + std::string(field.name) + "=" + field.value;
+    }
+    return line;
+}
+
+void job_world::tell(const run_interval& one) const
+{
+    const std::string guard = one.life.substr(0, one.life.find("-life"));
+    for (const std::string& line : story_)
+    {
+        const bool concerns = line.find(one.task) != std::string::npos ||
+                              (line.find(guard) != std::string::npos &&
+                               line.find("event 164") != std::string::npos);
+        if (concerns)
+        {
+            RC_LOG() << line << "\n";
+        }
+    }
+    const auto at = [](time_point when)
+    {
+        return when == time_point::max()
+                   ? -1
+                   : to_milliseconds(when - time_point{} -
+                                     std::chrono::hours(1));
+    };
+    RC_LOG() << one.task << " run " << one.run << " on " << one.life << " from "
+             << at(one.begin) << " to " << at(one.end) << " " << one.how
+             << "\n";
+}
+
+void job_world::tell(const std::string& task) const
+{
+    for (const run_interval& one : past_)
+    {
+        if (one.task == task)
+        {
+            tell(one);
+        }
+    }
+}
+
+void job_world::check_after_done(const run_interval& done,
+                                 const run_interval& start) const
+{
+    const bool wrong = done.how == "done" && done.acknowledged &&
+                       start.begin > done.acknowledged_at;
+    if (wrong)
+    {
+        tell(done);
+        tell(start);
+    }
+    RC_ASSERT(!wrong);
+}
+
+void job_world::tell_job(const std::string& id) const
+{
+    for (const run_interval& one : past_)
+    {
+        if (one.task.starts_with(id + "."))
+        {
+            tell(one);
+        }
+    }
+}
+
+bool job_world::has_cause(const job& what) const
+{
+    const std::string prefix = what.id + ".";
+    const bool crashed =
+        std::ranges::any_of(went_with_executor_,
+                            [&](const auto& entry)
+                            {
+                                return entry.first.starts_with(prefix) &&
+                                       entry.second >= crashes_to_give_up;
+                            });
+    return crashed ||
+           std::ranges::any_of(
+               past_, [&](const run_interval& one)
+               { return one.task.starts_with(prefix) && one.how == "failed"; });
+}
+
+void job_world::check_done(const job& what) const
+{
+    for (std::size_t number = 0; number < what.steps.size(); ++number)
+    {
+        for (std::int64_t index = 0; index < what.steps[number].count; ++index)
+        {
+            const task_name name{
+                what.id,
+                {.step = static_cast<std::int64_t>(number), .index = index}};
+            RC_ASSERT(ended_so(name, "done") > 0);
+        }
+    }
+}
+
+} // namespace springstair::job_worlds
--- /dev/null
+++ b/tests/unit/job_world_holders.cpp
@@ -0,0 +1,348 @@
+// The jobs, the store and the holders of a world.
+
+#include "job_world.hpp"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+namespace springstair::job_worlds
+{
+
+job_world::job_world(std::uint32_t seed, job_faults faults)
+    : random_(seed), faults_(faults)
+{
+    table_ = {.version = 1,
+              .queues = {{.name = "q",
+                          .service = "s",
+                          .most_attempts = most_attempts,
+                          .stretch = 2,
+                          .target_ms = 1000}}};
+    for (std::size_t index = 0; index < guard_count; ++index)
+    {
+        guards_[index].name = "guard-" + std::to_string(index);
+        begin_life(index);
+    }
+    take_over();
+}
+
+void job_world::run(duration length, bool submitting)
+{
+    const time_point until = now_ + length;
+    while (now_ < until)
+    {
+        if (submitting && draw(100'000) < 1500)
+        {
+            submit();
+        }
+        break_things();
+        advance();
+    }
+}
+
+void job_world::calm()
+{
+    faults_ = {};
+    for (auto& [name, changes] : closures_)
+    {
+        changes[now_] = false;
+    }
+}
+
+void job_world::check_histories() const
+{
+    for (std::size_t left = 0; left < past_.size(); ++left)
+    {
+        for (std::size_t right = 0; right < left; ++right)
+        {
+            check_pair(past_[left], past_[right]);
+        }
+    }
+    RC_ASSERT(!overfull_);
+    RC_ASSERT(begun_in_closed_ == 0);
+}
+
+void job_world::check_all_ended() const
+{
+    for (const auto& [id, what] : jobs_)
+    {
+        const auto state = holder_.core->shown(id, now_, now_);
+        RC_ASSERT(state.has_value());
+        RC_ASSERT(is_final(*state));
+        if (*state == job_state::succeeded)
+        {
+            check_done(what);
+        }
+        const bool unfounded = *state == job_state::failed && !has_cause(what);
+        if (unfounded)
+        {
+            tell_job(id);
+        }
+        RC_ASSERT(!unfounded);
+    }
+    // Nothing runs on that nobody wants any more.
+    for (const guard_process& guard : guards_)
+    {
+        RC_ASSERT(guard.executor.running.empty());
+    }
+}
+
+int job_world::draw(int below)
+{
+    return std::uniform_int_distribution<int>(0, below - 1)(random_);
+}
+
+bool job_world::chance(int of)
+{
+    return draw(100'000) < of;
+}
+
+void job_world::later(duration after, std::function<void()> what)
+{
+    events_.emplace(now_ + after, std::move(what));
+}
+
+duration job_world::delay()
+{
+    return milliseconds(1 + draw(8));
+}
+
+duration job_world::held()
+{
+    return milliseconds(500 + draw(7000));
+}
+
+void job_world::submit()
+{
+    job what{.id = "job-" + std::to_string(jobs_.size()),
+             .queue = "q",
+             .payload = "p"};
+    const int steps = 1 + draw(3);
+    for (int number = 0; number < steps; ++number)
+    {
+        job_step one{
+            .count = 1 + draw(4),
+            .demand = {.cpu_millis = 500 + 500 * draw(3), .memory_mb = 200},
+            .estimate_ms = 500,
+            .checkpoints = draw(2) == 0};
+        if (number > 0)
+        {
+            one.after = {static_cast<std::size_t>(number - 1)};
+        }
+        what.steps.push_back(one);
+    }
+    jobs_[what.id] = what;
+    if (chance(faults_.crashing_job))
+    {
+        crashing_.insert(what.id + ".0.0.0");
+    }
+    holder_.core->accept(what, now_);
+}
+
+void job_world::write(const std::shared_ptr<holder_process>& by)
+{
+    if (by->writing)
+    {
+        return;
+    }
+    if (!by->batch)
+    {
+        by->batch = by->core->next_commit(now_);
+    }
+    if (!by->batch)
+    {
+        return;
+    }
+    by->writing = true;
+    const bool lost = chance(faults_.write_lost);
+    const bool done = !lost || draw(2) == 0;
+    const time_point sent = now_;
+    later(delay(),
+          [this, by, lost, done, sent]
+          {
+              const bool applied = done && apply(*by);
+              later(lost ? milliseconds(250) : delay(),
+                    [this, by, lost, applied, sent]
+                    { written(by, lost, applied, sent); });
+          });
+}
+
+bool job_world::apply(const holder_process& by)
+{
+    if (by.epoch != epoch_ || !by.batch)
+    {
+        return false;
+    }
+    for (const progress_write& one : *by.batch)
+    {
+        if (progress_[one.job].second != one.expected_revision)
+        {
+            return false;
+        }
+    }
+    ++revision_;
+    for (const progress_write& one : *by.batch)
+    {
+        progress_[one.job] = {one.text, revision_};
+    }
+    return true;
+}
+
+void job_world::written(const std::shared_ptr<holder_process>& by, bool lost,
+                        bool applied, time_point sent)
+{
+    by->writing = false;
+    if (lost)
+    {
+        return; // the same batch is written again
+    }
+    const auto& first = by->batch->front();
+    const auto& stored = progress_[first.job];
+    const bool before =
+        stored.first == first.text && stored.second > first.expected_revision;
+    if (by->epoch != epoch_ || (!applied && !before))
+    {
+        by->core.reset(); // superseded: this process holds nothing
+        return;
+    }
+    by->verified = sent;
+    by->core->committed(*by->batch, stored.second, now_);
+    by->batch.reset();
+}
+
+void job_world::take_over()
+{
+    if (current_)
+    {
+        lingering_.push_back(current_);
+    }
+    epoch_ = ++revision_;
+    current_ = std::make_shared<holder_process>();
+    current_->core = std::make_shared<scheduler_core>(
+        scheduler_options{.closing = {.close_within = close_within}});
+    current_->epoch = epoch_;
+    current_->verified = now_;
+    scheduler_core& core = *current_->core;
+    core.take_office(epoch_, now_);
+    core.set_table(table_);
+    for (const auto& [id, what] : jobs_)
+    {
+        const auto found = progress_.find(id);
+        const bool known = found != progress_.end() && found->second.second > 0;
+        core.adopt(what,
+                   known ? std::optional(decode_progress(found->second.first))
+                         : std::nullopt,
+                   known ? found->second.second : 0, now_, 0);
+    }
+    core.begin(now_);
+    for (const std::string& id : cancelled_)
+    {
+        core.cancel(id, now_);
+    }
+    holder_ = *current_;
+}
+
+std::shared_ptr<job_world::holder_process>
+job_world::holder_of(std::int64_t epoch)
+{
+    if (current_->epoch == epoch)
+    {
+        return current_;
+    }
+    for (const auto& one : lingering_)
+    {
+        if (one->epoch == epoch && one->core)
+        {
+            return one;
+        }
+    }
+    return nullptr;
+}
+
+void job_world::serve(const std::shared_ptr<holder_process>& by)
+{
+    if (!by->core)
+    {
+        return;
+    }
+    hear_operator(*by);
+    by->core->tick(now_, 0);
+    write(by);
+    for (addressed_orders& one : by->core->take_orders())
+    {
+        deliver(one);
+    }
+    for (const decision& one : by->core->take_decisions())
+    {
+        story_.push_back(told(one, by->epoch));
+    }
+}
+
+void job_world::hear_operator(holder_process& by)
+{
+    if (now_ < by.next_hearing)
+    {
+        return;
+    }
+    by.next_hearing = now_ + milliseconds(100 + draw(900));
+    if (chance(faults_.cut_watch))
+    {
+        by.next_hearing = now_ + milliseconds(1000 + draw(9000));
+    }
+    const bool deaf = draw(4) == 0;
+    const time_point asked =
+        deaf ? now_ - milliseconds(draw(deaf_watch_ms)) : now_;
+    later(delay(), [core = by.core, this, sent = now_, names = closed_at(asked)]
+          { core->set_closed({.names = names, .known_at = sent}, now_); });
+}
+
+std::string job_world::data_centre_of(std::size_t index)
+{
+    return "dc-" + std::to_string(index % data_centre_count);
+}
+
+std::set<std::string> job_world::closed_at(time_point when) const
+{
+    std::set<std::string> names;
+    for (const auto& [name, changes] : closures_)
+    {
+        const auto after = changes.upper_bound(when);
+        if (after != changes.begin() && std::prev(after)->second)
+        {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+bool job_world::may_begin(std::size_t index) const
+{
+    const auto found = closures_.find(data_centre_of(index));
+    if (found == closures_.end())
+    {
+        return true;
+    }
+    const auto& [since, closed] = *found->second.rbegin();
+    return !closed || now_ - since <= close_within;
+}
+
+void job_world::deliver(const addressed_orders& one)
+{
+    const auto index = static_cast<std::size_t>(std::stoi(one.guard.substr(6)));
+    const bool is_cut = now_ < guards_[index].cut_until;
+    if (chance(faults_.report_lost) || is_cut)
+    {
+        if (is_cut && chance(faults_.report_held))
+        {
+            // What a cut holds back arrives when it heals.
+            later(guards_[index].cut_until - now_ + delay(),
+                  [this, index, orders = one.orders]
+                  { guards_[index].keeper->on_orders(orders, now_); });
+        }
+        return;
+    }
+    later(delay(), [this, index, orders = one.orders]
+          { guards_[index].keeper->on_orders(orders, now_); });
+}
+
+} // namespace springstair::job_worlds
