Sight: a run that is not its task's present one, and which guard process spoke

Logs could not tell whether a run that began beside another one was an old order begun late or a run that had been given up: a holder ordered the stop of what it did not expect without a line. run_unwanted (1630) tells the run, the guard and its process, and where the task stands: done, its newest run, where the present one is. run_refused names the guard's process, and a guard its own at its start, so that a restart between an order and its refusal can be seen. Behaviour as before.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 60> catalogue{{
+constexpr std::array<event_description, 61> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -111,6 +111,9 @@
     {event_id::job_service, severity::info, "job_service",
      "A lasting job was not wholly served since its last such line; shares "
      "in percent of its tasks' time."},
+    {event_id::run_unwanted, severity::warning, "run_unwanted",
+     "A worker runs what is not the present run of its task, and is to stop "
+     "it. Where the task stands follows."},
     {event_id::run_placed, severity::info, "run_placed",
      "A task is to run at a guard's worker; the start follows the write."},
     {event_id::run_ended, severity::info, "run_ended",
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -63,9 +63,10 @@
                                 { on_internal(arrival); }));
         const auto figures = serve_metrics(
             process_, {{"executors", &executors}, {"internal", &internal}});
-        log_event(
-            event_id::process_started,
-            {{"role", "job_guard"}, {"address", process_.from.executors}});
+        log_event(event_id::process_started,
+                  {{"role", "job_guard"},
+                   {"address", process_.from.executors},
+                   {"incarnation", incarnation_}});
         log_bounds(process_.from);
         process_.run_control(timer_step, [this](time_point now) { tick(now); });
     }
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -181,6 +181,7 @@
         note(event_id::run_refused, {{"task", refusal.task},
                                      {"run", std::to_string(refusal.run)},
                                      {"guard", at.guard},
+                                     {"incarnation", at.incarnation},
                                      {"reason", refusal.reason}});
         if (refusal.reason == no_ticket_reason)
         {
@@ -205,6 +206,7 @@
         if (!current)
         {
             out.stops.push_back({.task = row.task, .run = row.run});
+            note_unwanted(at, row, task);
             continue;
         }
         of->begun = true;
@@ -231,6 +233,25 @@
     }
 }
 
+// Another run of the task may be at work elsewhere, or its end be kept.
+void scheduler_core::note_unwanted(const worker_record& at,
+                                   const running_task& row,
+                                   const job_task* task)
+{
+    std::vector<event_field> fields{{"task", row.task},
+                                    {"run", std::to_string(row.run)},
+                                    {"guard", at.guard},
+                                    {"incarnation", at.incarnation}};
+    if (task != nullptr)
+    {
+        fields.push_back({"done", task->done ? "yes" : "no"});
+        fields.push_back({"newest_run", std::to_string(task->runs)});
+        fields.push_back(
+            {"present_at", task->run ? task->run->guard : std::string()});
+    }
+    note(event_id::run_unwanted, std::move(fields));
+}
+
 // A run that stands still is stopped, and the task runs elsewhere.
 void scheduler_core::note_progress(worker_record& at, task_run& run,
                                    const job_step& step,
