--- a/tests/unit/job_world.hpp
+++ b/tests/unit/job_world.hpp
@@ -47,7 +47,9 @@
         time_point next_report{};
         time_point next_heartbeat{};
         time_point cut_until{};
-        time_point began{}; ///< the guard, not its executor
+        time_point began{};        ///< the guard, not its executor
+        time_point down_until{};   ///< killed, and not back yet
+        time_point silent_until{}; ///< its looks get no answer
         fake_executor executor;
         std::int64_t lives = 0;
     };
@@ -79,6 +81,7 @@
     // Whether a run may begin there now.
     [[nodiscard]] bool may_begin(std::size_t index) const;
     void deliver(const addressed_orders& one);
+    void hear_orders(std::size_t index, const guard_orders& orders);
 
     // Guards
     void begin_life(std::size_t index);
@@ -102,6 +105,11 @@
     void order(std::size_t index, const Order& what)
     {
         const auto keeper = guards_[index].keeper;
+        if (chance(faults_.call_held))
+        {
+            hold_call(index, what, keeper);
+            return;
+        }
         const bool late = chance(faults_.order_late);
         const bool lost = !late && chance(faults_.order_lost);
         if (late || lost)
@@ -120,6 +128,15 @@
                   { answer(*keeper, what, order_result::unanswered); });
             return;
         }
+        const bool is_unheard = gets_no_answer(index, what);
+        if (is_unheard)
+        {
+            later(milliseconds(1), [this, index, what]
+                  { static_cast<void>(carry_out(index, what)); });
+            later(call_limit, [this, keeper, what]
+                  { answer(*keeper, what, order_result::unanswered); });
+            return;
+        }
         later(milliseconds(1),
               [this, index, what, keeper]
               {
@@ -134,6 +151,31 @@
               });
     }
 
+    // A call that waits unread is carried out whatever has become of its
+    // sender and of newer calls.
+    template <class Order>
+    void hold_call(std::size_t index, const Order& what,
+                   const std::shared_ptr<run_keeper>& keeper)
+    {
+        later(milliseconds(draw(longest_wait_ms)),
+              [this, index, what]
+              {
+                  is_late_ = true;
+                  static_cast<void>(carry_out(index, what));
+                  is_late_ = false;
+              });
+        later(call_limit, [this, keeper, what]
+              { answer(*keeper, what, order_result::unanswered); });
+    }
+
+    template <class Order>
+    bool gets_no_answer(std::size_t index, const Order& /*what*/)
+    {
+        const bool is_silent = std::is_same_v<Order, look_at_worker> &&
+                               now_ < guards_[index].silent_until;
+        return chance(faults_.answer_lost) || is_silent;
+    }
+
     void answer(run_keeper& to, const start_run& what, order_result result,
                 const std::optional<worker_look>& /*look*/ = {});
     void answer(run_keeper& to, const stop_run& what, order_result result,
@@ -163,6 +205,10 @@
 
     // Faults and time
     void break_things();
+    duration restart_time();
+    void kill_guards();
+    // Writes that are under way when the holder falls may still be done.
+    void kill_all();
     void crash_if_told(std::size_t index);
     void advance();
 
@@ -175,6 +221,9 @@
     // Nothing starts once an end has been acknowledged as done.
     void check_after_done(const run_interval& done,
                           const run_interval& start) const;
+    // Nothing starts between such an end and its acknowledgement, either.
+    void check_after_noted(const run_interval& done,
+                           const run_interval& start) const;
     void tell_job(const std::string& id) const;
     // A task of it failed, or executors crashed under it, often enough.
     [[nodiscard]] bool has_cause(const job& what) const;
--- a/tests/unit/job_world_checks.cpp
+++ b/tests/unit/job_world_checks.cpp
@@ -11,13 +11,34 @@
 
 void job_world::break_things()
 {
-    if (chance(faults_.takeover))
+    if (current_->core && chance(faults_.takeover))
     {
         take_over();
     }
+    if (chance(faults_.kill_guards))
+    {
+        kill_guards();
+    }
+    if (chance(faults_.kill_all))
+    {
+        kill_all();
+        if (draw(2) == 0)
+        {
+            later(milliseconds(7000 + draw(18'000)), [this] { kill_all(); });
+        }
+    }
     for (std::size_t index = 0; index < guard_count; ++index)
     {
         guard_process& guard = guards_[index];
+        if (chance(faults_.busy))
+        {
+            guard.executor.busy_until =
+                now_ + milliseconds(draw(longest_wait_ms));
+        }
+        if (chance(faults_.look_silent))
+        {
+            guard.silent_until = now_ + milliseconds(10'000 + draw(5000));
+        }
         if (chance(faults_.kill_guard))
         {
             begin_guard(index);
@@ -37,7 +58,7 @@
             static_cast<std::size_t>(draw(data_centre_count)))];
         changes[now_] = changes.empty() || !changes.rbegin()->second;
     }
-    if (chance(faults_.cancel) && !jobs_.empty())
+    if (current_->core && chance(faults_.cancel) && !jobs_.empty())
     {
         const std::string id =
             "job-" + std::to_string(draw(static_cast<int>(jobs_.size())));
@@ -46,6 +67,42 @@
     }
 }
 
+duration job_world::restart_time()
+{
+    return milliseconds(100 + draw(300));
+}
+
+void job_world::kill_guards()
+{
+    for (std::size_t index = 0; index < guard_count; ++index)
+    {
+        begin_guard(index);
+        guard_process& guard = guards_[index];
+        guard.down_until = now_ + restart_time();
+        guard.next_heartbeat = guard.down_until + milliseconds(draw(1000));
+    }
+}
+
+void job_world::kill_all()
+{
+    kill_guards();
+    current_->core.reset();
+    holder_ = *current_;
+    for (const auto& one : lingering_)
+    {
+        one->core.reset();
+    }
+    lingering_.clear();
+    later(restart_time(),
+          [this]
+          {
+              if (!current_->core)
+              {
+                  take_over();
+              }
+          });
+}
+
 void job_world::crash_if_told(std::size_t index)
 {
     for (const auto& [task, work] : guards_[index].executor.running)
@@ -159,6 +216,21 @@
         tell(start);
     }
     RC_ASSERT(!wrong);
+    check_after_noted(done, start);
+}
+
+void job_world::check_after_noted(const run_interval& done,
+                                  const run_interval& start) const
+{
+    const bool counts =
+        done.how == "done" && done.noted && !done.lapsed_unnoted;
+    const bool wrong = counts && start.begin >= done.end;
+    if (wrong)
+    {
+        tell(done);
+        tell(start);
+    }
+    RC_ASSERT(!wrong);
 }
 
 void job_world::tell_job(const std::string& id) const
--- a/tests/unit/job_world_guards.cpp
+++ b/tests/unit/job_world_guards.cpp
@@ -51,6 +51,10 @@
 void job_world::serve(std::size_t index)
 {
     guard_process& guard = guards_[index];
+    if (now_ < guard.down_until)
+    {
+        return;
+    }
     if (now_ >= guard.next_heartbeat)
     {
         guard.next_heartbeat = now_ + milliseconds(1000);
@@ -257,6 +261,10 @@
 order_result job_world::carry_out(std::size_t index, const start_run& what)
 {
     fake_executor& at = guards_[index].executor;
+    if (now_ < at.busy_until)
+    {
+        return order_result::unhealthy;
+    }
     if (!admits(at, what.life, what.epoch))
     {
         return refusal(at, what.life);
@@ -276,6 +284,10 @@
     {
         return order_result::late;
     }
+    if (chance(faults_.no_room))
+    {
+        return order_result::no_room;
+    }
     if (!is_late_ && !may_begin(index))
     {
         ++begun_in_closed_;
@@ -361,6 +373,10 @@
 order_result job_world::carry_out(std::size_t index, const stop_run& what)
 {
     fake_executor& at = guards_[index].executor;
+    if (now_ < at.busy_until)
+    {
+        return order_result::unhealthy;
+    }
     if (!admits(at, what.life, what.epoch))
     {
         return refusal(at, what.life);
@@ -392,11 +408,20 @@
 order_result job_world::carry_out(std::size_t index, const look_at_worker& what)
 {
     fake_executor& at = guards_[index].executor;
+    if (now_ < at.busy_until)
+    {
+        return order_result::unhealthy;
+    }
     if (!admits(at, what.life, what.epoch))
     {
         return refusal(at, what.life);
     }
     at.deadline = std::max(at.deadline, what.deadline_ms.value_or(0));
+    for (const auto& [one, interval] : at.ended)
+    {
+        past_[interval].noted =
+            past_[interval].noted || one.number <= what.acknowledged;
+    }
     std::erase_if(at.ended, [&](const auto& one)
                   { return one.first.number <= what.acknowledged; });
     return order_result::accepted;
@@ -446,6 +471,7 @@
     {
         past_[interval].lapsed =
             past_[interval].lapsed || !past_[interval].acknowledged;
+        past_[interval].lapsed_unnoted = true;
     }
 }
 
--- a/tests/unit/job_world_holders.cpp
+++ b/tests/unit/job_world_holders.cpp
@@ -43,6 +43,11 @@
 void job_world::calm()
 {
     faults_ = {};
+    for (guard_process& guard : guards_)
+    {
+        guard.executor.busy_until = {};
+        guard.silent_until = {};
+    }
     for (auto& [name, changes] : closures_)
     {
         changes[now_] = false;
@@ -114,6 +119,10 @@
 
 void job_world::submit()
 {
+    if (!holder_.core)
+    {
+        return;
+    }
     job what{.id = "job-" + std::to_string(jobs_.size()),
              .queue = "q",
              .payload = "p"};
@@ -192,7 +201,7 @@
                         bool applied, time_point sent)
 {
     by->writing = false;
-    if (lost)
+    if (lost || !by->core)
     {
         return; // the same batch is written again
     }
@@ -212,7 +221,7 @@
 
 void job_world::take_over()
 {
-    if (current_)
+    if (current_ && current_->core)
     {
         lingering_.push_back(current_);
     }
@@ -330,6 +339,12 @@
 {
     const auto index = static_cast<std::size_t>(std::stoi(one.guard.substr(6)));
     const bool is_cut = now_ < guards_[index].cut_until;
+    if (chance(faults_.push_again))
+    {
+        later(milliseconds(draw(longest_wait_ms)),
+              [this, index, orders = one.orders]
+              { hear_orders(index, orders); });
+    }
     if (chance(faults_.report_lost) || is_cut)
     {
         if (is_cut && chance(faults_.report_held))
@@ -337,12 +352,20 @@
             // What a cut holds back arrives when it heals.
             later(guards_[index].cut_until - now_ + delay(),
                   [this, index, orders = one.orders]
-                  { guards_[index].keeper->on_orders(orders, now_); });
+                  { hear_orders(index, orders); });
         }
         return;
     }
-    later(delay(), [this, index, orders = one.orders]
-          { guards_[index].keeper->on_orders(orders, now_); });
+    later(delay(),
+          [this, index, orders = one.orders] { hear_orders(index, orders); });
+}
+
+void job_world::hear_orders(std::size_t index, const guard_orders& orders)
+{
+    if (now_ >= guards_[index].down_until)
+    {
+        guards_[index].keeper->on_orders(orders, now_);
+    }
 }
 
 } // namespace springstair::job_worlds
--- a/tests/unit/job_world_parts.hpp
+++ b/tests/unit/job_world_parts.hpp
@@ -31,6 +31,10 @@
 constexpr duration close_within = seconds(5);
 // A watch may hear nothing of a change for so long (platform).
 constexpr int deaf_watch_ms = 1000;
+// A call on a connection waits unread at an executor or a guard for so long.
+constexpr int longest_wait_ms = 2000;
+// A guard gives up a call that has had no answer for so long.
+constexpr duration call_limit = milliseconds(300);
 
 // Chances in a hundred thousand, at each step or message.
 struct job_faults
@@ -50,6 +54,14 @@
     int crashing_job = 0; ///< its first task ends each executor that starts it
     int close = 0;        ///< a data centre is closed, or opened again
     int cut_watch = 0;    ///< a holder hears nothing of the operator, seconds
+    int call_held = 0;    ///< of a guard: waits unread, then is carried out
+    int answer_lost = 0;  ///< the call was carried out
+    int busy = 0;         ///< an executor takes no call, up to seconds
+    int no_room = 0;      ///< a start is refused
+    int look_silent = 0;  ///< looks are carried out, unanswered for 10 s on
+    int push_again = 0;   ///< orders come a second time, up to seconds later
+    int kill_guards = 0;  ///< all at once
+    int kill_all = 0;     ///< guards and holder at once, half of them twice
 };
 
 // One run at a worker, for the check of histories.
@@ -63,6 +75,8 @@
     std::string how;
     bool acknowledged = false;
     bool lapsed = false; ///< the lease ran out before it was acknowledged
+    bool noted = false;  ///< its executor has heard the acknowledgement
+    bool lapsed_unnoted = false; ///< the lease ran out before that
     time_point acknowledged_at = time_point::max();
 };
 
@@ -88,6 +102,7 @@
     std::map<std::string, std::int64_t> closed; ///< highest run ended there
     std::vector<std::pair<ended_task, std::size_t>> ended;
     std::int64_t numbers = 0;
+    time_point busy_until{}; ///< takes no call
 
     [[nodiscard]] std::int64_t clock(time_point now) const
     {
--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -8,6 +8,33 @@
 using namespace springstair::job_worlds; // NOLINT: a test
 using std::chrono::seconds;
 
+namespace
+{
+
+// Long enough for two kills of all processes and the calls between them.
+constexpr seconds short_length{12};
+// A holder that takes over waits 10.5 s for guards that it has not heard.
+constexpr seconds short_calm{20};
+
+void play(job_world& world, seconds length, seconds calm)
+{
+    world.run(length, true);
+    world.check_histories();
+    world.calm();
+    world.run(calm, false);
+    world.check_histories();
+    world.check_all_ended();
+}
+
+void play_short(const job_faults& faults)
+{
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    job_world world(seed, faults);
+    play(world, short_length, short_calm);
+}
+
+} // namespace
+
 TEST_CASE("jobs survive everything, each task in one place, to one end")
 {
     CHECK(rc::check("under faults",
@@ -29,13 +56,56 @@
                             .cancel = *rc::gen::element(0, 100),
                             .crashing_job = *rc::gen::element(0, 0, 10'000),
                             .close = *rc::gen::element(0, 100, 400),
-                            .cut_watch = *rc::gen::element(0, 5000, 20'000)};
+                            .cut_watch = *rc::gen::element(0, 5000, 20'000),
+                            .call_held = *rc::gen::element(0, 2000, 10'000),
+                            .answer_lost = *rc::gen::element(0, 2000, 10'000),
+                            .busy = *rc::gen::element(0, 50, 200),
+                            .no_room = *rc::gen::element(0, 2000, 10'000),
+                            .look_silent = *rc::gen::element(0, 0, 30),
+                            .push_again = *rc::gen::element(0, 5000, 30'000),
+                            .kill_guards = *rc::gen::element(0, 0, 60),
+                            .kill_all = *rc::gen::element(0, 0, 60)};
                         job_world world(seed, faults);
-                        world.run(seconds(20), true);
-                        world.check_histories();
-                        world.calm();
-                        world.run(seconds(40), false);
-                        world.check_histories();
-                        world.check_all_ended();
+                        play(world, seconds(20), seconds(40));
                     }));
 }
+
+// Users saw two runs of one task at once, and runs that began after an end as
+// done was acknowledged. A start waits unread in a socket of its executor while
+// its guard is killed. The next process of the guard is told the same start;
+// the executor is busy or has no room for it, and the guard, which knows of no
+// other copy, says that the run never began. The task starts elsewhere while
+// the first copy begins, or goes on.
+TEST_CASE("a start outlives its guard, and its next copy is refused")
+{
+    CHECK(rc::check("no room",
+                    [] {
+                        play_short({.call_held = 20'000,
+                                    .no_room = 20'000,
+                                    .kill_guards = 300});
+                    }));
+    CHECK(rc::check(
+        "busy",
+        [] {
+            play_short({.call_held = 20'000, .busy = 500, .kill_guards = 300});
+        }));
+}
+
+// Users saw two runs of one task at once. What a holder sends to a guard comes
+// twice, the second time after the guard has given the run back: the guard
+// starts what the holder has placed elsewhere.
+TEST_CASE("an order comes again after its run was given back")
+{
+    CHECK(rc::check("busy",
+                    [] { play_short({.busy = 500, .push_again = 30'000}); }));
+}
+
+// Users saw runs that began after an end as done was acknowledged. All
+// processes are killed; the next holder hears a guard whose looks get no
+// answer. That guard has a permit, so the looks that are carried out extend the
+// lease, but its runs are given up as those of a guard that never came.
+TEST_CASE("a guard is heard by the next holder without a look at its worker")
+{
+    CHECK(rc::check("all processes killed",
+                    [] { play_short({.look_silent = 100, .kill_all = 60}); }));
+}
