Guard: a run that a former process started is stopped before it is given back

What callers saw: two runs of one task at once, or a run after an acknowledged end, after guards had been killed with starts under way. Cause: which copies of a start had left was remembered by the guard's process alone. The next one, told the same start, took a refusal of its own copy (busy, no room, no ticket, rejected, draining, too late) for proof that the run never begins, while the first copy ran or waited unread in a socket. Mend: an order names the guard process that was told first. Any other, and every process where an earlier holder had told, holds the run in doubt, as after a start without an answer: the worker is told never to begin it, and a look after that has to show that it is not there, before it is given back. Why it holds: a worker begins no run that was stopped there, however late the copy; who is named remembers all copies that it sent. Ruled out: a stop before every refusal (a busy worker takes no stop, and each refused run would wait for it); the guard's age in place of a name (a process that waits for a processor has none).

--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -44,8 +44,9 @@
           holder_watch_(process, store_, holder_watch_wait,
                         [this](const std::optional<platform::store_item>& item)
                         { on_holder(item); }),
-          keeper_(keeper_options(process.from)), holder_(process.from.entries),
-          incarnation_(random_hex(incarnation_bytes_of_guard))
+          keeper_(keeper_options(process.from),
+                  random_hex(incarnation_bytes_of_guard)),
+          holder_(process.from.entries)
     {
         rpc_.add("orders", [this](const json& message)
                  { return take_orders(message.get<guard_orders>()); });
@@ -66,7 +67,7 @@
         log_event(event_id::process_started,
                   {{"role", "job_guard"},
                    {"address", process_.from.executors},
-                   {"incarnation", incarnation_}});
+                   {"incarnation", keeper_.incarnation()}});
         log_bounds(process_.from);
         process_.run_control(timer_step, [this](time_point now) { tick(now); });
     }
@@ -266,7 +267,6 @@
         worker_report report = keeper_.report(now);
         report.guard = process_.from.name;
         report.address = announced_address(process_.from);
-        report.incarnation = incarnation_;
         report.sequence = ++report_sequence_;
         process_.client.send(
             {.method = "POST",
@@ -347,7 +347,6 @@
     holder_finder holder_;
     rpc_dispatcher rpc_;
     std::map<std::string, heard_executor> executors_; ///< by their life
-    std::string incarnation_;
     std::int64_t report_sequence_ = 0;
     bool reporting_ = false;
     time_point next_report_{};
--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -138,7 +138,9 @@
 class run_keeper
 {
 public:
-    explicit run_keeper(run_keeper_options options = {});
+    /// @param incarnation of the guard's process; differs from all others'
+    explicit run_keeper(run_keeper_options options = {},
+                        std::string incarnation = {});
 
     /// @brief The executor beside this guard said who it is.
     void on_worker(const worker_description& what, std::int64_t clock_ms,
@@ -166,6 +168,10 @@
 
     /// @brief What to do now.
     std::vector<keeper_action> due(time_point now);
+    [[nodiscard]] const std::string& incarnation() const noexcept
+    {
+        return incarnation_;
+    }
     /// @brief The present report, without the guard's own name and address.
     [[nodiscard]] worker_report report(time_point now) const;
     /// @brief Whether something is new since the last call; clears it.
@@ -209,6 +215,9 @@
         stage at = stage::starting;
         std::int64_t start_until_ms = 0; ///< see guard_orders; 0: no bound
         bool call_open = false;
+        /// A copy of its start may be at the worker of which no answer will
+        /// tell: it can begin, or has, whatever another copy is answered.
+        bool in_doubt = false;
         std::int64_t unanswered = 0;
         time_point next_call{};
         /// When a start was sent that the worker, which had answered just
@@ -272,6 +281,7 @@
                                 std::int64_t run) const;
 
     run_keeper_options options_;
+    std::string incarnation_;
     worker_description worker_;
     unproven_life stranger_;
     std::set<std::string> past_lives_; ///< surely over
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -33,8 +33,9 @@
     return {};
 }
 
-run_keeper::run_keeper(run_keeper_options options)
-    : options_(options), interference_(options.interference)
+run_keeper::run_keeper(run_keeper_options options, std::string incarnation)
+    : options_(options), incarnation_(std::move(incarnation)),
+      interference_(options.interference)
 {
 }
 
@@ -201,7 +202,9 @@
         }
         if (order.run > kept.order.run)
         {
-            kept = {.order = order, .next_call = now};
+            kept = {.order = order,
+                    .in_doubt = order.first_told != incarnation_,
+                    .next_call = now};
         }
         kept.start_until_ms =
             std::max(kept.start_until_ms, orders.starts_until_ms);
@@ -422,6 +425,7 @@
 worker_report run_keeper::report(time_point now) const
 {
     worker_report out{.epoch = epoch_,
+                      .incarnation = incarnation_,
                       .sent_ms = vm_clock_ms(now),
                       .admission = admission_,
                       .worker = worker_,
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -18,16 +18,17 @@
 
 } // namespace
 
-// Gives a run back. An earlier copy without an answer could still begin, so
-// the worker is told first never to begin it.
+// Gives a run back. While it is in doubt, the worker is told first never to
+// begin it. What a former process of this guard sent puts it in doubt too: with
+// only the own calls remembered, a worker that was busy for a moment after its
+// guard's restart had its runs given back while they ran, and they ran twice.
 void run_keeper::refuse(const std::string& task, kept_run& run,
                         const std::string& reason, time_point now)
 {
-    if (run.unanswered > 0)
+    if (run.in_doubt)
     {
         run.at = stage::stopping;
         run.refusal = reason;
-        run.unanswered = 0;
         run.next_call = now;
         return;
     }
@@ -81,6 +82,7 @@
         kept.next_call = now + options_.retry_after;
         return;
     case order_result::unanswered:
+        kept.in_doubt = true;
         ++kept.unanswered;
         kept.next_call = now + options_.retry_after;
         if (kept.unanswered >= options_.most_unanswered)
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -200,6 +200,10 @@
     bool fills = false;
     std::int64_t latency_target_ms = 0; ///< 0: it serves nobody
     std::string image;
+    /// The incarnation of the guard that was told first. It knows each copy of
+    /// the start that it has sent; any other has to count on one that it does
+    /// not know of. Empty: an earlier holder told, nobody knows whom.
+    std::string first_told;
 
     bool operator==(const start_order&) const = default;
 };
@@ -277,7 +281,8 @@
     running, ended, refused, paces, starting, unknown, former)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
-                                                latency_target_ms, image)
+                                                latency_target_ms, image,
+                                                first_told)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
                                                 starts, stops, acknowledged,
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -20,6 +20,7 @@
     std::string ticket; ///< of the advice that let it run there; or empty
     std::int64_t placed_in = 0; ///< the job's change that recorded it
     bool ordered = false;       ///< a start was sent in this office
+    std::string first_told;     ///< guard process of that; see start_order
     bool seen = false;          ///< a report showed it running
     time_point last_seen{};     ///< by the newest report that showed it
     time_point ordered_at{};    ///< or when this holder adopted it
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -354,7 +354,8 @@
             .ticket = task.run->ticket,
             .fills = step.fills,
             .latency_target_ms = step.latency_target_ms,
-            .image = step.image};
+            .image = step.image,
+            .first_told = task.run->first_told};
 }
 
 } // namespace springstair
--- a/tests/unit/restarted_guard_tests.cpp
+++ b/tests/unit/restarted_guard_tests.cpp
@@ -90,7 +90,8 @@
     {
         guarded_worker& at = workers.at(name);
         at.incarnation = "guard-" + std::to_string(++incarnations_);
-        at.keeper = std::make_unique<run_keeper>();
+        at.keeper =
+            std::make_unique<run_keeper>(run_keeper_options{}, at.incarnation);
         at.sequence = 0;
         at.next_report = now;
         beat(at);
