Guard: a run that was given back is not begun by an order that comes again

What callers saw: a run that began after its task had run elsewhere, and was ordered to stop then. Cause: what was given back was forgotten at once. The same order comes twice (a repeat that the holder sent before it heard of the refusal, a message that was held up or sent again), and the guard took it for a new one. Mend: it is remembered for 5 s and told again. Why it holds: an order that was made before the holder heard of the refusal is void 4 s after it at the latest, by the permit on the last report without it; a holder that still counts on the run hears that it never begins.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -54,6 +54,10 @@
     /// What went with a former life is told for so long after a holder has
     /// first heard it: above the time that a new one needs to hear its guards.
     duration former_told_for = std::chrono::seconds(6);
+    /// A run that was given back is remembered for so long. An order for it
+    /// that was made before the holder heard so holds no longer than the
+    /// permit on the last report before, 4 s.
+    duration remember_given_back = std::chrono::milliseconds(5000);
     /// Former lives that are told of at most: a guard that no holder hears
     /// for a minute, while its executor crashes every few seconds.
     std::size_t most_former = 16;
@@ -233,6 +237,13 @@
         bool pace_open = false;
     };
 
+    /// A run that surely never begins, and when the worker made that sure.
+    struct given_back_run
+    {
+        refused_run what;
+        time_point at{};
+    };
+
     /// A life that is over, and when a holder first heard of it.
     struct remembered_life
     {
@@ -255,7 +266,7 @@
     void ask_stranger(time_point now, std::vector<keeper_action>& out);
     void refuse(const std::string& task, kept_run& run,
                 const std::string& reason, time_point now);
-    void settle(time_point sent);
+    void settle(time_point sent, time_point now);
     void note_health(order_result result);
     void remember_life();
     void remember_run(const std::string& task, const kept_run& run);
@@ -265,6 +276,8 @@
                     std::vector<keeper_action>& out);
     void act_on_worker(time_point now, std::vector<keeper_action>& out);
     void give_back_unstarted(time_point now);
+    void tell_given_back(refused_run what, time_point now);
+    [[nodiscard]] bool was_given_back(const start_order& order);
     void give_back(const std::vector<std::string>& tasks, const char* why,
                    time_point now);
     [[nodiscard]] static bool is_void(std::int64_t until_ms, time_point now);
@@ -303,7 +316,8 @@
     time_point next_look_{};
     std::vector<running_task> running_;
     std::vector<ended_task> ended_;
-    std::vector<refused_run> refused_;
+    std::vector<refused_run> refused_; ///< not told to a holder yet
+    std::map<std::string, given_back_run> given_back_; ///< newest, by task
     interference interference_;
     time_point whole_told_{}; ///< when the holder last heard what runs
     /// The worker's newest answer was that it does nothing, or nobody takes
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -75,6 +75,7 @@
     running_.clear();
     ended_.clear();
     refused_.clear();
+    given_back_.clear();
     looked_ = false;
     looked_at_ = now;
     look_open_ = false;
@@ -191,7 +192,7 @@
     const bool are_void = is_void(orders.starts_until_ms, now);
     for (const start_order& order : orders.starts)
     {
-        if (are_void)
+        if (are_void || was_given_back(order))
         {
             continue;
         }
@@ -280,6 +281,10 @@
     {
         return out;
     }
+    std::erase_if(given_back_,
+                  [&](const auto& one) {
+                      return now - one.second.at > options_.remember_given_back;
+                  });
     give_back_unstarted(now);
     for (auto& [task, kept] : runs_)
     {
@@ -296,6 +301,28 @@
     return until_ms > 0 && vm_clock_ms(now) > until_ms;
 }
 
+// Whether a holder was told that the run never begins, or is to be told. An
+// order for it can be on its way meanwhile, or come a second time; begun again,
+// the task would run where its holder no longer looks for it. A holder that
+// still counts on the run hears of it again.
+bool run_keeper::was_given_back(const start_order& order)
+{
+    const auto found = given_back_.find(order.task);
+    if (found == given_back_.end() || found->second.what.run < order.run)
+    {
+        return false;
+    }
+    const refused_run& what = found->second.what;
+    const bool is_listed =
+        std::find(refused_.begin(), refused_.end(), what) != refused_.end();
+    if (what.run == order.run && !is_listed)
+    {
+        refused_.push_back(what);
+        news_ = true;
+    }
+    return true;
+}
+
 // A draining worker begins nothing more, nor does one in a closed data centre,
 // and no worker what the holder may have given up by now.
 void run_keeper::give_back_unstarted(time_point now)
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -32,8 +32,15 @@
         run.next_call = now;
         return;
     }
-    refused_.push_back({.task = task, .run = run.order.run, .reason = reason});
+    tell_given_back({.task = task, .run = run.order.run, .reason = reason},
+                    now);
     runs_.erase(task);
+}
+
+void run_keeper::tell_given_back(refused_run what, time_point now)
+{
+    given_back_[what.task] = {.what = what, .at = now};
+    refused_.push_back(std::move(what));
     news_ = true;
 }
 
@@ -180,7 +187,7 @@
     looked_at_ = now;
     running_ = look->running;
     ended_ = look->ended;
-    settle(sent);
+    settle(sent, now);
     std::map<std::string, run_traits> traits;
     for (const auto& [task, kept] : runs_)
     {
@@ -206,7 +213,7 @@
 }
 
 // Compares the runs with a look that was sent at a time.
-void run_keeper::settle(time_point sent)
+void run_keeper::settle(time_point sent, time_point now)
 {
     std::vector<std::string> gone;
     for (auto& [task, kept] : runs_)
@@ -240,10 +247,9 @@
         if (kept.at == stage::stopped &&
             kept.confirmed + options_.stop_time < sent)
         {
-            refused_.push_back(
-                {.task = task, .run = run, .reason = kept.refusal});
+            tell_given_back({.task = task, .run = run, .reason = kept.refusal},
+                            now);
             gone.push_back(task);
-            news_ = true;
         }
     }
     for (const std::string& task : gone)
