Test: a call carried out twice below its caller (red)

Seen by the users: two runs of one task at once. A server that reads a POST on a kept connection, carries it out and ends the connection without an answer gets the call again; http_client gives the second copy's answer for the only one. Measured with libcurl 7.88.1, seven cases, four red: - one kept connection: 2 copies for one call, the refusal (503) of the second is given as 'answered'; the same for a close and for a reset; - three kept connections: 4 copies for one call, 3 of them carried out; - a start: decode_result says 'unhealthy' (nothing was done) of a start that was carried out; a guard gives such a run back at once; - a store transaction: 'refused' (nothing was done) of a write that was done. Ruled out, green before any change: 'not_sent' after a copy that left, when the next connection is refused (CURLINFO_REQUEST_SIZE adds up over copies); idle connections that ended cost no call.

--- /dev/null
+++ b/tests/unit/resent_call_tests.cpp
@@ -0,0 +1,360 @@
+// One call, carried out twice below its caller.
+//
+// Seen: two runs of one task at once. An executor got one start twice, where
+// the guard had sent it once and noted one answer: a refusal.
+// How: the executor carried the first copy out, and the connection ended
+// before the answer. The second copy was refused (busy, no room), which says
+// nothing of the first; the guard took it for the only one and gave the run
+// back, and its task was started elsewhere.
+
+#include <doctest/doctest.h>
+
+#include "platform.hpp"
+
+#include <springstair/transport.hpp>
+
+#include <absl/synchronization/blocking_counter.h>
+#include <absl/synchronization/notification.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace springstair; // NOLINT: a test
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// How a connection ends without an answer.
+enum class cut : std::uint8_t
+{
+    closed, // as by a process that stops
+    reset   // as by one that is killed with bytes unread
+};
+
+// Answers each request with 200. From cut_each_kept() on, a request on a
+// connection that was answered before is carried out, and the connection ends;
+// what comes on new ones is answered with 503.
+class cutting_server
+{
+public:
+    cutting_server()
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto* const generic = reinterpret_cast<sockaddr*>(&address); // NOLINT
+        socklen_t size = sizeof address;
+        REQUIRE(bind(listener_, generic, size) == 0);
+        REQUIRE(listen(listener_, SOMAXCONN) == 0);
+        REQUIRE(getsockname(listener_, generic, &size) == 0);
+        port_ = ntohs(address.sin_port);
+        acceptor_ = std::thread([this] { accept_all(); });
+    }
+
+    ~cutting_server()
+    {
+        refuse_connections();
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            for (const int socket : open_)
+            {
+                shutdown(socket, SHUT_RDWR);
+            }
+        }
+        for (std::thread& one : threads_)
+        {
+            one.join();
+        }
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
+    // @param delay of each answer, so that calls side by side need a
+    // connection each
+    void answer_after(milliseconds delay)
+    {
+        delay_ = delay;
+    }
+
+    void cut_each_kept(cut how)
+    {
+        how_ = how;
+        cuts_ = true;
+    }
+
+    // Closes all connections, none of which carries a call.
+    void close_idle()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const int socket : open_)
+        {
+            shutdown(socket, SHUT_RDWR);
+        }
+    }
+
+    void refuse_connections()
+    {
+        if (listener_ < 0)
+        {
+            return;
+        }
+        shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        close(listener_);
+        listener_ = -1;
+    }
+
+    // Requests that were carried out, answered or not.
+    [[nodiscard]] int carried_out() const
+    {
+        return carried_out_;
+    }
+
+    // All requests that came.
+    [[nodiscard]] int requests() const
+    {
+        return requests_;
+    }
+
+private:
+    void accept_all()
+    {
+        while (true)
+        {
+            const int socket = accept(listener_, nullptr, nullptr);
+            if (socket < 0)
+            {
+                return;
+            }
+            const std::lock_guard<std::mutex> lock(mutex_);
+            open_.push_back(socket);
+            threads_.emplace_back([this, socket] { serve(socket); });
+        }
+    }
+
+    void serve(int socket)
+    {
+        bool kept = false;
+        while (take_request(socket))
+        {
+            ++requests_;
+            if (cuts_ && kept)
+            {
+                ++carried_out_;
+                break;
+            }
+            std::this_thread::sleep_for(delay_.load());
+            answer(socket);
+            kept = true;
+        }
+        end(socket);
+    }
+
+    // @return false if the connection ended
+    static bool take_request(int socket)
+    {
+        std::array<char, 4096> buffer{};
+        std::string received;
+        while (!is_whole(received))
+        {
+            const ssize_t got = read(socket, buffer.data(), buffer.size());
+            if (got <= 0)
+            {
+                return false;
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+        return true;
+    }
+
+    static bool is_whole(const std::string& received)
+    {
+        static const std::string length_name = "Content-Length: ";
+        const std::size_t end = received.find("\r\n\r\n");
+        if (end == std::string::npos)
+        {
+            return false;
+        }
+        const std::size_t at = received.find(length_name);
+        const std::size_t length =
+            at == std::string::npos
+                ? 0
+                : std::stoul(received.substr(at + length_name.size()));
+        return received.size() >= end + 4 + length;
+    }
+
+    void answer(int socket)
+    {
+        carried_out_ += cuts_ ? 0 : 1;
+        const std::string text = std::string("HTTP/1.1 ") +
+                                 (cuts_ ? "503 Busy" : "200 OK") +
+                                 "\r\nContent-Length: 2\r\n\r\n{}";
+        [[maybe_unused]] const auto written =
+            send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+    void end(int socket)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::erase(open_, socket);
+        if (how_ == cut::reset)
+        {
+            const linger at_once{.l_onoff = 1, .l_linger = 0};
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        }
+        close(socket);
+    }
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::mutex mutex_;
+    std::vector<int> open_;
+    std::vector<std::thread> threads_;
+    std::atomic<milliseconds> delay_{milliseconds(0)};
+    std::atomic<cut> how_ = cut::closed;
+    std::atomic<bool> cuts_ = false;
+    std::atomic<int> carried_out_ = 0;
+    std::atomic<int> requests_ = 0;
+    std::thread acceptor_;
+};
+
+http_call call_to(const cutting_server& server, const char* method = "POST")
+{
+    return {.method = method,
+            .url = "http://" + server.address() + "/x",
+            .body = std::string(method) == "POST" ? make_body("{}") : nullptr,
+            .timeout = milliseconds(1000)};
+}
+
+void open_connections(http_client& client, cutting_server& server, int count)
+{
+    server.answer_after(milliseconds(60));
+    absl::BlockingCounter answered(count);
+    for (int call = 0; call < count; ++call)
+    {
+        client.send(call_to(server),
+                    [&](const http_result& result)
+                    {
+                        CHECK(result.how == delivery::answered);
+                        answered.DecrementCount();
+                    });
+    }
+    answered.Wait();
+    server.answer_after(milliseconds(0));
+}
+
+} // namespace
+
+TEST_CASE("a refusal of a second copy is no answer to a call carried out once")
+{
+    for (const cut how : {cut::closed, cut::reset})
+    {
+        CAPTURE(static_cast<int>(how));
+        cutting_server server;
+        http_client client;
+        open_connections(client, server, 1);
+        server.cut_each_kept(how);
+        const http_result result = client.send_and_wait(call_to(server));
+        CHECK(server.carried_out() == 1 + 1);
+        CHECK(result.how == delivery::unknown);
+        CHECK(server.requests() == 1 + 1); // nothing is sent twice
+    }
+}
+
+TEST_CASE("a call that was cut off is not sent on another kept connection")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 3);
+    server.cut_each_kept(cut::closed);
+    CHECK(client.send_and_wait(call_to(server)).how == delivery::unknown);
+    CHECK(server.requests() == 3 + 1);
+}
+
+TEST_CASE("a call that was cut off is not taken for one that was never sent")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 1);
+    server.refuse_connections();
+    server.cut_each_kept(cut::closed);
+    CHECK(client.send_and_wait(call_to(server)).how == delivery::unknown);
+    CHECK(server.carried_out() == 1 + 1);
+    // Without a connection to lose, nothing left.
+    CHECK(client.send_and_wait(call_to(server)).how == delivery::not_sent);
+}
+
+TEST_CASE("a connection that ended while it was idle costs no call")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 3);
+    server.close_idle();
+    for (int call = 0; call < 3; ++call)
+    {
+        CHECK(client.send_and_wait(call_to(server)).how == delivery::answered);
+    }
+    CHECK(server.requests() == 3 + 3);
+}
+
+TEST_CASE("a read that was cut off is sent again")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 1);
+    server.cut_each_kept(cut::closed);
+    const http_result result = client.send_and_wait(call_to(server, "GET"));
+    CHECK(result.how == delivery::answered);
+    CHECK(result.response.status == 503);
+    CHECK(server.requests() == 1 + 2);
+}
+
+TEST_CASE("a start that was cut off counts as one without an answer")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 1);
+    server.cut_each_kept(cut::closed);
+    const start_run start{.order = {.task = "j.0.0.0", .run = 1},
+                          .deadline_ms = 900,
+                          .epoch = 7,
+                          .life = "i-7"};
+    const http_result result =
+        client.send_and_wait(platform::encode(start, server.address()));
+    CHECK(server.carried_out() == 1 + 1);
+    CHECK(platform::decode_result(result) == order_result::unanswered);
+}
+
+TEST_CASE("a write that was cut off counts as one the store may have done")
+{
+    cutting_server server;
+    http_client client;
+    open_connections(client, server, 1);
+    server.cut_each_kept(cut::closed);
+    platform::store_client store(client, server.address());
+    auto status = platform::store_status::done;
+    absl::Notification ended;
+    store.transact({.puts = {{.key = "k", .value = "v"}}}, milliseconds(1000),
+                   [&](const platform::store_result& result)
+                   {
+                       status = result.status;
+                       ended.Notify();
+                   });
+    ended.WaitForNotification();
+    CHECK(server.carried_out() == 1 + 1);
+    CHECK(status == platform::store_status::unknown);
+}
