HTTP client: at most one copy of a call that is no GET leaves

Cause: libcurl 7.88 sends a call anew by itself, up to five times, on other kept connections and then a new one, when its kept connection ends before any byte of the answer. http_client gave the last copy's answer for that of a call sent once. So a start that an executor had carried out came back as refused (429, 503, room) and was given back at once; a store write that was done, as refused; a job passed to another entry, as surely not taken.

Change: before each copy (the library's pre-request callback) and before each connection, the client asks whether bytes of this call have left (CURLINFO_REQUEST_SIZE, which adds up over copies). If so, and it is no GET, the call ends as 'unknown' at once, as if its time limit had passed. If nothing left, the call still moves to another connection unseen.

Ways weighed: - tell it (http_result::sent_before; each reader maps refusals of such a call to 'unknown'): keeps one try, but has to be read at every place that concludes something from a refusal (worker_calls, store_client, job_desk_submitting's forward, etcd_client's 4xx, conflicts of the holder's writes), and copies still overtake one another: orders twice at a guard, the first copy of a report's answer lost with the second's in its place; - never send again (this): the outcome is one that every caller must handle already, since any call can time out. Cost: a call under way on a connection that ends is repeated by its sender 100 ms or more later instead of at once, and the store's adaptive time limit takes it for one unanswered call. Calls on connections that ended while idle cost nothing (tested: three of three answered). If the library chooses another kept connection for the second copy, that one should be closed too (by reading; not measured). Reads (GET) go on as before.

Ruled out as a fault: 'not_sent' is truthful. A copy that left and then a refused connection gives 'unknown' (tested, before the change as well); a call that waits for its turn has sent nothing.

Measured, resent_call_tests (7 cases, real sockets): before, 4 failed, one call carried out 3 times with three kept connections, 4 copies; after, 7 of 7 pass, one copy each. silent_channel_tests, unchanged: 6 of 6 pass after.

--- a/packages/transport/include/springstair/detail/transport/http_client.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_client.hpp
@@ -18,6 +18,13 @@
 };
 
 /// @brief A call to make.
+///
+/// Of a call that is no GET at most one copy leaves: one whose kept connection
+/// ends without an answer ends as `unknown`, and its sender decides whether to
+/// repeat it. Sent again unseen, a start that was carried out came back as
+/// refused, and its task was started elsewhere too; with three kept
+/// connections to a receiver that ends each, one call was carried out three
+/// times. A GET may leave again, unseen.
 struct http_call
 {
     std::string method = "POST";
@@ -26,7 +33,8 @@
     shared_body body;
     duration timeout = std::chrono::seconds(5);
     duration connect_timeout = std::chrono::milliseconds(500);
-    /// A connection of its own, so that no library sends it twice.
+    /// A connection of its own, so that not even a read is sent twice, and
+    /// no idle connection that is about to end loses it.
     bool exactly_one_connection = false;
     /// Calls open to the peer at once, and so its connections; more wait for
     /// their turn, in order, and end as `not_sent` if it takes longer than
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -310,8 +310,9 @@
              {"waited_ms", std::to_string(to_milliseconds(waited))}});
     }
 
-    // The library sends a call anew whose kept connection ends, on another
-    // one: before it does, the others that are dead with it are given up.
+    // A call whose kept connection ends may go on another one, if nothing of
+    // it left or it is a read: before it does, the others that are dead with
+    // this one are given up.
     void note_broken(int socket)
     {
         const auto found = std::find_if(
--- a/packages/transport/src/open_call.cpp
+++ b/packages/transport/src/open_call.cpp
@@ -63,6 +63,10 @@
                           curl_sockaddr* address)
 {
     auto& current = *static_cast<open_call*>(context);
+    if (!current.may_be_sent())
+    {
+        return CURL_SOCKET_BAD; // spares the connection, and waiting for it
+    }
     current.opened_one = true;
     const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
                           address->protocol);
@@ -80,6 +84,15 @@
     return fd;
 }
 
+// Called before each copy of a request, on a new connection or a kept one.
+int before_request(void* context, char* /*to_address*/, char* /*from_address*/,
+                   int /*to_port*/, int /*from_port*/)
+{
+    return static_cast<open_call*>(context)->may_be_sent()
+               ? CURL_PREREQFUNC_OK
+               : CURL_PREREQFUNC_ABORT;
+}
+
 int close_socket(void* context, curl_socket_t socket)
 {
     static_cast<connection_pool*>(context)->closed(socket);
@@ -117,6 +130,7 @@
                      current.call.body->data());
 }
 
+// The library adds up the bytes of all copies of a request.
 bool nothing_was_sent(CURL* handle)
 {
     long request_bytes = 0;
@@ -158,10 +172,18 @@
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, alone ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &open_socket);
     curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &before_request);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, pool);
 }
 
+bool open_call::may_be_sent()
+{
+    was_cut_off = call.method != "GET" && !nothing_was_sent(handle);
+    return !was_cut_off;
+}
+
 http_result open_call::result(CURLcode code)
 {
     http_result to;
@@ -169,7 +191,8 @@
     {
         to.how =
             nothing_was_sent(handle) ? delivery::not_sent : delivery::unknown;
-        to.error = curl_easy_strerror(code);
+        to.error = was_cut_off ? "the connection ended without an answer"
+                               : curl_easy_strerror(code);
         return to;
     }
     long status = 0;
--- a/packages/transport/src/open_call.hpp
+++ b/packages/transport/src/open_call.hpp
@@ -18,7 +18,8 @@
     std::string peer;
     time_point since = boot_clock::now(); ///< when it came, then when sent
     connection_pool* pool = nullptr;
-    bool opened_one = false; ///< or it was given a kept connection
+    bool opened_one = false;  ///< or it was given a kept connection
+    bool was_cut_off = false; ///< its kept connection ended; not sent again
     curl_socket_t socket = CURL_SOCKET_BAD; ///< that it waits for
     CURL* handle = nullptr;
     curl_slist* header_list = nullptr;
@@ -32,6 +33,10 @@
 
     // Tells the library what to do; the handle is set and the pool too.
     void set_up();
+    // Whether the library may send it now. It does so of itself when a kept
+    // connection ends before any byte of the answer; the receiver may have
+    // carried out what left. So nothing but a read leaves twice.
+    bool may_be_sent();
     // What came of it, by the library's code.
     http_result result(CURLcode code);
 };
--- a/tests/unit/resent_call_tests.cpp
+++ b/tests/unit/resent_call_tests.cpp
@@ -6,6 +6,8 @@
 // before the answer. The second copy was refused (busy, no room), which says
 // nothing of the first; the guard took it for the only one and gave the run
 // back, and its task was started elsewhere.
+// Cause: the HTTP library sends a call anew, by itself, when its kept
+// connection ends before any byte of the answer.
 
 #include <doctest/doctest.h>
 
