Job desk: a caller learns of a silent store 0.15 s sooner

A submission whose writes get no answer goes to another entry and is answered 504. The limits on the way add up to 1.54 s (250 + 40 + 500 here, 750 ms there) and the drill's bound is 1.6 s: beside load it failed. The other entry now has 600 ms (forward_timeout 850 less the margin of 250): its first try, the pause and 310 ms for a second one. What a store that slow would answer there, the second try here (500 ms) had already waited for. The bound stays.

Ruled out: a shorter first or second try here, which a slow store needs.

--- a/packages/daemon/src/job_desk_submitting.cpp
+++ b/packages/daemon/src/job_desk_submitting.cpp
@@ -18,8 +18,12 @@
 // A store that is slow answers the second try, which waits twice as long. One
 // that leaves both unanswered is away here: another entry may reach it.
 constexpr std::int64_t most_unanswered = 2;
-// Ample for another entry's write to the store.
-constexpr duration forward_timeout = std::chrono::milliseconds(1000);
+// Another entry writes within milliseconds unless the store is away there too.
+// Less the answer's margin, 600 ms hold its first try (250 ms), the pause (40)
+// and a second one. A store that needs longer than that second one would have
+// answered the second try here, which had 500 ms. With the tries here (250 + 40
+// + 500) a caller learns of a silent store 1.4 s after it asked.
+constexpr duration forward_timeout = std::chrono::milliseconds(850);
 constexpr duration probe_every = std::chrono::milliseconds(250);
 constexpr duration probe_timeout = std::chrono::milliseconds(600);
 constexpr int good_status = 200;
