Red test: a run is given up while a guard without a look extends its lease

Seen, in a unit test of the real run_keeper and scheduler_core with an executor of a slow clock: a holder takes over, a guard is started again, its looks are carried out and lose their answers. At 10.5 s the holder gives the run up ("its guard has not come to this holder") and starts it elsewhere, while the permits of its own answers keep it at work: two runs at once.

--- /dev/null
+++ b/tests/unit/certain_end_tests.cpp
@@ -0,0 +1,218 @@
+// A task runs again only once its run before is certainly over.
+//
+// Seen: two runs of one task at once on two executors, and a run that began
+// after another one of its task had ended as done. Before that, processes were
+// killed at one moment and back within 0.4 s, and answers were lost. Each way
+// by which a holder takes a run for over rests on an argument; each case below
+// names the one that had a gap.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+#include <springstair/guard.hpp>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr duration step_length = milliseconds(100);
+constexpr int steps_a_report = 5;
+constexpr double slow_clock = 0.98;
+
+// A guard and its executor beside a holder that is moved by hand.
+class guard_beside
+{
+public:
+    guard_beside(holder& at, const std::string& name) : at_(at), name_(name)
+    {
+        heartbeat();
+        report();
+        report();
+        act();
+        report();
+    }
+
+    void heartbeat()
+    {
+        keeper_.on_worker({.life = life(), .service = "s", .capacity = room},
+                          clock(), at_.now);
+    }
+
+    // The guard's process ends, and another one begins.
+    void restart()
+    {
+        keeper_ = run_keeper{};
+        incarnation_ += "i";
+        sequence_ = 0;
+    }
+
+    void report()
+    {
+        worker_report out = keeper_.report(at_.now);
+        out.guard = name_;
+        out.address = name_ + ":1";
+        out.incarnation = incarnation_;
+        out.sequence = ++sequence_;
+        keeper_.on_answer(at_.core.report(out, at_.now, at_.verified), out,
+                          at_.now, at_.now);
+    }
+
+    // The holder's order comes.
+    void hear_start(const std::string& task)
+    {
+        keeper_.on_orders(
+            {.epoch = at_.core.epoch(),
+             .life = life(),
+             .starts = {at_.started.at(task)},
+             .starts_until_ms = at_.core.workers().at(name_).starts_until_ms},
+            at_.now);
+    }
+
+    // The guard does what is due, and its executor hears it or not.
+    void act()
+    {
+        for (const keeper_action& one : keeper_.due(at_.now))
+        {
+            if (const auto* start = std::get_if<start_run>(&one))
+            {
+                carry_out(*start);
+            }
+            else if (const auto* look = std::get_if<look_at_worker>(&one))
+            {
+                carry_out(*look);
+            }
+        }
+    }
+
+    // All is well for some time.
+    void pass(duration length)
+    {
+        const time_point until = at_.now + length;
+        for (int count = 0; at_.now < until; ++count)
+        {
+            at_.turn(step_length);
+            act();
+            if (count % steps_a_report == 0)
+            {
+                heartbeat();
+                report();
+            }
+        }
+    }
+
+    [[nodiscard]] bool runs(const std::string& task) const
+    {
+        return running_.contains(task) && clock() < deadline_;
+    }
+
+    bool hears = true;   ///< the executor hears calls
+    bool answers = true; ///< its answers come back
+
+private:
+    [[nodiscard]] std::string life() const
+    {
+        return name_ + "-1";
+    }
+
+    [[nodiscard]] std::int64_t clock() const
+    {
+        return 1000 + static_cast<std::int64_t>(
+                          slow_clock * static_cast<double>(
+                                           to_milliseconds(at_.now - begun_)));
+    }
+
+    void carry_out(const start_run& what)
+    {
+        if (hears && what.deadline_ms > clock())
+        {
+            extend(what.deadline_ms);
+            running_[what.order.task] = what.order.run;
+        }
+        keeper_.on_started(what.order.task, what.order.run,
+                           hears && answers ? order_result::accepted
+                                            : order_result::unanswered,
+                           at_.now);
+    }
+
+    void carry_out(const look_at_worker& what)
+    {
+        if (hears && what.deadline_ms)
+        {
+            extend(*what.deadline_ms);
+        }
+        if (!hears || !answers)
+        {
+            keeper_.on_looked(life(), order_result::unanswered, std::nullopt,
+                              at_.now, at_.now);
+            return;
+        }
+        worker_look look{.clock_ms = clock()};
+        for (const auto& [task, run] : running_)
+        {
+            look.running.push_back({.task = task, .run = run});
+        }
+        keeper_.on_looked(life(), order_result::accepted, look, at_.now,
+                          at_.now);
+    }
+
+    void extend(std::int64_t deadline_ms)
+    {
+        if (clock() >= deadline_)
+        {
+            running_.clear(); // its lease had run out
+        }
+        deadline_ = std::max(deadline_, deadline_ms);
+    }
+
+    holder& at_;
+    std::string name_;
+    std::string incarnation_ = "i";
+    std::int64_t sequence_ = 0;
+    run_keeper keeper_;
+    time_point begun_ = at_.now;
+    std::int64_t deadline_ = 0;
+    std::map<std::string, std::int64_t> running_;
+};
+
+} // namespace
+
+// A new holder waits for a guard's first look at its executor, so long as
+// leases of the former holder may last. A guard that was started again reports
+// without a look, and got permits: with these its looks, which were carried
+// out and lost their answers, kept the run alive when the wait was over.
+TEST_CASE("a run is not given up while a guard without a look extends it")
+{
+    holder at;
+    guard_beside guard(at, "g1");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    REQUIRE(at.runs(task));
+    guard.hear_start(task);
+    guard.act();
+    guard.pass(seconds(1));
+    REQUIRE(guard.runs(task));
+    at.take_over();
+    guard.restart();
+    guard.answers = false;
+    const time_point until = at.now + seconds(12);
+    for (int count = 0; at.now < until; ++count)
+    {
+        at.turn(step_length);
+        if (count % steps_a_report == 0)
+        {
+            guard.heartbeat();
+            guard.report();
+            at.say("g2");
+        }
+        guard.act();
+        const bool runs_elsewhere = at.started.at(task).run > 1;
+        REQUIRE_FALSE((runs_elsewhere && guard.runs(task)));
+    }
+    CHECK(at.started.at(task).run == 2); // it is given up in time, all the same
+}
