Permits of a guard that has not looked end with the wait for it

What callers saw: two runs of one task at once on two executors. Cause: a successor waits 10 s for a guard's first look, since no permit of an earlier holder reaches further. A guard that was started again reports without a look and got permits of the new holder at once, which moved the end of its lease on and on; tick() gave the awaited runs up at 10.5 s all the same. Why it holds: until it has looked, a guard with awaited runs gets no permit that ends later than the wait: every permit that can extend a run that nobody has seen ends by then, whoever gave it. Withholding permits altogether until the look was ruled out: the first looks would extend nothing, half a second of the three for which a lease bridges a guard's restart. Waiting for the end of the guard's lease was ruled out: a guard that never looks would hold its runs up for ever.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -309,6 +309,8 @@
     worker_record& worker_of(const worker_report& from, time_point now);
     bool believes(worker_record& at, const worker_report& from,
                   report_answer& answer);
+    [[nodiscard]] duration permit_for(const worker_report& from, time_point now,
+                                      time_point verified) const;
     void note_ends(worker_record& at, const worker_report& from,
                    time_point now);
     void note_refusals(worker_record& at, const worker_report& from,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -29,8 +29,7 @@
     at.sequence = from.sequence;
     at.address = from.address;
     at.reported = now;
-    const duration left = verified + options_.office_reach - now;
-    const duration permit = std::clamp(left, duration{0}, options_.permit);
+    const duration permit = permit_for(from, now, verified);
     answer.permit_ms = to_milliseconds(permit);
     at.starts_until_ms =
         std::max(at.starts_until_ms, from.sent_ms + answer.permit_ms);
@@ -81,6 +80,19 @@
     return answer;
 }
 
+// For how long a guard may extend its worker's lease. One that has not looked
+// at its worker may extend runs that nobody has seen: not beyond the time for
+// which a new holder waits for them.
+duration scheduler_core::permit_for(const worker_report& from, time_point now,
+                                    time_point verified) const
+{
+    const bool is_awaited = !from.looked && awaited_.contains(from.guard);
+    const time_point reached =
+        is_awaited ? std::min(verified, office_since_) : verified;
+    return std::clamp(reached + options_.office_reach - now, duration{0},
+                      options_.permit);
+}
+
 // Whether a report is the newest word of a guard: a later one of the present
 // incarnation, or one of another that has repeated its admission.
 bool scheduler_core::believes(worker_record& at, const worker_report& from,
