Red test: an end beyond the 500 that an executor lists at once is missed

Seen, in a unit test of run_keeper: with 500 ends listed, a run that is neither among them nor running is dropped as acknowledged and ordered anew; stale or stopped, it is given back as refused although its end as done stands further on. The holder then starts the task elsewhere, after an end as done.

--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -216,3 +216,100 @@
     }
     CHECK(at.started.at(task).run == 2); // it is given up in time, all the same
 }
+
+namespace
+{
+
+constexpr std::size_t listed_at_once = 500;
+
+// A guard whose executor lists as many ends as it does at once.
+class busy_guard
+{
+public:
+    busy_guard()
+    {
+        keeper.on_worker({.life = "w1", .service = "s", .capacity = room}, 1000,
+                         now);
+        hear({});
+        looked(0);
+    }
+
+    void hear(guard_orders orders)
+    {
+        orders.epoch = 5;
+        orders.life = "w1";
+        report_answer answer{.holds = true, .permit_ms = 4000};
+        answer.orders = std::move(orders);
+        keeper.on_answer(answer, keeper.report(now), now, now);
+    }
+
+    // A second later the executor lists ends of other runs, and perhaps one
+    // more at last.
+    void looked(std::size_t others, const std::string& task = {})
+    {
+        now += seconds(1);
+        worker_look look{.clock_ms = 1000};
+        for (std::size_t number = 1; number <= others; ++number)
+        {
+            look.ended.push_back({.number = static_cast<std::int64_t>(number),
+                                  .task = "other",
+                                  .run = static_cast<std::int64_t>(number),
+                                  .how = run_end::done});
+        }
+        if (!task.empty())
+        {
+            look.ended.push_back(
+                {.number = static_cast<std::int64_t>(others) + 1,
+                 .task = task,
+                 .run = 1,
+                 .how = run_end::done});
+        }
+        keeper.on_looked("w1", order_result::accepted, look, now, now);
+    }
+
+    std::size_t starts_due()
+    {
+        const auto due = keeper.due(now);
+        return static_cast<std::size_t>(std::ranges::count_if(
+            due, [](const keeper_action& one)
+            { return std::holds_alternative<start_run>(one); }));
+    }
+
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper;
+};
+
+} // namespace
+
+// An executor lists 500 ends at a time. A run that stood neither there nor
+// among those that run was taken for one whose end is acknowledged, or for one
+// that never began, and given back: it had ended as done, further on.
+TEST_CASE("an end beyond those that are listed at once is not missed")
+{
+    const std::string task = "j.0.0.0";
+    busy_guard guard;
+    guard.hear({.starts = {{.task = task, .run = 1}}});
+    REQUIRE(guard.starts_due() == 1);
+    SUBCASE("it runs")
+    {
+        guard.keeper.on_started(task, 1, order_result::accepted, guard.now);
+    }
+    SUBCASE("a guard that was started again finds it over")
+    {
+        guard.keeper.on_started(task, 1, order_result::stale, guard.now);
+    }
+    SUBCASE("it is stopped")
+    {
+        guard.keeper.on_started(task, 1, order_result::accepted, guard.now);
+        guard.hear({.stops = {{.task = task, .run = 1}}});
+        guard.keeper.on_stopped(task, 1, order_result::accepted, guard.now);
+    }
+    guard.looked(listed_at_once);
+    CHECK(guard.keeper.report(guard.now).refused.empty());
+    // The holder misses it and orders it again; the guard knows it still.
+    guard.hear({.starts = {{.task = task, .run = 1}}});
+    CHECK(guard.starts_due() == 0);
+    guard.looked(listed_at_once - 2, task);
+    CHECK(guard.keeper.report(guard.now).refused.empty());
+    CHECK(guard.keeper.report(guard.now).starting.empty());
+}
