Red test: a start that its guard still holds is given up with a lease

Seen, in a unit test of the real run_keeper and scheduler_core: an executor falls silent, a start is ordered before that is noticed, and waits in the guard. The guard says that every lease has run out; the holder gives up all runs there and starts the task elsewhere. The executor comes back within the bound of the order, and the guard starts it: two runs at once.

--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -217,6 +217,45 @@
     CHECK(at.started.at(task).run == 2); // it is given up in time, all the same
 }
 
+// "Its lease has run out" was taken for all runs of a silent executor. An
+// order that its guard still held, because the executor was silent, began when
+// the executor was back.
+TEST_CASE("a start that may still begin is not over with a lease")
+{
+    holder at;
+    guard_beside guard(at, "g1");
+    guard.pass(seconds(4));
+    guard.hears = false;
+    for (int count = 0; count < 10; ++count)
+    {
+        at.turn(step_length);
+        guard.act();
+    }
+    guard.report(); // not known to be silent yet
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    REQUIRE(at.runs(task));
+    at.turn(milliseconds(200));
+    guard.hear_start(task);
+    const time_point until = at.now + seconds(12);
+    for (int count = 0; at.now < until && at.started.at(task).run == 1; ++count)
+    {
+        at.turn(step_length);
+        guard.act();
+        if (count % steps_a_report == 0)
+        {
+            guard.report();
+            at.say("g2");
+        }
+    }
+    CHECK(at.started.at(task).run == 2);
+    guard.hears = true;
+    guard.heartbeat();
+    guard.act();
+    CHECK_FALSE(guard.runs(task));
+}
+
 namespace
 {
 
