A lapsed lease ends what was seen at work, not starts that still wait

What callers saw: two runs of one task at once on two executors. Cause: "every lease has run out" says that nothing runs at an executor. The holder took it for all of its runs, also those whose start still waits in the guard for the executor to answer, valid until the permit of the report before its order has run out. Why it holds: a run that a report has shown was at work there, and an executor begins no run again that has lapsed. Whatever else was ordered is void by the guard's clock once the permit of the newest report before has run out; a guard gets no further permit for a worker that has lapsed, so the holder's lease_ends passes, and tick() gives the rest up then. A report without any permit extends nothing any more: it moved lease_ends on by the slack alone. Ruled out: dropping the guard's waiting starts when it says so; an order under way at that moment comes after it.

Before: the test red.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -309,6 +309,11 @@
     worker_record& worker_of(const worker_report& from, time_point now);
     bool believes(worker_record& at, const worker_report& from,
                   report_answer& answer);
+    [[nodiscard]] static bool lists_running(const worker_report& from,
+                                            const std::string& task,
+                                            std::int64_t run);
+    void extend_lease(worker_record& at, const worker_report& from,
+                      duration permit, time_point now) const;
     [[nodiscard]] duration permit_for(const worker_report& from, time_point now,
                                       time_point verified) const;
     void note_ends(worker_record& at, const worker_report& from,
@@ -360,7 +365,10 @@
                              const std::map<task_name, std::int64_t>& runs,
                              time_point now);
     void adopt_awaited(worker_record& at, time_point now);
-    void lose_worker(worker_record& at, const char* why, time_point now);
+    void lose_lapsed(worker_record& at, const worker_report& from,
+                     time_point now);
+    void lose_worker(worker_record& at, const std::set<task_name>& runs,
+                     const char* why, time_point now);
     void lose_runs(const std::set<task_name>& lost, const char* why,
                    time_point now);
     [[nodiscard]] static duration shown_at_work(const task_run& run);
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -327,7 +327,7 @@
     {
         if (now >= at.lease_ends && !at.held.empty())
         {
-            lose_worker(at, "its lease has surely run out", now);
+            lose_worker(at, at.held, "its lease has surely run out", now);
         }
     }
     const duration reach =
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -22,7 +22,7 @@
             from.former.end();
     const auto suspects =
         is_witnessed ? std::map<task_name, std::int64_t>{} : unproven_runs(at);
-    lose_worker(at, "its executor began another life", now);
+    lose_worker(at, at.held, "its executor began another life", now);
     suspect_unwitnessed(at, suspects, now);
     outbox_.erase(at.guard); // meant for the life before
     at.life_since = now;
@@ -106,16 +106,39 @@
     return gone > 1 && 2 * gone >= all;
 }
 
-void scheduler_core::lose_worker(worker_record& at, const char* why,
+// Every lease that a guard asked for has run out. What was seen at work there
+// is over. What was ordered and not seen may still wait in its guard for the
+// worker to answer: it is void only once the permit for it has run out, and a
+// guard gets none for a worker that has lapsed.
+void scheduler_core::lose_lapsed(worker_record& at, const worker_report& from,
                                  time_point now)
+{
+    std::set<task_name> seen;
+    for (const task_name& name : at.held)
+    {
+        const task_run& run = *job_of(name.job)->find(name.at)->run;
+        if (run.seen || lists_running(from, name.text(), run.number))
+        {
+            seen.insert(name);
+        }
+    }
+    if (!seen.empty())
+    {
+        lose_worker(at, seen, "it is silent and its lease has run out", now);
+    }
+}
+
+void scheduler_core::lose_worker(worker_record& at,
+                                 const std::set<task_name>& runs,
+                                 const char* why, time_point now)
 {
     note(event_id::worker_lost,
          {{"guard", at.guard},
           {"life", at.what.life},
-          {"runs", std::to_string(at.held.size())},
+          {"runs", std::to_string(runs.size())},
           {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
           {"why", why}});
-    lose_runs(std::set<task_name>(at.held), why, now);
+    lose_runs(std::set<task_name>(runs), why, now);
 }
 
 // Runs of an earlier holder: those of this incarnation are entered into the
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -29,21 +29,15 @@
     at.sequence = from.sequence;
     at.address = from.address;
     at.reported = now;
-    const duration permit = permit_for(from, now, verified);
-    answer.permit_ms = to_milliseconds(permit);
-    at.starts_until_ms =
-        std::max(at.starts_until_ms, from.sent_ms + answer.permit_ms);
-    at.clock_ahead_ms = from.sent_ms - to_milliseconds(now - time_point{});
-    const duration drifted =
-        from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
-    // What an earlier holder permitted may still be in force.
-    const duration before = std::chrono::milliseconds(from.lease_ms);
-    at.lease_ends =
-        std::max({at.lease_ends, now + drifted + options_.lease_slack,
-                  now + before + options_.lease_slack});
     // A life that its guard has not heard itself may be a former one.
-    if (!from.worker.life.empty() &&
-        (from.looked || from.worker.life == at.what.life))
+    const bool knows_life = !from.worker.life.empty() &&
+                            (from.looked || from.worker.life == at.what.life);
+    const bool has_lapsed = knows_life && from.lapsed;
+    const duration permit =
+        has_lapsed ? duration{0} : permit_for(from, now, verified);
+    answer.permit_ms = to_milliseconds(permit);
+    extend_lease(at, from, permit, now);
+    if (knows_life)
     {
         change_life(at, from, is_known_guard, now);
         at.what = from.worker;
@@ -53,11 +47,9 @@
     }
     at.answering = from.answering;
     at.paces = from.paces;
-    const bool lapsed =
-        from.lapsed && !at.held.empty() && from.worker.life == at.what.life;
-    if (lapsed)
+    if (has_lapsed)
     {
-        lose_worker(at, "it is silent and its lease has run out", now);
+        lose_lapsed(at, from, now);
     }
     else if (from.looked && from.worker.life == at.what.life)
     {
@@ -93,6 +85,24 @@
                       options_.permit);
 }
 
+void scheduler_core::extend_lease(worker_record& at, const worker_report& from,
+                                  duration permit, time_point now) const
+{
+    at.starts_until_ms =
+        std::max(at.starts_until_ms, from.sent_ms + to_milliseconds(permit));
+    at.clock_ahead_ms = from.sent_ms - to_milliseconds(now - time_point{});
+    const duration drifted =
+        from_seconds(to_seconds(permit) * (1 + options_.clock_drift));
+    // What an earlier holder permitted may still be in force.
+    const duration before = std::chrono::milliseconds(from.lease_ms);
+    const duration longest = std::max(drifted, before);
+    if (longest > duration{0})
+    {
+        at.lease_ends =
+            std::max(at.lease_ends, now + longest + options_.lease_slack);
+    }
+}
+
 // Whether a report is the newest word of a guard: a later one of the present
 // incarnation, or one of another that has repeated its admission.
 bool scheduler_core::believes(worker_record& at, const worker_report& from,
@@ -174,6 +184,13 @@
     }
 }
 
+bool scheduler_core::lists_running(const worker_report& from,
+                                   const std::string& task, std::int64_t run)
+{
+    return std::ranges::any_of(from.running, [&](const running_task& row)
+                               { return row.task == task && row.run == run; });
+}
+
 void scheduler_core::note_refusals(worker_record& at, const worker_report& from,
                                    time_point now)
 {
