Red test: a run that its guard gives back and lists is taken for over

Seen, in a unit test of scheduler_core: a report gives a run back and shows the same run at work, or another copy of its order kept; the task is placed again. A guard that was started again says so: its start leaves before its first look, the executor refuses that copy, and the look shows the first one.

--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -256,6 +256,38 @@
     CHECK_FALSE(guard.runs(task));
 }
 
+// A guard that was started again sends a start that its former process had
+// sent. The executor refuses that copy, the first one runs, and the guard's
+// next look shows it: the run was given back and listed in one report.
+TEST_CASE("a run that is given back and there all the same is not over")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    REQUIRE(at.runs(task));
+    worker_report& report = at.worker("g1");
+    report.refused = {{.task = task, .run = 1, .reason = "no_room"}};
+    SUBCASE("it runs")
+    {
+        report.running = {{.task = task, .run = 1}};
+    }
+    SUBCASE("another copy of its order has come")
+    {
+        report.running.clear();
+        report.starting = {task};
+    }
+    at.say("g1");
+    at.say("g2");
+    for (int count = 0; count < 5; ++count)
+    {
+        at.turn(step_length);
+    }
+    CHECK(at.started.at(task).run == 1);
+    CHECK(at.core.figures().refused == 0);
+}
+
 namespace
 {
 
