A run that is given back is not over if the same report shows it

What callers saw: two runs of one task at once on two executors. Cause: a refusal stands for "it never begins here", by the guard that says so. A guard whose former process had sent the start knows only of its own copy, and the holder believed the refusal beside a list that shows the run. Why it holds: of the two statements the executor's list is the one that cannot be out of date; the run stays the present one, and the guard, which forgets the refusal with the answer, is told of the run again. It covers reports that list what runs. That the guard gives nothing back that may be there is the guard's own part, and not mended here.

Before: both subcases red.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -312,6 +312,8 @@
     [[nodiscard]] static bool lists_running(const worker_report& from,
                                             const std::string& task,
                                             std::int64_t run);
+    [[nodiscard]] static bool is_there(const worker_report& from,
+                                       const refused_run& refusal);
     void extend_lease(worker_record& at, const worker_report& from,
                       duration permit, time_point now) const;
     [[nodiscard]] duration permit_for(const worker_report& from, time_point now,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -191,6 +191,16 @@
                                { return row.task == task && row.run == run; });
 }
 
+// Whether a report that gives a run back shows that it is there all the same:
+// it runs, or another copy of its order is kept. Then it may go on or begin.
+bool scheduler_core::is_there(const worker_report& from,
+                              const refused_run& refusal)
+{
+    return lists_running(from, refusal.task, refusal.run) ||
+           std::ranges::find(from.starting, refusal.task) !=
+               from.starting.end();
+}
+
 void scheduler_core::note_refusals(worker_record& at, const worker_report& from,
                                    time_point now)
 {
@@ -202,7 +212,7 @@
         const bool current =
             task != nullptr && task->run && task->run->number == refusal.run &&
             task->run->guard == at.guard && task->run->life == at.what.life;
-        if (!current)
+        if (!current || is_there(from, refusal))
         {
             continue;
         }
