Red test: a start that nobody waits for is not stopped before it begins

Seen, in a unit test of scheduler_core: a guard reports that it is about to start a task whose run it had given back, since a copy of the order came later; the answer renews its permit and says nothing of that start.

--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -288,6 +288,27 @@
     CHECK(at.core.figures().refused == 0);
 }
 
+// A copy of an order that came after its run was given back was asked for
+// until the executor took it; only then was the holder told, and stopped it.
+TEST_CASE("a start that nobody waits for is stopped before it begins")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    const std::string task = what.id + ".0.0.0";
+    at.turn();
+    REQUIRE(at.runs(task));
+    worker_report& report = at.worker("g1");
+    report.running.clear();
+    report.refused = {{.task = task, .run = 1, .reason = "no_room"}};
+    at.say("g1");
+    report.refused.clear();
+    report.starting = {task};
+    const guard_orders orders = at.say("g1").orders;
+    const std::vector<stop_order> stops{{.task = task, .run = 1}};
+    CHECK(orders.stops == stops);
+}
+
 namespace
 {
 
