Starts that a guard keeps for nobody are stopped before they begin

What callers saw: a run that began after its task had run elsewhere, and was ordered to stop then. Cause: the holder compared what runs with its book, not what is about to start. Why it holds: the stop travels with the answer that renews the permit, and is taken before anything is due; it names the newest run of the task, and so covers every earlier one. A copy that comes later still, within the bound of starts, is not covered: a guard that remembers what it gave back has to refuse it.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -326,6 +326,8 @@
                       guard_orders& out, time_point now);
     void note_unwanted(const worker_record& at, const running_task& row,
                        const job_task* task);
+    void stop_unwanted(const worker_record& at, const worker_report& from,
+                       guard_orders& out);
     void note_progress(worker_record& at, task_run& run, const job_step& step,
                        const running_task& row, time_point now);
     void repeat_missing(worker_record& at, const worker_report& from,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -58,6 +58,7 @@
         if (from.whole)
         {
             note_running(at, from, answer.orders, now);
+            stop_unwanted(at, from, answer.orders);
             learn_harm(at, from, now);
             answer.harms = harms_at(at);
             repeat_missing(at, from, answer.orders, now);
@@ -291,6 +292,30 @@
     note(event_id::run_unwanted, std::move(fields));
 }
 
+// A copy of an order can come after its run was given back. The guard hears of
+// it with the answer, before its worker takes it. The number covers every run
+// that the task has had: none of them may begin there any more.
+void scheduler_core::stop_unwanted(const worker_record& at,
+                                   const worker_report& from, guard_orders& out)
+{
+    for (const std::string& text : from.starting)
+    {
+        const auto name = task_name::parse(text);
+        job_record* const of = name ? job_of(name->job) : nullptr;
+        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
+        if (task == nullptr)
+        {
+            continue; // it is stopped once it is seen
+        }
+        const bool is_present = task->run && task->run->guard == at.guard &&
+                                task->run->life == at.what.life;
+        if (!is_present)
+        {
+            out.stops.push_back({.task = text, .run = task->runs});
+        }
+    }
+}
+
 // A run that stands still is stopped, and the task runs elsewhere.
 void scheduler_core::note_progress(worker_record& at, task_run& run,
                                    const job_step& step,
