Red test: starts are bounded by the clock of a guard's former boot

Seen, in a unit test of scheduler_core: a guard's VM boots anew, its clock begins at 0, and orders to it stay valid for as long as the VM had been up.

--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -309,6 +309,24 @@
     CHECK(orders.stops == stops);
 }
 
+// Starts are void from a time on the clock of the guard's VM. After a new boot
+// of the VM, which begins that clock anew, the bound of the boot before stood
+// for as long as the VM had been up.
+TEST_CASE("a new boot of a guard's VM bounds starts by its own clock")
+{
+    holder at;
+    worker_report& report = at.worker("g1");
+    report.sent_ms = 5'000'000;
+    at.say("g1");
+    const std::int64_t since_boot_ms = 1000;
+    report.incarnation += "i";
+    report.worker.life += "i";
+    report.sent_ms = since_boot_ms;
+    const report_answer answer = at.say("g1");
+    REQUIRE(answer.permit_ms > 0);
+    CHECK(answer.orders.starts_until_ms <= since_boot_ms + answer.permit_ms);
+}
+
 namespace
 {
 
