A guard's new incarnation begins its bound of starts anew

What callers saw: nothing yet; by reading. An order that a cut holds back past its holder's waits must be void when the cut heals. Cause: starts are void from a time on the clock of the guard's VM, kept as the greatest of all reports; a clock that begins anew never reaches it. Processes that are started again on a VM that stays up keep its clock: this is no cause of the incident as recorded. Why it holds: the bound is renewed with each believed report, and that of an incarnation before concerns orders that were sent to it.

Before: the test red.

--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -25,6 +25,10 @@
         return answer;
     }
     const bool is_known_guard = at.incarnation == from.incarnation;
+    if (!is_known_guard)
+    {
+        at.starts_until_ms = 0; // its VM may have booted: its clock began anew
+    }
     at.incarnation = from.incarnation;
     at.sequence = from.sequence;
     at.address = from.address;
