One type holds the reasons for which a run is over

close_run took a bare end, so each of its callers held its own argument for why the run cannot go on, some of them in no more than the text of a log line. It takes a run_over now, which only named constructors make; each states what makes it certain, and the log's reason stands with it. Nothing checks the evidence itself: that would need the worker, its report and the time in each.

Whether a run that a worker tells of is its task's newest was asked in four places with the same lines; known() and is_present() serve all.

--- /dev/null
+++ b/packages/scheduler/include/springstair/detail/scheduler/run_over.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <springstair/jobs.hpp>
+
+#include <string>
+#include <utility>
+
+namespace springstair
+{
+
+/// @brief The certainty that a run is over, or never begins.
+///
+/// A task whose run is closed may run again, and an end that is not of its
+/// present run is acknowledged without a look. So a run is closed on certainty
+/// alone, and these are all the ways to have it. That a report is believed and
+/// speaks of the run's own guard and life is asked before.
+class run_over
+{
+public:
+    /// @brief Its worker lists its end. A worker begins no run that is not
+    /// above one that has ended there.
+    static run_over listed(const ended_task& end)
+    {
+        return {end.how, end.checkpoint, {}};
+    }
+    /// @brief Its guard gives it back: the worker did not begin it, and was
+    /// told to stop whatever copy of the start may be under way. Not so if the
+    /// same report shows the run, or another copy of its order.
+    static run_over given_back()
+    {
+        return {run_end::refused, {}, {}};
+    }
+    /// @brief A guard has looked at another life of its executor: what ran in
+    /// the life before died with it, and starts name the life that is meant.
+    static run_over life_ended()
+    {
+        return {run_end::lost, {}, "its executor began another life"};
+    }
+    /// @brief The same for a run that an earlier holder placed.
+    static run_over former_life_ended()
+    {
+        return {run_end::lost,
+                {},
+                "placed by another holder, its executor is gone"};
+    }
+    /// @brief A guard says that every lease it asked for has run out. It holds
+    /// for runs that were seen at work only: an order that was not carried out
+    /// yet may wait in the guard.
+    static run_over lapsed()
+    {
+        return {run_end::lost, {}, "it is silent and its lease has run out"};
+    }
+    /// @brief The last permit for its worker has run out, with a slow clock and
+    /// delays: leases, and starts of all orders, end with it.
+    static run_over permits_ended()
+    {
+        return {run_end::lost, {}, "its lease has surely run out"};
+    }
+    /// @brief The permits of earlier holders have run out, and this one has
+    /// given none beyond them: its guard has not looked at its worker since.
+    static run_over not_heard_of()
+    {
+        return {run_end::lost, {}, "its guard has not come to this holder"};
+    }
+
+    [[nodiscard]] run_end how() const noexcept
+    {
+        return how_;
+    }
+    /// @brief What was saved at its end; empty if nothing was.
+    [[nodiscard]] const std::string& checkpoint() const noexcept
+    {
+        return checkpoint_;
+    }
+    /// @brief Why a run is lost, for the log.
+    [[nodiscard]] const std::string& why() const noexcept
+    {
+        return why_;
+    }
+
+    bool operator==(const run_over&) const = default;
+
+private:
+    run_over(run_end how, std::string checkpoint, std::string why)
+        : how_(how), checkpoint_(std::move(checkpoint)), why_(std::move(why))
+    {
+    }
+
+    run_end how_;
+    std::string checkpoint_;
+    std::string why_;
+};
+
+} // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -7,6 +7,7 @@
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/run_over.hpp>
 #include <springstair/detail/scheduler/service_account.hpp>
 #include <springstair/detail/scheduler/ticket_book.hpp>
 #include <springstair/detail/scheduler/vain_queries.hpp>
@@ -372,8 +373,8 @@
     void lose_lapsed(worker_record& at, const worker_report& from,
                      time_point now);
     void lose_worker(worker_record& at, const std::set<task_name>& runs,
-                     const char* why, time_point now);
-    void lose_runs(const std::set<task_name>& lost, const char* why,
+                     const run_over& over, time_point now);
+    void lose_runs(const std::set<task_name>& lost, const run_over& over,
                    time_point now);
     [[nodiscard]] static duration shown_at_work(const task_run& run);
     void judge_crashes(worker_record& at, const worker_report& from,
@@ -388,8 +389,8 @@
                         const task_name& name);
 
     // Ends (scheduler_ends.cpp).
-    void close_run(job_record& of, job_task& task, run_end how,
-                   const std::string& checkpoint, time_point now);
+    void close_run(job_record& of, job_task& task, const run_over& over,
+                   time_point now);
     void close_gang(job_record& of, const task_position& at, run_end how,
                     time_point now);
     void count_failure(job_record& of, job_task& task, const task_run& run,
@@ -411,6 +412,15 @@
     void note(event_id id, std::vector<event_field> fields);
 
     job_record* job_of(const std::string& id);
+    // A task by its name, as guards write it; nulls if there is none.
+    struct known_task
+    {
+        job_record* of = nullptr;
+        job_task* task = nullptr;
+    };
+    known_task known(const std::string& name);
+    [[nodiscard]] static bool is_present(const job_task* task, std::int64_t run,
+                                         const worker_record& at);
 
     scheduler_options options_;
     queue_table table_;
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/run_over.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
 #include <springstair/detail/scheduler/service_account.hpp>
 #include <springstair/detail/scheduler/sibling_figures.hpp>
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -124,6 +124,21 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+scheduler_core::known_task scheduler_core::known(const std::string& name)
+{
+    const auto parsed = task_name::parse(name);
+    job_record* const of = parsed ? job_of(parsed->job) : nullptr;
+    return {.of = of, .task = of == nullptr ? nullptr : of->find(parsed->at)};
+}
+
+// Whether a run that a worker tells of is the newest of its task.
+bool scheduler_core::is_present(const job_task* task, std::int64_t run,
+                                const worker_record& at)
+{
+    return task != nullptr && task->run && task->run->number == run &&
+           task->run->guard == at.guard && task->run->life == at.what.life;
+}
+
 const job_record* scheduler_core::find(const std::string& id) const
 {
     const auto found = jobs_.find(id);
@@ -327,7 +342,7 @@
     {
         if (now >= at.lease_ends && !at.held.empty())
         {
-            lose_worker(at, at.held, "its lease has surely run out", now);
+            lose_worker(at, at.held, run_over::permits_ended(), now);
         }
     }
     const duration reach =
@@ -338,7 +353,7 @@
     {
         for (const auto& [guard, tasks] : std::exchange(awaited_, {}))
         {
-            lose_runs(tasks, "its guard has not come to this holder", now);
+            lose_runs(tasks, run_over::not_heard_of(), now);
         }
     }
     place_if_due(now, day_ms);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -34,9 +34,10 @@
 
 } // namespace
 
-void scheduler_core::close_run(job_record& of, job_task& task, run_end how,
-                               const std::string& checkpoint, time_point now)
+void scheduler_core::close_run(job_record& of, job_task& task,
+                               const run_over& over, time_point now)
 {
+    const run_end how = over.how();
     const task_run run = *task.run;
     const task_position where = of.position_of(task);
     const job_step& step = of.step_at(where);
@@ -49,9 +50,9 @@
     task.run.reset();
     task.ready_since = now;
     ++of.change;
-    if (!checkpoint.empty())
+    if (!over.checkpoint().empty())
     {
-        task.checkpoint = checkpoint;
+        task.checkpoint = over.checkpoint();
     }
     if (how == run_end::done)
     {
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -22,7 +22,7 @@
             from.former.end();
     const auto suspects =
         is_witnessed ? std::map<task_name, std::int64_t>{} : unproven_runs(at);
-    lose_worker(at, at.held, "its executor began another life", now);
+    lose_worker(at, at.held, run_over::life_ended(), now);
     suspect_unwitnessed(at, suspects, now);
     outbox_.erase(at.guard); // meant for the life before
     at.life_since = now;
@@ -124,21 +124,21 @@
     }
     if (!seen.empty())
     {
-        lose_worker(at, seen, "it is silent and its lease has run out", now);
+        lose_worker(at, seen, run_over::lapsed(), now);
     }
 }
 
 void scheduler_core::lose_worker(worker_record& at,
                                  const std::set<task_name>& runs,
-                                 const char* why, time_point now)
+                                 const run_over& over, time_point now)
 {
     note(event_id::worker_lost,
          {{"guard", at.guard},
           {"life", at.what.life},
           {"runs", std::to_string(runs.size())},
           {"report_age_ms", std::to_string(to_milliseconds(now - at.reported))},
-          {"why", why}});
-    lose_runs(std::set<task_name>(runs), why, now);
+          {"why", over.why()}});
+    lose_runs(std::set<task_name>(runs), over, now);
 }
 
 // Runs of an earlier holder: those of this incarnation are entered into the
@@ -168,7 +168,7 @@
         task.run->stopping = is_final(of.state());
         reserve(at, of.step_at(name.at), name);
     }
-    lose_runs(lost, "placed by another holder, its executor is gone", now);
+    lose_runs(lost, run_over::former_life_ended(), now);
 }
 
 duration scheduler_core::shown_at_work(const task_run& run)
@@ -176,8 +176,8 @@
     return run.seen ? run.last_seen - run.ordered_at : duration{0};
 }
 
-void scheduler_core::lose_runs(const std::set<task_name>& lost, const char* why,
-                               time_point now)
+void scheduler_core::lose_runs(const std::set<task_name>& lost,
+                               const run_over& over, time_point now)
 {
     for (const task_name& name : lost)
     {
@@ -189,10 +189,10 @@
               {"run", std::to_string(run.number)},
               {"guard", run.guard},
               {"life", run.life},
-              {"why", why},
+              {"why", over.why()},
               {"shown_ms", std::to_string(to_milliseconds(shown_at_work(run)))},
               {"beside", std::to_string(lost.size() - 1)}});
-        close_run(of, task, run_end::lost, {}, now);
+        close_run(of, task, over, now);
     }
 }
 
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -161,12 +161,8 @@
             continue;
         }
         at.noted = end.number;
-        const auto name = task_name::parse(end.task);
-        job_record* const of = name ? job_of(name->job) : nullptr;
-        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
-        const bool current =
-            task != nullptr && task->run && task->run->number == end.run &&
-            task->run->guard == at.guard && task->run->life == at.what.life;
+        const auto [of, task] = known(end.task);
+        const bool current = is_present(task, end.run, at);
         note(event_id::run_ended, {{"task", end.task},
                                    {"run", std::to_string(end.run)},
                                    {"guard", at.guard},
@@ -174,7 +170,7 @@
                                    {"current", current ? "yes" : "no"}});
         if (current)
         {
-            close_run(*of, *task, end.how, end.checkpoint, now);
+            close_run(*of, *task, run_over::listed(end), now);
         }
         if (of != nullptr)
         {
@@ -211,12 +207,8 @@
 {
     for (const refused_run& refusal : from.refused)
     {
-        const auto name = task_name::parse(refusal.task);
-        job_record* const of = name ? job_of(name->job) : nullptr;
-        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
-        const bool current =
-            task != nullptr && task->run && task->run->number == refusal.run &&
-            task->run->guard == at.guard && task->run->life == at.what.life;
+        const auto [of, task] = known(refusal.task);
+        const bool current = is_present(task, refusal.run, at);
         if (!current || is_there(from, refusal))
         {
             continue;
@@ -229,10 +221,11 @@
                                      {"reason", refusal.reason}});
         if (refusal.reason == no_ticket_reason)
         {
-            advice_.refused(step_group(name->job, name->at), at.what.life);
+            advice_.refused(step_group(of->what().id, of->position_of(*task)),
+                            at.what.life);
         }
         task->not_before = now + options_.refused_pause;
-        close_run(*of, *task, run_end::refused, {}, now);
+        close_run(*of, *task, run_over::given_back(), now);
     }
 }
 
@@ -241,28 +234,25 @@
 {
     for (const running_task& row : from.running)
     {
-        const auto name = task_name::parse(row.task);
-        job_record* const of = name ? job_of(name->job) : nullptr;
-        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
-        const bool current =
-            task != nullptr && task->run && task->run->number == row.run &&
-            task->run->guard == at.guard && task->run->life == at.what.life;
+        const auto [of, task] = known(row.task);
+        const bool current = is_present(task, row.run, at);
         if (!current)
         {
             out.stops.push_back({.task = row.task, .run = row.run});
             note_unwanted(at, row, task);
             continue;
         }
+        const task_position where = of->position_of(*task);
         of->begun = true;
         if (!row.checkpoint.empty())
         {
             task->checkpoint = row.checkpoint;
         }
-        note_progress(at, *task->run, of->step_at(name->at), row, now);
+        note_progress(at, *task->run, of->step_at(where), row, now);
         task->run->last_seen =
             std::max(task->run->last_seen,
                      now - std::chrono::milliseconds(from.lists_age_ms));
-        note_soundness(at, *task, *name);
+        note_soundness(at, *task, {of->what().id, where});
         const bool undescribed =
             std::find(from.unknown.begin(), from.unknown.end(), row.task) !=
             from.unknown.end();
@@ -302,20 +292,18 @@
 void scheduler_core::stop_unwanted(const worker_record& at,
                                    const worker_report& from, guard_orders& out)
 {
-    for (const std::string& text : from.starting)
+    for (const std::string& name : from.starting)
     {
-        const auto name = task_name::parse(text);
-        job_record* const of = name ? job_of(name->job) : nullptr;
-        job_task* const task = of == nullptr ? nullptr : of->find(name->at);
+        const job_task* const task = known(name).task;
         if (task == nullptr)
         {
             continue; // it is stopped once it is seen
         }
-        const bool is_present = task->run && task->run->guard == at.guard &&
-                                task->run->life == at.what.life;
-        if (!is_present)
+        const bool is_awaited =
+            task->run && is_present(task, task->run->number, at);
+        if (!is_awaited)
         {
-            out.stops.push_back({.task = text, .run = task->runs});
+            out.stops.push_back({.task = name, .run = task->runs});
         }
     }
 }
