--- a/tests/unit/job_world_guards.cpp
+++ b/tests/unit/job_world_guards.cpp
@@ -38,9 +38,9 @@
 void job_world::begin_guard(std::size_t index)
 {
     guard_process& guard = guards_[index];
-    guard.keeper = std::make_shared<run_keeper>(
-        run_keeper_options{.stop_time = milliseconds(200)});
     guard.incarnation = std::to_string(++revision_);
+    guard.keeper = std::make_shared<run_keeper>(
+        run_keeper_options{.stop_time = milliseconds(200)}, guard.incarnation);
     guard.began = now_;
     guard.sequence = 0;
     guard.reporting = false;
