Soak: options of many seeds, the story of each order, a table at the end

The story tells of each start and stop that came to an executor which guard process sent it (by the connection), and what it was answered; a TWICE breach names the run and call it stands beside. Starts of processes are in it too.

HARNESS breaches under Python 3.11.7: tasks of connections that are cancelled when the loop closes raised in a callback of asyncio's streams. They end quietly now; other exceptions still count.

--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -14,8 +14,9 @@
 
 
 class Run:
-    def __init__(self, number, checkpoint, traits, now):
+    def __init__(self, number, call, checkpoint, traits, now):
         self.number = number
+        self.call = call  # that began it, as the story names it
         self.checkpoint = checkpoint
         self.traits = traits
         self.began = now
@@ -35,6 +36,8 @@
         self.down = False
         self.late_share = 0.0
         self.is_late = False  # the order at hand was held up here
+        self.call = ""  # the order at hand, as the story names it
+        self.senders = {}  # port of a connection: the process that opened it
         self.fails_all = False
         self.still = False
         self.begin_life()
@@ -123,12 +126,14 @@
         if self.down:
             raise Silence
         life = headers.get("target-executor", self.life)
+        call = self.note_call(path, headers, document)
         if self.draw.random() < self.late_share:
+            self.note(call, "answer lost: silence; carried out late")
             asyncio.get_running_loop().call_later(
-                self.draw.uniform(1, 5), self.carry_out_late, path, life,
+                self.draw.uniform(1, 5), self.carry_out_late, call, path, life,
                 document)
             raise Silence
-        status, answer = self.carry_out(path, life, document)
+        status, answer = self.carry_out(call, path, life, document)
         if path.endswith("/hold") and status == 200:
             await self.wait_for_end(document)
             if self.down or life != self.life:
@@ -136,13 +141,31 @@
             answer = self.lists()
         return status, answer | {"clock_ms": self.clock_ms()}
 
-    def carry_out_late(self, path, life, order):
+    def note_call(self, path, headers, order):
+        """The name of a call to start or stop in the story; others have none."""
+        what = path.removeprefix("/springstair/")
+        if what not in ("run-start", "run-stop"):
+            return ""
+        sender = self.senders.get(headers["peer-port"], "?")
+        return self.record.called(self, what, order, sender)
+
+    def note(self, call, *words):
+        if call:
+            self.record.note(call, *words)
+
+    def carry_out_late(self, call, path, life, order):
         """No bound of time holds for what the executor itself holds up."""
         self.is_late = True
-        self.carry_out(path, life, order)
+        self.carry_out(call, path, life, order)
         self.is_late = False
 
-    def carry_out(self, path, life, order):
+    def carry_out(self, call, path, life, order):
+        self.call = call
+        status, answer = self.decide(path, life, order)
+        self.note(call, status, *answer.values())
+        return status, answer
+
+    def decide(self, path, life, order):
         if self.down or life != self.life:
             return 421, {}
         if order.get("fencing_token", 0) < self.fence:
@@ -178,10 +201,10 @@
             return 409, {"reason": "old"}
         if not self.advice.admits(self.record, self.life, order):
             return 409, {"reason": "ticket"}
-        traits = self.record.starts(self, task, number, order)
+        traits = self.record.starts(self, task, number, order, self.call)
         self.extend(order)
-        self.runs[task] = Run(number, order.get("checkpoint", ""), traits,
-                              time.monotonic())
+        self.runs[task] = Run(number, self.call, order.get("checkpoint", ""),
+                              traits, time.monotonic())
         return 200, {}
 
     def stop_run(self, task, number):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,19 +16,22 @@
         self.fleet = fleet
         self.record = record
         self.draw = draw
-        # Drawn for themselves: seeds keep their meaning.
+        self.kinds = self.kinds_of(only)
+        for kind in self.kinds:
+            record.played[kind.__name__] += 0  # told also if never played
+
+    def kinds_of(self, only):
+        """Some are drawn for themselves: seeds keep their meaning."""
         if only == "silent links":
-            self.kinds = [self.hush, self.hush, self.hush_all, self.hold_back]
-            return
+            return [self.hush, self.hush, self.hush_all, self.hold_back]
         if only == "closures":
-            self.kinds = [self.close]
-            return
-        self.kinds = [self.kill, self.kill, self.pause, self.stop, self.roll,
-                      self.delay, self.reset, self.silence, self.half_cut,
-                      self.store_away, self.store_slow, self.store_loses,
-                      self.store_late, self.store_forgets, self.store_revokes,
-                      self.worker_crash, self.worker_late, self.worker_fails,
-                      self.worker_still, self.configure, self.kill_all]
+            return [self.close]
+        return [self.kill, self.kill, self.pause, self.stop, self.roll,
+                self.delay, self.reset, self.silence, self.half_cut,
+                self.store_away, self.store_slow, self.store_loses,
+                self.store_late, self.store_forgets, self.store_revokes,
+                self.worker_crash, self.worker_late, self.worker_fails,
+                self.worker_still, self.configure, self.kill_all]
 
     async def run(self, seconds, gap_s):
         loop = asyncio.get_running_loop()
@@ -38,6 +41,7 @@
             await asyncio.sleep(self.draw.expovariate(1 / gap_s))
             kind = self.draw.choice(self.kinds)
             length = self.draw.uniform(0.3, 5)
+            self.record.played[kind.__name__] += 1
             running.append(asyncio.create_task(kind(length)))
         for one in running:
             one.cancel()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -64,6 +64,7 @@
         with open(self.path, "w", encoding="utf-8") as out:
             json.dump(settings, out)
         self.child = None
+        self.lives = 0
         self.ended_by_us = False
         self.paused = False
         self.own_exits = 0
@@ -72,11 +73,16 @@
 
     def start(self):
         self.ended_by_us = False
+        self.lives += 1
         with open(self.log, "a", encoding="utf-8") as out:
             self.child = subprocess.Popen(
                 [PROGRAM, "--settings", self.path],
                 stdout=out, stderr=out)
 
+    def life(self):
+        """Tells one run of the program from the next."""
+        return f"{self.name}#{self.lives}"
+
     def runs(self):
         return self.child is not None and self.child.poll() is None
 
@@ -100,12 +106,14 @@
         self.child.send_signal(which)
 
     def revive(self):
-        """Starts it again if it has ended; counts ends of its own."""
+        """Starts it again if it has ended; counts ends of its own. Tells
+        whether it did."""
         if self.runs():
-            return
+            return False
         if self.child is not None and not self.ended_by_us:
             self.own_exits += 1
         self.start()
+        return True
 
     def end(self):
         if self.runs():
@@ -172,7 +180,10 @@
                          "executor": f"{seen}:{EXECUTOR}"}
             await self.add_executor(number, own, seen)
         process = Process(name, settings, self.directory)
+        if name in self.guards:
+            self.links[-1].sender = process.life
         process.start()
+        self.record.note("started", process.life(), process.child.pid)
         self.processes.append(process)
 
     async def add_executor(self, number, own, seen):
@@ -180,7 +191,9 @@
                        self.record, f"{own}:{HEARTBEATS}", CAPACITY,
                        self.advice)
         await one.start(self.ip(2, number), EXECUTOR)
-        await self.link(f"executor {number}", one.address, seen, EXECUTOR)
+        link = await self.link(f"executor {number}", one.address, seen,
+                               EXECUTOR)
+        one.senders = link.senders
         one.address = f"{seen}:{EXECUTOR}"  # as its heartbeats say
         self.executors.append(one)
 
@@ -188,6 +201,7 @@
         one = Link(name, target)
         await one.start(address, port)
         self.links.append(one)
+        return one
 
     def configure(self):
         """A newer configuration: the operator's own write to the store."""
@@ -212,7 +226,8 @@
 
     def revive(self, one):
         try:
-            one.revive()
+            if one.revive():
+                self.record.note("started", one.life(), one.child.pid)
         except OSError as error:
             self.record.breach("HARNESS", one.name, "does not start:", error)
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -5,9 +5,11 @@
 
 
 class Link:
-    def __init__(self, name, target):
+    def __init__(self, name, target, sender=lambda: "?"):
         self.name = name
         self.target = target
+        self.sender = sender  # tells who connects now
+        self.senders = {}  # our port towards the target: who connected
         self.delay_s = 0.0
         self.silent_in = False  # nothing reaches the target
         self.silent_out = False  # no answer comes back
@@ -27,6 +29,8 @@
             writer.transport.abort()
             return
         pair = (writer, far_writer)
+        port = far_writer.get_extra_info("sockname")[1]
+        self.senders[port] = self.sender()
         self.open.add(pair)
         try:
             await asyncio.gather(
@@ -34,6 +38,8 @@
                 self.pump(pair, far_reader, writer, lambda: self.silent_out))
         except (OSError, ConnectionError):
             pass
+        except asyncio.CancelledError:
+            pass  # the soak is over; its loop ends what is left
         finally:
             self.open.discard(pair)
             self.hushed.discard(pair)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -1,6 +1,7 @@
 """What callers and executors saw, checked against the promises. A breach is
 kept with its moment; the soak fails if there is any."""
 
+import collections
 import time
 
 CANCEL_S = 3.0  # after a cancellation nothing starts any more
@@ -54,8 +55,10 @@
         self.closed = {}  # zone: when it was closed
         self.held = {}  # guard or link: when it last was held up or healed
         self.start_count = 0
+        self.call_count = 0
+        self.played = collections.Counter()  # faults by kind
         self.breaches = []
-        self.story = []
+        self.story = [f"     began at {time.time():.3f} (s since 1970)"]
 
     def note(self, *words):
         stamp = time.monotonic() - self.began
@@ -76,15 +79,23 @@
 
     # -- executors ---------------------------------------------------------------
 
+    def called(self, executor, what, order, sender):
+        """An order to start or to stop came; gives the call's name."""
+        self.call_count += 1
+        call = f"call {self.call_count}"
+        self.note(call, "came:", what, order["task"], order["run"],
+                  executor.life, "from", sender)
+        return call
+
     def starts_as(self, task):
         ident, _, step, _ = task.split(".")
         job = self.jobs.get(ident)
         return job, (job.steps[int(step)] if job else None)
 
-    def starts(self, executor, task, number, order):
+    def starts(self, executor, task, number, order, call):
         """A run begins. Gives what it is to do."""
         self.start_count += 1
-        self.note("start", task, number, executor.life)
+        self.note("start", task, number, executor.life, "by", call)
         job, step = self.starts_as(task)
         if job is None or job.spec != order["spec"]:
             self.breach("UNASKED", task, "was not submitted so")
@@ -100,7 +111,8 @@
                 if task.endswith(".0") else None}
 
     def check_start(self, executor, job, step, task):
-        others = [one.life for one in self.live.get(task, [])]
+        others = [f"{one.life} as run {one.runs[task].number} by "
+                  f"{one.runs[task].call}" for one in self.live.get(task, [])]
         if others:
             self.breach("TWICE", task, "runs already at", others)
         if task in self.seen_done:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,8 @@
 
 import argparse
 import asyncio
+import collections
+import json
 import os
 import random
 import shutil
@@ -79,6 +81,7 @@
             for one in fleet.processes))
     finally:
         fleet.end()
+    record.takeovers = fleet.store.takeovers
     return record
 
 
@@ -105,11 +108,42 @@
         print("   ", one, flush=True)
 
 
+def figures_of(record):
+    """What the table of many seeds sums up."""
+    return {"breaches": collections.Counter(
+                one.partition(":")[0] for one in record.breaches),
+            "counts": {"starts": record.start_count,
+                       "takeovers": record.takeovers,
+                       "accepted jobs": sum(job.accepted is not None
+                                            for job in record.jobs.values())},
+            "faults": record.played}
+
+
+def tell_table(directory):
+    """The sums over all seeds, by kind; what stands at 0 never happened."""
+    sums = {}
+    seeds = os.listdir(directory)
+    for name in seeds:
+        with open(os.path.join(directory, name), encoding="utf-8") as text:
+            for group, counts in json.load(text).items():
+                sums.setdefault(group, collections.Counter()).update(counts)
+    print("seeds with figures:", len(seeds))
+    for group, counts in sums.items():
+        print(f"{group}:", ", ".join(
+            f"{name} {count}" for name, count in sorted(counts.items()))
+            or "none")
+    never = [name for name, count in sums.get("faults", {}).items() if not count]
+    print("faults never played:", ", ".join(sorted(never)) or "none")
+
+
 def play_one(options):
     directory = options.keep or tempfile.mkdtemp(prefix="springstair-soak-")
     os.makedirs(directory, exist_ok=True)
     record = asyncio.run(play(options.seed, options, directory))
     tell(options.seed, record, directory)
+    if options.figures:
+        with open(options.figures, "w", encoding="utf-8") as out:
+            json.dump(figures_of(record), out)
     if record.breaches:
         print("    logs:", directory, flush=True)
         return 1
@@ -118,23 +152,36 @@
     return 0
 
 
+def line_of(options, seed, figures):
+    """The command that plays one seed of many as all are to be played."""
+    line = [sys.executable, __file__, "--seed", str(seed),
+            "--figures", os.path.join(figures, f"{seed}.json")]
+    for name in ("seconds", "rate", "gap", "entries", "guards"):
+        line += [f"--{name}", str(getattr(options, name))]
+    if options.keep:
+        line += ["--keep", os.path.join(options.keep, f"seed-{seed}")]
+    return line
+
+
 def play_many(options):
     """Each seed in a process of its own, a few side by side; all of one
     copy of the program, so that a build meanwhile changes nothing."""
     copies = tempfile.mkdtemp(prefix="springstair-program-")
     os.environ["SPRINGSTAIR_PROGRAM"] = shutil.copy2(PROGRAM, copies)
+    figures = tempfile.mkdtemp(prefix="springstair-figures-")
     waiting = list(range(options.first, options.first + options.seeds))
     running, failed = [], []
     while waiting or running:
         while waiting and len(running) < options.jobs:
             seed = waiting.pop(0)
-            line = [sys.executable, __file__, "--seed", str(seed),
-                    "--seconds", str(options.seconds)]
-            running.append((seed, subprocess.Popen(line)))
+            running.append((seed, subprocess.Popen(
+                line_of(options, seed, figures))))
         seed, child = running.pop(0)
         if child.wait():
             failed.append(seed)
     shutil.rmtree(copies)
+    tell_table(figures)
+    shutil.rmtree(figures)
     print(f"{options.seeds - len(failed)} passed, {len(failed)} failed",
           failed or "")
     return 1 if failed else 0
@@ -151,7 +198,9 @@
     parser.add_argument("--gap", type=float, default=1.2)
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--guards", type=int, default=5)
-    parser.add_argument("--keep", help="directory for logs and the story")
+    parser.add_argument("--keep", help="directory for logs and the story; "
+                        "of many seeds, one in it for each")
+    parser.add_argument("--figures", help="file for one seed's counts")
     options = parser.parse_args()
     return play_many(options) if options.seeds else play_one(options)
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -27,6 +27,7 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.calls = 0
+        self.takeovers = 0  # times an entry became the holder
 
     async def start(self, address, port):
         self.server = await serve(address, port, self.handle)
@@ -46,6 +47,7 @@
         self.revision += 1
         for put in puts:
             key = put["tls_key"]
+            self.takeovers += key == "springstair/holder"
             old = self.items.get(key)
             item = {"tls_key": key, "value": put["value"],
                     "revision": self.revision,
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -28,12 +28,15 @@
 
 async def serve(address, port, handler):
     """Serves @handler(method, path, query, headers, document), which gives a
-    status and a document, or raises Silence or Reset."""
+    status and a document, or raises Silence or Reset. Beside the headers
+    that were sent, `peer-port` tells the connection."""
 
     async def connection(reader, writer):
+        peer_port = writer.get_extra_info("peername")[1]
         try:
             while True:
                 first, headers, body = await read_message(reader)
+                headers["peer-port"] = peer_port
                 method, target, _ = first.split(" ", 2)
                 parts = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(parts.query))
@@ -52,6 +55,8 @@
             writer.transport.abort()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        except asyncio.CancelledError:
+            pass  # the soak is over; its loop ends what is left
         finally:
             writer.close()
 
