Soak: processes lost together while executors are in trouble

New kinds, drawn for themselves so that seeds keep their meaning: all guards, all processes, or all but one killed at one moment and back at once, once or twice 7 to 25 s apart; before it calls wait unread at executors or lose their answers, after it calls are refused as busy, wait or are answered slowly. Orders are held up in their connections; connections of orders, reports and calls end after the request has passed. Half of the seeds play executors that reject what does not fit.

Why the check of TWICE never fired: an executor answered every call that it got, refused none as busy or for room, and no call waited beyond the end of its sender; all processes died together in one of twenty-one faults.

--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -5,12 +5,14 @@
 import asyncio
 import time
 
-from wire import Connection, Silence, serve
+from wire import Connection, Reset, Silence, serve
 
 HEARTBEAT_S = 1.0
 TICK_S = 0.02
 LONGEST_HOLD_MS = 6000
 STOP_S = 0.1
+UNREAD_S = (0.1, 2.0)  # a start's own limit is 2 s
+SLOW_S = (0.3, 2.0)
 
 
 class Run:
@@ -24,7 +26,8 @@
 
 
 class Executor:
-    def __init__(self, name, zone, draw, record, guard, capacity, advice):
+    def __init__(self, name, zone, draw, record, guard, capacity, advice,
+                 enforces):
         self.name = name
         self.zone = zone
         self.draw = draw
@@ -32,12 +35,17 @@
         self.guard = Connection(guard)
         self.capacity = capacity
         self.advice = advice
+        self.enforces = enforces  # rejects what does not fit
         self.lives = 0
         self.down = False
         self.late_share = 0.0
         self.is_late = False  # the order at hand was held up here
         self.call = ""  # the order at hand, as the story names it
         self.senders = {}  # port of a connection: the process that opened it
+        self.unread_share = 0.0  # of calls that wait before they are read
+        self.lost_share = 0.0  # of calls that are carried out, unanswered
+        self.busy_share = 0.0  # of calls that are refused, whatever runs
+        self.slow_share = 0.0  # of calls that are answered slowly
         self.fails_all = False
         self.still = False
         self.begin_life()
@@ -133,14 +141,47 @@
                 self.draw.uniform(1, 5), self.carry_out_late, call, path, life,
                 document)
             raise Silence
-        status, answer = self.carry_out(call, path, life, document)
+        await self.leave_unread(call)
+        status, answer = self.answer(call, path, life, document)
+        if self.happens(self.slow_share):
+            await asyncio.sleep(self.draw.uniform(*SLOW_S))
         if path.endswith("/hold") and status == 200:
             await self.wait_for_end(document)
             if self.down or life != self.life:
                 raise Silence
             answer = self.lists()
+        self.lose_answer(call)
         return status, answer | {"clock_ms": self.clock_ms()}
 
+    def happens(self, share):
+        return share > 0 and self.draw.random() < share
+
+    async def leave_unread(self, call):
+        """The call waits in its socket, whether or not its sender lives; calls
+        on other connections are answered meanwhile."""
+        if not self.happens(self.unread_share):
+            return
+        self.note(call, "waits unread")
+        await asyncio.sleep(self.draw.uniform(*UNREAD_S))
+        self.note(call, "is read")
+        if self.down:
+            raise Silence
+
+    def answer(self, call, path, life, order):
+        """What the call is answered; a busy executor does nothing for it."""
+        if self.happens(self.busy_share):
+            status = self.draw.choice((429, 503))
+            self.note(call, status, "busy")
+            self.record.refused[f"{status}"] += 1
+            return status, {}
+        return self.carry_out(call, path, life, order)
+
+    def lose_answer(self, call):
+        if self.happens(self.lost_share):
+            how = self.draw.choice((Silence, Reset))
+            self.note(call, "answer lost:", how.__name__)
+            raise how
+
     def note_call(self, path, headers, order):
         """The name of a call to start or stop in the story; others have none."""
         what = path.removeprefix("/springstair/")
@@ -163,6 +204,9 @@
         self.call = call
         status, answer = self.decide(path, life, order)
         self.note(call, status, *answer.values())
+        if call and status != 200:
+            self.record.refused[" ".join(map(str, (status, *answer.values())))
+                                ] += 1
         return status, answer
 
     def decide(self, path, life, order):
@@ -201,6 +245,9 @@
             return 409, {"reason": "old"}
         if not self.advice.admits(self.record, self.life, order):
             return 409, {"reason": "ticket"}
+        if self.enforces and self.record.lacks(self, task):
+            self.extend(order)
+            return 409, {"reason": "room"}
         traits = self.record.starts(self, task, number, order, self.call)
         self.extend(order)
         self.runs[task] = Run(number, self.call, order.get("checkpoint", ""),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -124,10 +124,12 @@
 
 
 class Fleet:
-    def __init__(self, draw, record, directory, entries=3, guards=5):
+    def __init__(self, draw, record, directory, entries=3, guards=5,
+                 enforces=False):
         self.draw = draw
         self.record = record
         self.directory = directory
+        self.enforces = enforces  # whether executors reject what does not fit
         number = os.getpid()
         self.network = f"127.{20 + number // 250 % 200}.{1 + number % 250}"
         self.store = Store(draw)
@@ -189,7 +191,7 @@
     async def add_executor(self, number, own, seen):
         one = Executor(f"x{number}", ZONES[number % len(ZONES)], self.draw,
                        self.record, f"{own}:{HEARTBEATS}", CAPACITY,
-                       self.advice)
+                       self.advice, self.enforces)
         await one.start(self.ip(2, number), EXECUTOR)
         link = await self.link(f"executor {number}", one.address, seen,
                                EXECUTOR)
@@ -213,7 +215,7 @@
         routes[1]["advice"] = {"decide_ms": 20, "each_ms": 2,
                                "valid_ms": VALID_MS}
         document = {"version": self.version, "routes": routes,
-                    "services": [{"name": "s", "enforces_capacity": False}]}
+                    "services": [{"name": "s", "enforces_capacity": self.enforces}]}
         self.store.configure(document)
 
     async def keep(self):
@@ -245,7 +247,8 @@
             store.open(zone)
             del self.record.closed[zone]
         for one in self.executors:
-            one.late_share = 0.0
+            one.late_share = one.unread_share = one.lost_share = 0.0
+            one.busy_share = one.slow_share = 0.0
             one.fails_all = one.still = False
 
     def connection(self, number):
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -3,6 +3,8 @@
 
 import asyncio
 
+PASSES_S = 0.02  # a request of one segment is at its target by then
+ANSWERED_S = 1.0  # ... and was carried out
 
 class Link:
     def __init__(self, name, target, sender=lambda: "?"):
@@ -16,6 +18,8 @@
         self.open = set()
         self.hushed = set()  # connections that say nothing any more
         self.held = set()  # connections whose bytes wait until it heals
+        self.held_in = set()  # ... of which only requests wait
+        self.cuts_left = 0  # requests that pass and then lose their connection
 
     async def start(self, address, port):
         self.server = await asyncio.start_server(self.connect, address, port)
@@ -34,7 +38,8 @@
         self.open.add(pair)
         try:
             await asyncio.gather(
-                self.pump(pair, reader, far_writer, lambda: self.silent_in),
+                self.pump(pair, reader, far_writer, lambda: self.silent_in
+                          or pair in self.held_in, inward=True),
                 self.pump(pair, far_reader, writer, lambda: self.silent_out))
         except (OSError, ConnectionError):
             pass
@@ -44,10 +49,11 @@
             self.open.discard(pair)
             self.hushed.discard(pair)
             self.held.discard(pair)
+            self.held_in.discard(pair)
             for one in pair:
                 one.transport.abort()
 
-    async def pump(self, pair, reader, writer, silent):
+    async def pump(self, pair, reader, writer, silent, inward=False):
         while data := await reader.read(65536):
             if pair in self.hushed:
                 continue
@@ -57,9 +63,22 @@
                 await asyncio.sleep(0.05)  # held up until it heals
             writer.write(data)
             await writer.drain()
+            if inward and self.cuts_left > 0:
+                await self.cut(pair)
         if pair not in self.hushed:
             writer.write_eof()
 
+    async def cut(self, pair):
+        """Ends a connection for its client, once its request has passed; the
+        target never learns that nobody hears the answer."""
+        self.cuts_left -= 1
+        self.hushed.add(pair)
+        client, target = pair
+        await asyncio.sleep(PASSES_S)
+        client.transport.abort()
+        await asyncio.sleep(ANSWERED_S)
+        target.transport.abort()
+
     def hush(self):
         """What is open now stays open and says nothing more, also after the
         link heals; new connections work."""
@@ -75,7 +94,13 @@
         beyond their sender's end; new ones work."""
         self.held |= self.open
 
+    def hold_requests(self):
+        """As hold, while answers pass."""
+        self.held_in |= self.open
+
     def heal(self):
         self.held.clear()
+        self.held_in.clear()
+        self.cuts_left = 0
         self.delay_s = 0.0
         self.silent_in = self.silent_out = False
--- /dev/null
+++ b/tests/soak/outages.py
@@ -0,0 +1,113 @@
+"""Outages: many processes die at one moment and are back at once, while calls
+to executors wait unread, lose their answers or are refused; and orders that
+come late or twice. Each trouble also comes by itself."""
+
+import asyncio
+import signal
+
+from faults import Faults
+
+TROUBLE_BEFORE_S = (0.1, 1.0)  # of executors, before processes die
+TROUBLE_AFTER_S = (0.3, 3.0)
+BETWEEN_OUTAGES_S = (7, 25)
+SHARES = (0.0, 0.3, 0.8)  # of calls that a trouble meets
+MOST_CUTS = 3
+
+
+class Outages(Faults):
+    def kinds_of(self, _only):
+        return [self.lose_guards, self.lose_all, self.lose_all_but_one,
+                self.lose_all_twice, self.unread, self.lose_answers, self.busy,
+                self.slow, self.hold_orders, self.cut_orders, self.cut_calls,
+                self.cut_reports]
+
+    # -- executors in trouble ------------------------------------------------
+
+    async def on_workers(self, length, **shares):
+        """For all executors at once, as on a machine that is short of time."""
+        self.record.disturb("all executors", shares, f"{length:.1f} s")
+        for one in self.fleet.executors:
+            for name, value in shares.items():
+                setattr(one, name, value)
+        await asyncio.sleep(length)
+        self.record.disturb("all executors heal", *shares)
+        for one in self.fleet.executors:
+            for name in shares:
+                setattr(one, name, 0.0)
+
+    async def unread(self, length):
+        await self.on_workers(length, unread_share=0.3)
+
+    async def lose_answers(self, length):
+        await self.on_workers(length, lost_share=0.3)
+
+    async def busy(self, length):
+        await self.on_workers(length, busy_share=0.4)
+
+    async def slow(self, length):
+        await self.on_workers(length, slow_share=0.4)
+
+    # -- losses of many processes --------------------------------------------
+
+    async def lose(self, what, processes):
+        share = self.draw.choice
+        await self.on_workers(
+            self.draw.uniform(*TROUBLE_BEFORE_S), unread_share=share(SHARES),
+            lost_share=share(SHARES))
+        self.record.disturb("SIGKILL to", what)
+        for one in processes:
+            one.signal(signal.SIGKILL)
+        await self.on_workers(
+            self.draw.uniform(*TROUBLE_AFTER_S), busy_share=share(SHARES),
+            unread_share=share(SHARES), slow_share=share(SHARES))
+
+    async def lose_guards(self, _length):
+        await self.lose("all guards", [one for one in self.fleet.processes
+                                       if one.name in self.fleet.guards])
+
+    async def lose_all(self, _length):
+        await self.lose("all processes", self.fleet.processes)
+
+    async def lose_all_but_one(self, _length):
+        spared = self.victim()
+        await self.lose(f"all but {spared.name}",
+                        [one for one in self.fleet.processes
+                         if one is not spared])
+
+    async def lose_all_twice(self, length):
+        await self.lose_all(length)
+        await asyncio.sleep(self.draw.uniform(*BETWEEN_OUTAGES_S))
+        await self.lose_all(length)
+
+    # -- orders late or twice ------------------------------------------------
+
+    def links(self, start):
+        return [one for one in self.fleet.links if one.name.startswith(start)]
+
+    async def hold_orders(self, length):
+        """Orders wait in their connections, while new ones pass by."""
+        links = self.links("to guard")
+        self.record.disturb("orders wait", f"{length:.1f} s")
+        for link in links:
+            link.hold_requests()
+        await asyncio.sleep(length)
+        self.record.disturb("orders go on")
+        for link in links:
+            link.held_in.clear()
+
+    async def cut(self, start, length):
+        self.record.disturb("requests pass, their connections end:", start)
+        for link in self.links(start):
+            link.cuts_left = self.draw.randint(0, MOST_CUTS)
+        await asyncio.sleep(length)
+        for link in self.links(start):
+            link.cuts_left = 0
+
+    async def cut_orders(self, length):
+        await self.cut("to guard", length)
+
+    async def cut_calls(self, length):
+        await self.cut("executor", length)
+
+    async def cut_reports(self, length):
+        await self.cut("to entry", length)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -56,6 +56,7 @@
         self.held = {}  # guard or link: when it last was held up or healed
         self.start_count = 0
         self.call_count = 0
+        self.refused = collections.Counter()  # starts and stops, by answer
         self.played = collections.Counter()  # faults by kind
         self.breaches = []
         self.story = [f"     began at {time.time():.3f} (s since 1970)"]
@@ -130,7 +131,8 @@
         late = job.cancelled and time.monotonic() - job.cancelled > CANCEL_S
         if late and self.calm():
             self.breach("UNASKED", task, "was cancelled")
-        self.check_room(executor, step, task)
+        for what, amount in self.lacks(executor, task).items():
+            self.breach("LIMIT", executor.life, what, amount)
 
     def check_open(self, executor, task):
         now = time.monotonic()
@@ -149,15 +151,15 @@
         if crashes and self.starts_after[task] > STARTS_AFTER:
             self.breach("BUDGET", task, "has crashed", self.crashes[task])
 
-    def check_room(self, executor, step, task):
+    def lacks(self, executor, task):
+        """What an executor has too little of to run a task beside its own."""
         used = {"cpu": 0, "mem_mb": 0}
         for other in [*executor.runs, task]:
             _, of = self.starts_as(other)
             for what in used:
                 used[what] += of[what] if of else 0
-        for what, amount in used.items():
-            if amount > executor.capacity[what]:
-                self.breach("LIMIT", executor.life, what, amount)
+        return {what: amount for what, amount in used.items()
+                if amount > executor.capacity[what]}
 
     def gone(self, executor, task):
         here = self.live.get(task, [])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,11 +21,13 @@
 from callers import Caller  # noqa: E402
 from faults import Faults  # noqa: E402
 from fleet import PROGRAM, Fleet  # noqa: E402
+from outages import Outages  # noqa: E402
 from record import FINAL, Record  # noqa: E402
 
 READY_S = 20  # to a first accepted job; ends a fleet that does not come up
 SETTLE_S = 25  # after the last fault every job has ended; leases are 10 s
 SILENT_GAP_S = 4  # between connections that go silent, in the mean
+OUTAGES_GAP_S = 2.5  # between workers' troubles and losses of many processes
 CLOSURES_GAP_S = 3  # two zones are closed for about half of the time
 QUIET_S = 1.5  # what must not happen after the end gets this long to happen
 
@@ -44,7 +46,8 @@
     draw = random.Random(seed)
     record = Record()
     fleet = Fleet(random.Random(seed + 1), record, directory,
-                  options.entries, options.guards)
+                  options.entries, options.guards,
+                  enforces=random.Random(seed + 6).random() < 0.5)
     until = asyncio.Event()
     asyncio.get_running_loop().set_exception_handler(
         lambda _, context: record.breach("HARNESS",
@@ -61,7 +64,9 @@
             Faults(fleet, record, random.Random(seed + 3),
                    only="silent links").run(options.seconds, SILENT_GAP_S),
             Faults(fleet, record, random.Random(seed + 4),
-                   only="closures").run(options.seconds, CLOSURES_GAP_S))
+                   only="closures").run(options.seconds, CLOSURES_GAP_S),
+            Outages(fleet, record, random.Random(seed + 5)).run(
+                options.seconds, OUTAGES_GAP_S))
         fleet.calm()
         record.disturb("calm from here on")
         await settle(fleet, record, caller)
@@ -116,6 +121,7 @@
                        "takeovers": record.takeovers,
                        "accepted jobs": sum(job.accepted is not None
                                             for job in record.jobs.values())},
+            "starts and stops refused": record.refused,
             "faults": record.played}
 
 
