--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,11 +16,13 @@
 
 
 class Caller:
-    def __init__(self, fleet, record, draw, weights=WEIGHTS):
+    def __init__(self, fleet, record, draw, weights=WEIGHTS,
+                 crashing=CRASHING_SHARE):
         self.fleet = fleet
         self.record = record
         self.draw = draw
         self.weights = weights
+        self.crashing = crashing
         self.idle = [[] for _ in fleet.entries]
 
     async def call(self, method, job, document=None):
@@ -64,11 +66,10 @@
         self.record.jobs[job.ident] = job
         return job
 
-    @staticmethod
-    def let_crash(job):
+    def let_crash(self, job):
         """Some have a task that crashes each executor that starts it."""
         draw = random.Random(job.ident)
-        if draw.random() < CRASHING_SHARE:
+        if draw.random() < self.crashing:
             draw.choice(job.steps)["traits"]["crashes_after"] = draw.choice(
                 (0, draw.uniform(0, 0.3)))
 
--- a/tests/soak/outages.py
+++ b/tests/soak/outages.py
@@ -10,6 +10,8 @@
 TROUBLE_BEFORE_S = (0.1, 1.0)  # of executors, before processes die
 TROUBLE_AFTER_S = (0.3, 3.0)
 BETWEEN_OUTAGES_S = (7, 25)
+UNHEARD = 2  # executors
+UNHEARD_S = (4, 16)  # permits of a former holder end 10.5 s after its fall
 SHARES = (0.0, 0.3, 0.8)  # of calls that a trouble meets
 MOST_CUTS = 3
 
@@ -19,7 +21,7 @@
         return [self.lose_guards, self.lose_all, self.lose_all_but_one,
                 self.lose_all_twice, self.unread, self.lose_answers, self.busy,
                 self.slow, self.hold_orders, self.cut_orders, self.cut_calls,
-                self.cut_reports]
+                self.cut_reports, self.lose_and_refuse, self.lose_unlooked]
 
     # -- executors in trouble ------------------------------------------------
 
@@ -47,6 +49,10 @@
     async def slow(self, length):
         await self.on_workers(length, slow_share=0.4)
 
+    async def lose_and_refuse(self, length):
+        """A call that was carried out unanswered comes again and is refused."""
+        await self.on_workers(length, lost_share=0.4, busy_share=0.4)
+
     # -- losses of many processes --------------------------------------------
 
     async def lose(self, what, processes):
@@ -59,6 +65,7 @@
             one.signal(signal.SIGKILL)
         await self.on_workers(
             self.draw.uniform(*TROUBLE_AFTER_S), busy_share=share(SHARES),
+            lost_share=share(SHARES),
             unread_share=share(SHARES), slow_share=share(SHARES))
 
     async def lose_guards(self, _length):
@@ -79,6 +86,20 @@
         await asyncio.sleep(self.draw.uniform(*BETWEEN_OUTAGES_S))
         await self.lose_all(length)
 
+    async def lose_unlooked(self, length):
+        """Executors hear their guards and are not heard, but for their
+        heartbeats, across a loss of all processes."""
+        links = self.draw.sample(self.links("executor"), UNHEARD)
+        silent = self.draw.uniform(*UNHEARD_S)
+        for link in links:
+            self.record.disturb("silent_out", link.name, f"{silent:.1f} s")
+            link.silent_out = True
+        await self.lose_all(length)
+        await asyncio.sleep(silent)
+        for link in links:
+            self.record.disturb("heals", link.name)
+            link.heal()
+
     # -- orders late or twice ------------------------------------------------
 
     def links(self, start):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,7 +18,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from callers import WEIGHTS, Caller  # noqa: E402
+from callers import CRASHING_SHARE, WEIGHTS, Caller  # noqa: E402
 from faults import Faults  # noqa: E402
 from fleet import PROGRAM, Fleet  # noqa: E402
 from outages import Outages  # noqa: E402
@@ -31,8 +31,8 @@
 QUIET_S = 1.5  # what must not happen after the end gets this long to happen
 
 
-async def come_up(fleet, record, draw, weights):
-    caller = Caller(fleet, record, draw, weights)
+async def come_up(fleet, record, draw, options):
+    caller = Caller(fleet, record, draw, options.weights, options.crashing)
     for _ in range(READY_S * 4):
         if await caller.submit(caller.make_job()):
             return caller
@@ -54,7 +54,7 @@
                                          context.get("message")))
     try:
         await fleet.start()
-        caller = await come_up(fleet, record, draw, options.weights)
+        caller = await come_up(fleet, record, draw, options)
         load = asyncio.create_task(
             caller.run(options.seconds, options.rate, until))
         await asyncio.gather(
@@ -161,7 +161,8 @@
     """The command that plays one seed of many as all are to be played."""
     line = [sys.executable, __file__, "--seed", str(seed),
             "--figures", os.path.join(figures, f"{seed}.json")]
-    for name in ("seconds", "rate", "gap", "outage_gap", "entries", "guards"):
+    for name in ("seconds", "rate", "gap", "outage_gap", "entries", "guards",
+                 "crashing"):
         line += ["--" + name.replace("_", "-"), str(getattr(options, name))]
     line += ["--weights", *map(str, options.weights)]
     if options.keep:
@@ -207,6 +208,8 @@
     parser.add_argument("--guards", type=int, default=5)
     parser.add_argument("--weights", type=int, nargs=3, default=WEIGHTS,
                         help="of quick, heavy and lasting jobs")
+    parser.add_argument("--crashing", type=float, default=CRASHING_SHARE,
+                        help="share of jobs with a task that crashes executors")
     parser.add_argument("--keep", help="directory for logs and the story; "
                         "of many seeds, one in it for each")
     parser.add_argument("--figures", help="file for one seed's counts")
