--- a/tests/soak/outages.py
+++ b/tests/soak/outages.py
@@ -11,7 +11,7 @@
 TROUBLE_AFTER_S = (0.3, 3.0)
 BETWEEN_OUTAGES_S = (7, 25)
 UNHEARD = 2  # executors
-UNHEARD_S = (4, 16)  # permits of a former holder end 10.5 s after its fall
+UNHEARD_S = (8, 18)  # a holder waits 10.5 s for permits of the one before it
 SHARES = (0.0, 0.3, 0.8)  # of calls that a trouble meets
 MOST_CUTS = 3
 
@@ -21,7 +21,8 @@
         return [self.lose_guards, self.lose_all, self.lose_all_but_one,
                 self.lose_all_twice, self.unread, self.lose_answers, self.busy,
                 self.slow, self.hold_orders, self.cut_orders, self.cut_calls,
-                self.cut_reports, self.lose_and_refuse, self.lose_unlooked]
+                self.cut_reports, self.lose_and_refuse, self.lose_and_refuse,
+                self.lose_unlooked, self.lose_unlooked]
 
     # -- executors in trouble ------------------------------------------------
 
