--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -172,7 +172,7 @@
         if self.happens(self.busy_share):
             status = self.draw.choice((429, 503))
             self.note(call, status, "busy")
-            self.record.refused[f"{status}"] += 1
+            self.record.refused[f"{status} busy"] += bool(call)
             return status, {}
         return self.carry_out(call, path, life, order)
 
@@ -183,7 +183,7 @@
             raise how
 
     def note_call(self, path, headers, order):
-        """The name of a call to start or stop in the story; others have none."""
+        """The story's name of a call to start or stop; others have none."""
         what = path.removeprefix("/springstair/")
         if what not in ("run-start", "run-stop"):
             return ""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,7 +38,10 @@
         end = loop.time() + seconds
         running = []
         while loop.time() < end:
-            await asyncio.sleep(self.draw.expovariate(1 / gap_s))
+            gap = self.draw.expovariate(1 / gap_s)
+            await asyncio.sleep(min(gap, end - loop.time()))
+            if loop.time() >= end:
+                break
             kind = self.draw.choice(self.kinds)
             length = self.draw.uniform(0.3, 5)
             self.record.played[kind.__name__] += 1
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -215,7 +215,8 @@
         routes[1]["advice"] = {"decide_ms": 20, "each_ms": 2,
                                "valid_ms": VALID_MS}
         document = {"version": self.version, "routes": routes,
-                    "services": [{"name": "s", "enforces_capacity": self.enforces}]}
+                    "services": [{"name": "s",
+                                  "enforces_capacity": self.enforces}]}
         self.store.configure(document)
 
     async def keep(self):
--- a/tests/soak/outages.py
+++ b/tests/soak/outages.py
@@ -93,7 +93,8 @@
         links = self.draw.sample(self.links("executor"), UNHEARD)
         silent = self.draw.uniform(*UNHEARD_S)
         for link in links:
-            self.record.disturb("silent_out", link.name, f"{silent:.1f} s")
+            self.record.disturb("silent_out", link.name,
+                                f"until {silent:.1f} s after the loss")
             link.silent_out = True
         await self.lose_all(length)
         await asyncio.sleep(silent)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -137,7 +137,8 @@
         print(f"{group}:", ", ".join(
             f"{name} {count}" for name, count in sorted(counts.items()))
             or "none")
-    never = [name for name, count in sums.get("faults", {}).items() if not count]
+    faults = sums.get("faults", {})
+    never = [name for name, count in faults.items() if not count]
     print("faults never played:", ", ".join(sorted(never)) or "none")
 
 
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -55,12 +55,16 @@
             writer.transport.abort()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
-        except asyncio.CancelledError:
-            pass  # the soak is over; its loop ends what is left
         finally:
             writer.close()
 
-    return await asyncio.start_server(connection, address, port)
+    async def until_the_end(reader, writer):
+        try:
+            await connection(reader, writer)
+        except asyncio.CancelledError:
+            pass  # the soak is over; its loop ends what is left
+
+    return await asyncio.start_server(until_the_end, address, port)
 
 
 class Connection:
