Drills: a start that is carried out unanswered, or outlives its guard, runs once

The connection of a start that was carried out ends and the worker is busy for what comes next; a start waits unread for 1.9 s, its guard is killed at once, and the worker is busy for the next copy.

--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -16,14 +16,72 @@
 from callers import Caller  # noqa: E402
 from fleet import HOST, Fleet  # noqa: E402
 from record import Record  # noqa: E402
+from wire import Reset  # noqa: E402
 
 UP_S = 20  # ends a drill whose fleet does not come up
+WARM_TASKS = 12  # several at once on each of two executors
+SHORT_TASK_S = 0.2
 LONG_TASK_S = 3.0  # ends after the office has moved
 ARRIVES_S = 0.1  # a question is at the paused program by then
 BACK_S = 1.0  # the process is started again after 0.1 s; its lease ends at 2 s
+UNREAD_S = 1.9  # below the time limit of a start, 2 s
+BUSY_S = 3.0  # for what comes after a start
+UNREAD_S = 1.9  # below the time limit of a start, 2 s
+BUSY_S = 2.0  # the task runs for longer
 SOON_S = 1.6  # a caller that is given up on waits no longer for its answer
 
 
+class FirstStart:
+    """The first start that comes to any executor. Its call waits unread for
+    some time, is carried out and is not answered: its connection ends. In the
+    meantime, and for a while after, the executor refuses starts as busy."""
+
+    def __init__(self, fleet, unread_s=0.0):
+        self.unread_s = unread_s
+        self.call = ""
+        self.executor = None
+        self.busy_until = 0.0
+        for one in fleet.executors:
+            self.meet(one)
+
+    def meet(self, executor):
+        usual = executor.note_call
+
+        def note_call(path, headers, order):
+            call = usual(path, headers, order)
+            if path.endswith("/run-start") and self.executor is None:
+                self.call, self.executor = call, executor
+            return call
+
+        usual_answer = executor.answer
+
+        def answer(call, path, *order):
+            if self.refuses(executor, call) and path.endswith("/run-start"):
+                return 503, {}
+            return usual_answer(call, path, *order)
+
+        executor.note_call = note_call
+        executor.answer = answer
+        executor.leave_unread = self.leave_unread
+        executor.lose_answer = self.lose_answer
+
+    def refuses(self, executor, call):
+        return (executor is self.executor and call != self.call
+                and time.monotonic() < self.busy_until)
+
+    async def leave_unread(self, call):
+        if call and call == self.call:
+            self.busy_until = time.monotonic() + self.unread_s + BUSY_S
+            await asyncio.sleep(self.unread_s)
+
+    def lose_answer(self, call):
+        if call and call == self.call:
+            raise Reset
+
+    async def came(self):
+        return self.executor is not None
+
+
 class JobDrill(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.directory = tempfile.mkdtemp(prefix="springstair-drill-")
@@ -75,6 +133,44 @@
     async def shows(self, entry, job, state):
         return await self.ask(entry, job) == state
 
+    async def submit_tasks(self, count, seconds):
+        """A job of one step that nothing goes wrong in by itself."""
+        job = self.caller.make_job()
+        job.steps = [{"count": count, "cpu": 500, "mem_mb": 100,
+                      "traits": {"fails": False, "seconds": seconds}}]
+        job.queue = "quick"
+        self.assertTrue(await self.caller.submit(job))
+        return job
+
+    async def is_done(self, job):
+        await self.until("it is done",
+                         lambda: self.shows(0, job, "succeeded"))
+
+    async def runs_once(self, unread_s=0.0, then=lambda first: None):
+        """A task whose first start is carried out and not answered."""
+        # Guards keep connections to their executors from here on.
+        await self.is_done(await self.submit_tasks(WARM_TASKS, SHORT_TASK_S))
+        first = FirstStart(self.fleet, unread_s)
+        job = await self.submit_tasks(1, LONG_TASK_S)
+        await self.until("a start comes", first.came)
+        then(first)
+        await self.is_done(job)
+        await asyncio.sleep(1)
+        self.assertEqual(self.record.breaches, [])
+
+    async def test_a_start_whose_connection_ends_runs_once(self):
+        await self.runs_once()
+
+    async def test_a_start_that_outlives_its_guard_runs_once(self):
+
+        def kill_its_guard(first):
+            number = self.fleet.executors.index(first.executor)
+            guard = self.fleet.guards[number]
+            next(one for one in self.fleet.processes
+                 if one.name == guard).signal(signal.SIGKILL)
+
+        await self.runs_once(UNREAD_S, kill_its_guard)
+
     async def test_a_silent_store_is_told_soon(self):
         self.fleet.store.away = "silent"
         jobs = [self.caller.make_job() for _ in range(8)]
