Guard: orders for a former process of a guard begin nothing

What callers saw: as before, a run that began after its task had run elsewhere. Cause: what a guard gave back is remembered by its process; a second copy of the order that comes to the next process finds nothing. Mend: orders name the guard's process that is meant, and no other takes their starts; the holder repeats to the new process what it still counts on, as it does for any run that a report misses. Why it holds: a copy that is under way names a process that is gone, and the one that is named remembers. Ruled out: remembering given-back runs beyond the process (it has no store); a bound of time alone (the copy came 2 s late, within the permit).

--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -189,7 +189,8 @@
     }
     acknowledged_ = std::max(acknowledged_, orders.acknowledged);
     closed_ = orders.closed;
-    const bool are_void = is_void(orders.starts_until_ms, now);
+    const bool are_void = orders.incarnation != incarnation_ ||
+                          is_void(orders.starts_until_ms, now);
     for (const start_order& order : orders.starts)
     {
         if (are_void || was_given_back(order))
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -221,7 +221,11 @@
 struct guard_orders
 {
     std::int64_t epoch = 0;
-    std::string life; ///< the incarnation that is meant
+    std::string life; ///< the executor's incarnation that is meant
+    /// The guard's incarnation that is meant: no other takes the starts. A
+    /// copy that comes late may be of a run that the guard has given back, of
+    /// which its next process knows nothing.
+    std::string incarnation;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
     std::int64_t acknowledged = 0; ///< ends up to this number are kept
@@ -285,8 +289,9 @@
                                                 first_told)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
-                                                starts, stops, acknowledged,
-                                                starts_until_ms, closed)
+                                                incarnation, starts, stops,
+                                                acknowledged, starts_until_ms,
+                                                closed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pair_harm, serving, filling,
                                                 harm)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(report_answer, holds, holder,
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -252,6 +252,7 @@
         }
         orders.epoch = epoch_;
         orders.life = at->second.what.life;
+        orders.incarnation = at->second.incarnation;
         orders.acknowledged = at->second.acknowledged;
         orders.starts_until_ms = starts_until_ms(at->second);
         orders.closed = at->second.closed;
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -71,6 +71,7 @@
         leave_in_time(at, answer.orders, now);
     }
     answer.orders.life = at.what.life;
+    answer.orders.incarnation = at.incarnation;
     answer.orders.acknowledged = acknowledge(at);
     answer.orders.starts_until_ms = starts_until_ms(at);
     answer.orders.closed = at.closed;
--- a/tests/unit/certain_end_tests.cpp
+++ b/tests/unit/certain_end_tests.cpp
@@ -46,8 +46,8 @@
     // The guard's process ends, and another one begins.
     void restart()
     {
-        keeper_ = run_keeper{};
         incarnation_ += "i";
+        keeper_ = run_keeper({}, incarnation_);
         sequence_ = 0;
     }
 
@@ -68,6 +68,7 @@
         keeper_.on_orders(
             {.epoch = at_.core.epoch(),
              .life = life(),
+             .incarnation = incarnation_,
              .starts = {at_.started.at(task)},
              .starts_until_ms = at_.core.workers().at(name_).starts_until_ms},
             at_.now);
@@ -171,9 +172,9 @@
 
     holder& at_;
     std::string name_;
-    std::string incarnation_ = "i";
     std::int64_t sequence_ = 0;
-    run_keeper keeper_;
+    std::string incarnation_ = "i";
+    run_keeper keeper_{{}, incarnation_};
     time_point begun_ = at_.now;
     std::int64_t deadline_ = 0;
     std::map<std::string, std::int64_t> running_;
--- a/tests/unit/restarted_guard_tests.cpp
+++ b/tests/unit/restarted_guard_tests.cpp
@@ -18,6 +18,7 @@
 
 #include <springstair/guard.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -239,7 +240,9 @@
         worker_look look{.clock_ms = to_milliseconds(now - time_point{})};
         for (const auto& [task, run] : at.worker.running)
         {
-            look.running.push_back({.task = task, .run = run});
+            look.running.push_back({.task = task,
+                                    .run = run,
+                                    .percent = look.clock_ms / 100 % 100});
         }
         at.keeper->on_looked(what.life, order_result::accepted, look, now, now);
     }
@@ -355,3 +358,26 @@
     // A holder that still counts on the run hears again what became of it.
     CHECK(keeper.report(later).refused == told.refused);
 }
+
+TEST_CASE("an order for a former guard process begins nothing")
+{
+    const time_point now{std::chrono::hours(1)};
+    run_keeper keeper({}, "second");
+    keeper.on_worker({.life = "w1", .service = "s"}, 1000, now);
+    report_answer permit{.holds = true, .permit_ms = 4000};
+    permit.orders = {.epoch = 5, .life = "w1", .incarnation = "second"};
+    keeper.on_answer(permit, keeper.report(now), now, now);
+    guard_orders orders{.epoch = 5,
+                        .life = "w1",
+                        .incarnation = "first",
+                        .starts = {{.task = "j.0.0.0", .run = 1}},
+                        .stops = {{.task = "j.0.0.1", .run = 1}}};
+    keeper.on_orders(orders, now);
+    const auto due = keeper.due(now);
+    CHECK(std::ranges::none_of(
+        due, [](const keeper_action& one)
+        { return std::holds_alternative<start_run>(one); }));
+    CHECK(
+        std::ranges::any_of(due, [](const keeper_action& one)
+                            { return std::holds_alternative<stop_run>(one); }));
+}
