--- a/tests/unit/unasked_run_tests.cpp
+++ b/tests/unit/unasked_run_tests.cpp
@@ -116,3 +116,80 @@
     }
     keeper.on_stopped("ghost.0.0.0", 3, order_result::accepted, now);
 }
+
+namespace
+{
+
+// A guard that may start and has looked at its worker.
+struct permitted_guard
+{
+    permitted_guard()
+    {
+        keeper.on_worker({.life = "w1", .service = "s"}, 1000, now);
+        hear({});
+    }
+
+    void hear(guard_orders orders)
+    {
+        orders.epoch = 5;
+        orders.life = "w1";
+        report_answer answer{.holds = true, .permit_ms = 4000};
+        answer.orders = std::move(orders);
+        keeper.on_answer(answer, keeper.report(now), now, now);
+    }
+
+    void look_shows(std::vector<running_task> running)
+    {
+        keeper.on_looked(
+            "w1", order_result::accepted,
+            worker_look{.clock_ms = 1000, .running = std::move(running)}, now,
+            now);
+    }
+
+    std::set<std::int64_t> stops_due()
+    {
+        std::set<std::int64_t> runs;
+        for (const keeper_action& one : keeper.due(now))
+        {
+            if (const auto* const stop = std::get_if<stop_run>(&one))
+            {
+                runs.insert(stop->order.run);
+            }
+        }
+        return runs;
+    }
+
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper;
+};
+
+} // namespace
+
+// Seen in random worlds: a run that its holder had given up began, and went on
+// beside its successor although it was to be stopped. The stop named the newest
+// run of the task; the guard took that number for the run that it kept, heard
+// nothing of its own start any more, and never sent a stop.
+TEST_CASE("a stop for a newer run stops the one that the guard keeps")
+{
+    permitted_guard at;
+    at.hear({.starts = {{.task = "j.0.0.0", .run = 1}}});
+    at.keeper.due(at.now); // its call is open
+    at.hear({.stops = {{.task = "j.0.0.0", .run = 2}}});
+    at.keeper.on_started("j.0.0.0", 1, order_result::accepted, at.now);
+    CHECK(at.stops_due() == std::set<std::int64_t>{1});
+}
+
+// The same where the worker runs an older one beside the run that is kept.
+TEST_CASE("an older run beside the one that the guard keeps is stopped")
+{
+    permitted_guard at;
+    at.hear({.starts = {{.task = "j.0.0.0", .run = 3}}});
+    at.keeper.due(at.now);
+    at.keeper.on_started("j.0.0.0", 3, order_result::accepted, at.now);
+    at.look_shows(
+        {{.task = "j.0.0.0", .run = 1}, {.task = "j.0.0.0", .run = 3}});
+    at.hear({.stops = {{.task = "j.0.0.0", .run = 1}}});
+    CHECK(at.stops_due() == std::set<std::int64_t>{1});
+    // Run 3 goes on.
+    CHECK(at.stops_due().empty());
+}
