Guard: a stop reaches the run that its holder gave up, whatever its number

What callers saw: a run that began after its task had run elsewhere, and went on. Cause: a stop is sent with the newest number of the task. The guard put that number in the place of the kept run's, so the answer to the kept run's start was not recognised, its call stayed open for good, and no stop left; a stop for a run beside a newer kept one was passed over. Mend: a stop for a newer run stops the kept one under its own number; one for an older run that the worker shows is sent by itself. Why it holds: the holder repeats stops for whatever reports show, and the newer run's own stop once nothing older is kept.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -279,6 +279,8 @@
                     std::vector<keeper_action>& out);
     void act_on_worker(time_point now, std::vector<keeper_action>& out);
     void give_back_unstarted(time_point now);
+    void take_stop(const stop_order& order, time_point now);
+    void stop_beside(std::vector<keeper_action>& out);
     void tell_given_back(refused_run what, time_point now);
     [[nodiscard]] bool was_given_back(const start_order& order);
     void give_back(const std::vector<std::string>& tasks, const char* why,
@@ -319,6 +321,8 @@
     time_point next_look_{};
     std::vector<running_task> running_;
     std::vector<ended_task> ended_;
+    /// Of runs that the worker shows beside newer ones that are kept.
+    std::vector<stop_order> stops_beside_;
     std::vector<refused_run> refused_; ///< not told to a holder yet
     std::map<std::string, given_back_run> given_back_; ///< newest, by task
     interference interference_;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -76,6 +76,7 @@
     ended_.clear();
     refused_.clear();
     given_back_.clear();
+    stops_beside_.clear();
     looked_ = false;
     looked_at_ = now;
     look_open_ = false;
@@ -219,19 +220,48 @@
     }
     for (const stop_order& order : orders.stops)
     {
-        kept_run& kept = runs_[order.task];
-        if (order.run < kept.order.run || kept.at == stage::stopping ||
-            kept.at == stage::stopped)
+        take_stop(order, now);
+    }
+    return true;
+}
+
+// A stop for a newer run than the one that is kept stops that one: its holder
+// has given it up. Taken for the newer one, the answer to the kept one's start
+// was dropped for its number, its call stayed open for good, and it ran on.
+void run_keeper::take_stop(const stop_order& order, time_point now)
+{
+    const auto [found, is_new] = runs_.try_emplace(order.task);
+    kept_run& kept = found->second;
+    if (order.run < kept.order.run)
+    {
+        if (is_running(order.task, order.run))
         {
-            continue;
+            stops_beside_.push_back(order);
         }
+        return;
+    }
+    if (kept.at == stage::stopping || kept.at == stage::stopped)
+    {
+        return;
+    }
+    if (is_new)
+    {
         kept.order.task = order.task;
         kept.order.run = order.run;
-        kept.at = stage::stopping;
-        kept.refusal = "stopped";
-        kept.next_call = now;
     }
-    return true;
+    kept.at = stage::stopping;
+    kept.refusal = "stopped";
+    kept.next_call = now;
+}
+
+// The holder repeats these until the worker shows the run no more.
+void run_keeper::stop_beside(std::vector<keeper_action>& out)
+{
+    for (stop_order& order : std::exchange(stops_beside_, {}))
+    {
+        out.emplace_back(stop_run{
+            .order = std::move(order), .epoch = epoch_, .life = worker_.life});
+    }
 }
 
 void run_keeper::on_answer(const report_answer& answer,
@@ -287,6 +317,7 @@
                       return now - one.second.at > options_.remember_given_back;
                   });
     give_back_unstarted(now);
+    stop_beside(out);
     for (auto& [task, kept] : runs_)
     {
         act_on_run(task, kept, now, out);
