--- a/tests/unit/silent_channel_tests.cpp
+++ b/tests/unit/silent_channel_tests.cpp
@@ -308,6 +308,22 @@
     CHECK(server.requests() <= 1);
 }
 
+TEST_CASE("a call whose turn does not come ends although those before it go on")
+{
+    hushed_server server;
+    http_client client;
+    server.answer_after(milliseconds(4000));
+    http_call first = call_to(server);
+    first.most_open = 1;
+    first.timeout = milliseconds(3000);
+    http_call second = first;
+    second.timeout = milliseconds(100);
+    client.send(first, [](const http_result&) {});
+    const time_point sent = boot_clock::now();
+    CHECK(client.send_and_wait(second).how == delivery::not_sent);
+    CHECK(boot_clock::now() - sent < milliseconds(2000));
+}
+
 TEST_CASE("one dead connection is found out by its bytes, and takes the others")
 {
     hushed_server server({.receive_bytes = 4096});
