HTTP client: every call ends by its time, also one that waits or is lost

A write of the holder to the store neither ended nor timed out, while other calls to the store went on; the holder writes one batch at a time, so nothing was placed any more. The cause, in the client or the library, is not found. Found beside it, and red: a call that waits for its turn ended only with another one to its peer. Change: four times a second the client ends what is 0.5 s over its time limit, waiting or open, with a log line (connection_silent, whose waited_ms then exceeds the limit). It bounds the harm and will show the cause.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -33,6 +33,10 @@
 constexpr int events_a_turn = 64;
 constexpr std::size_t kept_handles = 256;
 constexpr long kept_connections = 512;
+// A call is left to the library for so long after its time limit.
+constexpr duration library_slack = std::chrono::milliseconds(500);
+// Between two looks for calls that are overdue; each looks at all open ones.
+constexpr duration overdue_look_every = std::chrono::milliseconds(250);
 
 int pending_error(int socket)
 {
@@ -56,6 +60,7 @@
     std::vector<CURL*> idle_handles;
     std::optional<time_point> timer; ///< when libcurl wants to be called
     connection_pool pool;            ///< of the client's thread
+    time_point next_overdue_look{};
     /// Calls that wait for their turn, by peer, in order.
     std::map<std::string, std::deque<std::unique_ptr<open_call>>> queued;
     std::atomic<std::int64_t> silent_connections = 0;
@@ -352,12 +357,48 @@
         }
     }
 
+    // Each call ends by its time, whatever becomes of those before it and
+    // whatever the library does: a write to the store that neither ended nor
+    // timed out once kept a holder from all further writes.
+    void end_overdue()
+    {
+        const time_point now = boot_clock::now();
+        if (now < next_overdue_look)
+        {
+            return;
+        }
+        next_overdue_look = now + overdue_look_every;
+        std::vector<CURL*> overdue;
+        for (const auto& [handle, call] : open)
+        {
+            if (now - call->since > call->call.timeout + library_slack)
+            {
+                overdue.push_back(handle);
+            }
+        }
+        for (CURL* handle : overdue)
+        {
+            note_silent(*open.at(handle), call_loss::unanswered);
+            finish(handle, open.at(handle)->result(CURLE_OPERATION_TIMEDOUT));
+        }
+        std::vector<std::string> peers;
+        for (const auto& [peer, calls] : queued)
+        {
+            peers.push_back(peer);
+        }
+        for (const std::string& peer : peers)
+        {
+            start_queued(peer);
+        }
+    }
+
     void run()
     {
         while (take_waiting())
         {
             turn();
             collect_ended();
+            end_overdue();
             connections = static_cast<std::int64_t>(pool.connections());
         }
         end_all();
