Test, red: the room of a run that was given back is used twice after a takeover

The next holder counts on both and repeats both starts: a worker that does not guard its room runs 5 for the room of 4 (rule LIMIT, not TWICE).

--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -98,6 +98,11 @@
 {
     CHECK(rc::check("busy",
                     [] { play_short({.busy = 500, .push_again = 30'000}); }));
+    CHECK(rc::check(
+        "to the guard's next process",
+        [] {
+            play_short({.busy = 500, .push_again = 30'000, .kill_guards = 60});
+        }));
 }
 
 // Users saw runs that began after an end as done was acknowledged. All
@@ -109,3 +114,25 @@
     CHECK(rc::check("all processes killed",
                     [] { play_short({.look_silent = 100, .kill_all = 60}); }));
 }
+
+// A worker that does not guard its room gets more than fits. Its guard gives a
+// run back; the holder places another in the room and writes that first; all
+// processes are killed before the closed run is written, and the next holder
+// counts on both, and repeats both starts.
+TEST_CASE("the room of a run that was given back is used once" *
+          doctest::may_fail())
+{
+    constexpr std::uint32_t seen_at = 2686216;
+    CHECK(rc::check("one world",
+                    []
+                    {
+                        job_world world(seen_at, {.call_held = 20'000,
+                                                  .busy = 300,
+                                                  .no_room = 10'000,
+                                                  .look_silent = 60,
+                                                  .push_again = 30'000,
+                                                  .kill_guards = 200,
+                                                  .kill_all = 60});
+                        play(world, short_length, short_calm);
+                    }));
+}
