--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -206,7 +206,7 @@
         if (order.run > kept.order.run)
         {
             kept = {.order = order,
-                    .in_doubt = order.first_told != incarnation_,
+                    .in_doubt = order.told_incarnation != incarnation_,
                     .next_call = now};
         }
         kept.start_until_ms =
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -203,7 +203,7 @@
     /// The incarnation of the guard that was told first. It knows each copy of
     /// the start that it has sent; any other has to count on one that it does
     /// not know of. Empty: an earlier holder told, nobody knows whom.
-    std::string first_told;
+    std::string told_incarnation;
 
     bool operator==(const start_order&) const = default;
 };
@@ -286,7 +286,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image,
-                                                first_told)
+                                                told_incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(stop_order, task, run)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(guard_orders, epoch, life,
                                                 incarnation, starts, stops,
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -18,16 +18,16 @@
     std::string guard;
     std::string life;   ///< the executor's incarnation
     std::string ticket; ///< of the advice that let it run there; or empty
-    std::int64_t placed_in = 0; ///< the job's change that recorded it
-    bool ordered = false;       ///< a start was sent in this office
-    std::string first_told;     ///< guard process of that; see start_order
-    bool seen = false;          ///< a report showed it running
-    time_point last_seen{};     ///< by the newest report that showed it
-    time_point ordered_at{};    ///< or when this holder adopted it
-    bool stopping = false;      ///< it is to end; a stop is repeated
-    std::int64_t percent = -1;  ///< progress in the newest report
-    time_point moved_at{};      ///< when that progress last changed
-    bool over_target = false;   ///< its tail, by the newest report
+    std::int64_t placed_in = 0;   ///< the job's change that recorded it
+    bool ordered = false;         ///< a start was sent in this office
+    std::string told_incarnation; ///< guard process of that; see start_order
+    bool seen = false;            ///< a report showed it running
+    time_point last_seen{};       ///< by the newest report that showed it
+    time_point ordered_at{};      ///< or when this holder adopted it
+    bool stopping = false;        ///< it is to end; a stop is repeated
+    std::int64_t percent = -1;    ///< progress in the newest report
+    time_point moved_at{};        ///< when that progress last changed
+    bool over_target = false;     ///< its tail, by the newest report
 
     bool operator==(const task_run&) const = default;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/run_over.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/run_over.hpp
@@ -23,9 +23,10 @@
     {
         return {end.how, end.checkpoint, {}};
     }
-    /// @brief Its guard gives it back: the worker did not begin it, and was
-    /// told to stop whatever copy of the start may be under way. Not so if the
-    /// same report shows the run, or another copy of its order.
+    /// @brief Its guard gives it back: the worker did not begin it. Where a
+    /// copy of the start may be under way, the worker was told never to begin
+    /// it, and a later look did not show it. Not so if the same report shows
+    /// the run, or another copy of its order.
     static run_over given_back()
     {
         return {run_end::refused, {}, {}};
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -313,8 +313,8 @@
     [[nodiscard]] static bool lists_running(const worker_report& from,
                                             const std::string& task,
                                             std::int64_t run);
-    [[nodiscard]] static bool is_there(const worker_report& from,
-                                       const refused_run& refusal);
+    [[nodiscard]] static bool report_shows(const worker_report& from,
+                                           const refused_run& refusal);
     void extend_lease(worker_record& at, const worker_report& from,
                       duration permit, time_point now) const;
     [[nodiscard]] duration permit_for(const worker_report& from, time_point now,
@@ -327,8 +327,8 @@
                       guard_orders& out, time_point now);
     void note_unwanted(const worker_record& at, const running_task& row,
                        const job_task* task);
-    void stop_unwanted(const worker_record& at, const worker_report& from,
-                       guard_orders& out);
+    void stop_unwanted_starts(const worker_record& at,
+                              const worker_report& from, guard_orders& out);
     void note_progress(worker_record& at, task_run& run, const job_step& step,
                        const running_task& row, time_point now);
     void repeat_missing(worker_record& at, const worker_report& from,
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -224,7 +224,7 @@
                 continue;
             }
             task.run->ordered = true;
-            task.run->first_told = at->second.incarnation;
+            task.run->told_incarnation = at->second.incarnation;
             task.run->ordered_at = now;
             task.run->moved_at = now;
             guard_orders& out = outbox_[task.run->guard];
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -62,7 +62,7 @@
         if (from.whole)
         {
             note_running(at, from, answer.orders, now);
-            stop_unwanted(at, from, answer.orders);
+            stop_unwanted_starts(at, from, answer.orders);
             learn_harm(at, from, now);
             answer.harms = harms_at(at);
             repeat_missing(at, from, answer.orders, now);
@@ -80,7 +80,8 @@
 
 // For how long a guard may extend its worker's lease. One that has not looked
 // at its worker may extend runs that nobody has seen: not beyond the time for
-// which a new holder waits for them.
+// which a new holder waits for them, counted from its own begin, since permits
+// of earlier holders end by then.
 duration scheduler_core::permit_for(const worker_report& from, time_point now,
                                     time_point verified) const
 {
@@ -195,8 +196,9 @@
 
 // Whether a report that gives a run back shows that it is there all the same:
 // it runs, or another copy of its order is kept. Then it may go on or begin.
-bool scheduler_core::is_there(const worker_report& from,
-                              const refused_run& refusal)
+// Reports between the whole ones list neither, and show nothing.
+bool scheduler_core::report_shows(const worker_report& from,
+                                  const refused_run& refusal)
 {
     return lists_running(from, refusal.task, refusal.run) ||
            std::ranges::find(from.starting, refusal.task) !=
@@ -210,7 +212,7 @@
     {
         const auto [of, task] = known(refusal.task);
         const bool current = is_present(task, refusal.run, at);
-        if (!current || is_there(from, refusal))
+        if (!current || report_shows(from, refusal))
         {
             continue;
         }
@@ -290,8 +292,9 @@
 // A copy of an order can come after its run was given back. The guard hears of
 // it with the answer, before its worker takes it. The number covers every run
 // that the task has had: none of them may begin there any more.
-void scheduler_core::stop_unwanted(const worker_record& at,
-                                   const worker_report& from, guard_orders& out)
+void scheduler_core::stop_unwanted_starts(const worker_record& at,
+                                          const worker_report& from,
+                                          guard_orders& out)
 {
     for (const std::string& name : from.starting)
     {
@@ -412,7 +415,7 @@
             .fills = step.fills,
             .latency_target_ms = step.latency_target_ms,
             .image = step.image,
-            .first_told = task.run->first_told};
+            .told_incarnation = task.run->told_incarnation};
 }
 
 } // namespace springstair
--- a/packages/transport/src/open_call.hpp
+++ b/packages/transport/src/open_call.hpp
@@ -33,9 +33,10 @@
 
     // Tells the library what to do; the handle is set and the pool too.
     void set_up();
-    // Whether the library may send it now. It does so of itself when a kept
-    // connection ends before any byte of the answer; the receiver may have
-    // carried out what left. So nothing but a read leaves twice.
+    // Whether the library may send it now; remembers if not. It does so of
+    // itself when a kept connection ends before any byte of the answer; the
+    // receiver may have carried out what left. So nothing but a read leaves
+    // twice.
     bool may_be_sent();
     // What came of it, by the library's code.
     http_result result(CURLcode code);
