Worlds: one answer of an executor to whatever it does not take

Found on reading the change again: orders to start, to stop and to look each asked by themselves whether the executor is busy, of another life or fenced, in the same lines. One function serves the three.

--- a/tests/unit/job_world.hpp
+++ b/tests/unit/job_world.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace springstair::job_worlds
@@ -186,10 +187,9 @@
                 const std::optional<worker_look>& look = {});
     worker_look look_of(const fake_executor& at) const;
     std::int64_t draw_percent(const fake_executor::at_work& work) const;
-    bool admits(fake_executor& at, const std::string& life,
-                std::int64_t epoch) const;
-    order_result refusal(const fake_executor& at,
-                         const std::string& life) const;
+    std::optional<order_result> refusal(fake_executor& at,
+                                        const std::string& life,
+                                        std::int64_t epoch) const;
     order_result carry_out(std::size_t index, const start_run& what);
     void start(fake_executor& at, const std::string& task, std::int64_t run);
     void count_start_after_crashes(const std::string& task,
--- a/tests/unit/job_world_guards.cpp
+++ b/tests/unit/job_world_guards.cpp
@@ -241,33 +241,33 @@
                     99, to_milliseconds(work.done_at - now_) / 20);
 }
 
-bool job_world::admits(fake_executor& at, const std::string& life,
-                       std::int64_t epoch) const
+// Why an executor does nothing for a call; nothing if it takes it.
+std::optional<order_result> job_world::refusal(fake_executor& at,
+                                               const std::string& life,
+                                               std::int64_t epoch) const
 {
-    if (at.life != life || epoch < at.fence)
+    if (now_ < at.busy_until)
+    {
+        return order_result::unhealthy;
+    }
+    if (at.life != life)
     {
-        return false;
+        return order_result::other_life;
+    }
+    if (epoch < at.fence)
+    {
+        return order_result::fenced;
     }
     at.fence = epoch;
-    return true;
-}
-
-order_result job_world::refusal(const fake_executor& at,
-                                const std::string& life) const
-{
-    return at.life == life ? order_result::fenced : order_result::other_life;
+    return std::nullopt;
 }
 
 order_result job_world::carry_out(std::size_t index, const start_run& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (now_ < at.busy_until)
+    if (const auto refused = refusal(at, what.life, what.epoch))
     {
-        return order_result::unhealthy;
-    }
-    if (!admits(at, what.life, what.epoch))
-    {
-        return refusal(at, what.life);
+        return *refused;
     }
     const std::string& task = what.order.task;
     at.deadline = std::max(at.deadline, what.deadline_ms);
@@ -373,13 +373,9 @@
 order_result job_world::carry_out(std::size_t index, const stop_run& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (now_ < at.busy_until)
+    if (const auto refused = refusal(at, what.life, what.epoch))
     {
-        return order_result::unhealthy;
-    }
-    if (!admits(at, what.life, what.epoch))
-    {
-        return refusal(at, what.life);
+        return *refused;
     }
     const std::string task = what.order.task;
     at.closed[task] = std::max(at.closed[task], what.order.run);
@@ -408,13 +404,9 @@
 order_result job_world::carry_out(std::size_t index, const look_at_worker& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (now_ < at.busy_until)
-    {
-        return order_result::unhealthy;
-    }
-    if (!admits(at, what.life, what.epoch))
+    if (const auto refused = refusal(at, what.life, what.epoch))
     {
-        return refusal(at, what.life);
+        return *refused;
     }
     at.deadline = std::max(at.deadline, what.deadline_ms.value_or(0));
     for (const auto& [one, interval] : at.ended)
