Holder: tells of a run that its worker does not show, though it is ordered again

The incident's logs show start after start refused as stale, and nothing of why the holder counts on a run whose end stands, or stood, in a list: three hypotheses fit (ends passed over by their number; runs dropped by the guard as acknowledged; advice kept for a former life). run_missing (1640) names the run, how often its order was repeated, whether the report lists its end, and up to which number ends were noted and acknowledged.

Bound: from the second repeat on, one line a run and second.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -63,6 +63,7 @@
     tasks_wait = 1637,
     run_lost = 1638,
     task_suspected = 1639,
+    run_missing = 1640,
     worker_known = 1641,
     worker_lost = 1642,
     worker_ejected = 1643,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 61> catalogue{{
+constexpr std::array<event_description, 62> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -134,6 +134,9 @@
     {event_id::task_suspected, severity::warning, "task_suspected",
      "A task may be why an executor crashed; from suspicion 4 on it runs "
      "apart, at 4 to 8 its job is given up."},
+    {event_id::run_missing, severity::warning, "run_missing",
+     "A worker shows a run no more, or never did; its order is repeated. "
+     "Whether the report lists an end of it, and which ends were noted."},
     {event_id::worker_known, severity::info, "worker_known",
      "A guard's first report to this holder."},
     {event_id::worker_lost, severity::warning, "worker_lost",
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -27,6 +27,7 @@
     bool stopping = false;        ///< it is to end; a stop is repeated
     std::int64_t percent = -1;    ///< progress in the newest report
     time_point moved_at{};        ///< when that progress last changed
+    std::int64_t repeats = 0;     ///< of its order, since a report showed it
     bool over_target = false;     ///< its tail, by the newest report
 
     bool operator==(const task_run&) const = default;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -331,6 +331,8 @@
                               const worker_report& from, guard_orders& out);
     void note_progress(worker_record& at, task_run& run, const job_step& step,
                        const running_task& row, time_point now);
+    void tell_missing(const worker_record& at, const worker_report& from,
+                      task_run& run, const std::string& task);
     void repeat_missing(worker_record& at, const worker_report& from,
                         guard_orders& out, time_point now);
     void move_slowed(worker_record& at, const worker_report& from,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -318,6 +318,7 @@
                                    const running_task& row, time_point now)
 {
     run.seen = true;
+    run.repeats = 0;
     run.over_target =
         step.latency_target_ms > 0 && row.load > step.latency_target_ms;
     const bool at_work = step.lasting && row.percent == full_percent;
@@ -375,6 +376,7 @@
             continue;
         }
         run.moved_at = now;
+        tell_missing(at, from, run, text);
         if (run.stopping || at.closed)
         {
             order_stop(run, text, out);
@@ -386,6 +388,29 @@
     }
 }
 
+// The first repeat is of an order that was lost; more of them need a reason.
+void scheduler_core::tell_missing(const worker_record& at,
+                                  const worker_report& from, task_run& run,
+                                  const std::string& task)
+{
+    if (++run.repeats < 2)
+    {
+        return;
+    }
+    const auto end = std::ranges::find_if(
+        from.ended, [&](const ended_task& row)
+        { return row.task == task && row.run == run.number; });
+    note(event_id::run_missing,
+         {{"task", task},
+          {"run", std::to_string(run.number)},
+          {"guard", at.guard},
+          {"repeats", std::to_string(run.repeats)},
+          {"listed_end",
+           end == from.ended.end() ? "none" : std::to_string(end->number)},
+          {"ends_noted_to", std::to_string(at.noted)},
+          {"ends_acknowledged_to", std::to_string(at.acknowledged)}});
+}
+
 std::int64_t scheduler_core::acknowledge(worker_record& at)
 {
     while (!at.unkept.empty())
