Test, red: ends of an executor that starts again under its id

Seen by users: runs that began after an end as done was acknowledged, and tasks that waited to the end beside free workers. Both incidents are brought about by one guard, one holder and an executor on the wire that begins a second life under its id, with its count of ends at 1 again: a job of two tasks never ends (its ends are passed over as known), a task of the next job runs twice (ends are acknowledged unread once the new count passes the old one).

--- /dev/null
+++ b/tests/unit/restarting_executor.hpp
@@ -0,0 +1,320 @@
+#pragma once
+
+// An executor as its guard meets it on the wire, which can start again under
+// its id, and the smallest fleet around it: a guard, a holder and a store that
+// takes each write at once.
+
+#include "platform.hpp"
+
+#include <springstair/guard.hpp>
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace springstair::tests
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Takes the calls of its guard. All that it knows goes when it starts again.
+class restarting_executor
+{
+public:
+    void start_again(time_point now)
+    {
+        ++starts_;
+        born_ = now;
+        began_.clear();
+        closed_.clear();
+        ended_ = json::array();
+        numbers_ = 0;
+        beats_ = 0;
+    }
+
+    http_request heartbeat(time_point now)
+    {
+        const json body{{"service", "s"},
+                        {"address", "10.0.0.1:8080"},
+                        {"zone", "a"},
+                        {"version", "v1"},
+                        {"slots", 8},
+                        {"state", "ready"},
+                        {"cold_remaining_ms", 0},
+                        {"capacity", {{"cpu", 8000}, {"mem_mb", 8000}}},
+                        {"labels", {"small", "r1"}},
+                        {"clock_ms", clock_ms(now)},
+                        {"born", born_ms()},
+                        {"seq", ++beats_}};
+        return {.method = "POST",
+                .path = "/springstair/executors/i-1/heartbeat",
+                .body = make_body(body.dump())};
+    }
+
+    http_result answer(const http_call& call, time_point now)
+    {
+        const json body = json::parse(*call.body);
+        if (call.url.ends_with("/run-start"))
+        {
+            return start(body, now);
+        }
+        if (call.url.ends_with("/run-stop"))
+        {
+            return stop(body, now);
+        }
+        if (call.url.ends_with("/hold"))
+        {
+            return hold(body, now);
+        }
+        return result(200, {}, now);
+    }
+
+    void let_end(time_point now)
+    {
+        std::vector<std::string> over;
+        for (const auto& [task, run] : began_)
+        {
+            if (now - run.second >= run_time)
+            {
+                over.push_back(task);
+            }
+        }
+        for (const std::string& task : over)
+        {
+            end(task, "done");
+        }
+    }
+
+    static constexpr duration run_time = milliseconds(600);
+    std::set<std::string> done; ///< tasks, in any of its lives
+    std::vector<std::string> began_after_done;
+
+private:
+    [[nodiscard]] std::int64_t clock_ms(time_point now) const
+    {
+        return to_milliseconds(now - born_);
+    }
+
+    [[nodiscard]] std::int64_t born_ms() const
+    {
+        return 1'776'000'000'000 + starts_;
+    }
+
+    void end(const std::string& task, const char* how)
+    {
+        const std::int64_t run = began_.at(task).first;
+        ended_.push_back(json::array({++numbers_, task, run, how, ""}));
+        closed_[task] = run;
+        began_.erase(task);
+        if (how == std::string("done"))
+        {
+            done.insert(task);
+        }
+    }
+
+    [[nodiscard]] http_result result(int status, json body,
+                                     time_point now) const
+    {
+        body["clock_ms"] = clock_ms(now);
+        return {.how = delivery::answered,
+                .response = {.status = status, .body = make_body(body.dump())}};
+    }
+
+    http_result start(const json& what, time_point now)
+    {
+        const std::string task = what.at("task");
+        const std::int64_t run = what.at("run");
+        const bool is_there =
+            began_.contains(task) && began_.at(task).first == run;
+        if (!is_there && closed_[task] >= run)
+        {
+            return result(409, {{"reason", "old"}}, now);
+        }
+        if (!is_there)
+        {
+            if (done.contains(task))
+            {
+                began_after_done.push_back(task);
+            }
+            began_[task] = {run, now};
+        }
+        return result(200, json::object(), now);
+    }
+
+    http_result stop(const json& what, time_point now)
+    {
+        const std::string task = what.at("task");
+        const std::int64_t run = what.at("run");
+        if (began_.contains(task) && began_.at(task).first <= run)
+        {
+            end(task, "stopped");
+        }
+        closed_[task] = std::max(closed_[task], run);
+        return result(200, json::object(), now);
+    }
+
+    http_result hold(const json& what, time_point now)
+    {
+        // A number that it has not given says nothing of its ends.
+        const std::int64_t told = what.at("last_seen");
+        const std::int64_t seen = told <= numbers_ ? told : 0;
+        json kept = json::array();
+        for (const json& row : ended_)
+        {
+            if (row.at(0) > seen)
+            {
+                kept.push_back(row);
+            }
+        }
+        ended_ = kept;
+        json running = json::array();
+        for (const auto& [task, run] : began_)
+        {
+            running.push_back(json::array({task, run.first, "", 50, 100}));
+        }
+        return result(
+            200, {{"born", born_ms()}, {"running", running}, {"ended", ended_}},
+            now);
+    }
+
+    std::int64_t starts_ = 0;
+    time_point born_{};
+    std::map<std::string, std::pair<std::int64_t, time_point>> began_;
+    std::map<std::string, std::int64_t> closed_; ///< newest run ended there
+    json ended_ = json::array();
+    std::int64_t numbers_ = 0;
+    std::int64_t beats_ = 0;
+};
+
+// One worker, its guard and its holder. Calls are answered 10 ms later, looks
+// without a wait.
+class one_worker_fleet
+{
+public:
+    one_worker_fleet()
+    {
+        core.take_office(7, now);
+        core.set_table({.version = 1,
+                        .queues = {{.name = "q",
+                                    .service = "s",
+                                    .most_attempts = 2,
+                                    .stretch = 2,
+                                    .target_ms = 1000}}});
+        core.begin(now);
+    }
+
+    std::string submit(std::int64_t tasks)
+    {
+        job what{.id = "5c0e7a21d94b36f" + std::to_string(++jobs_),
+                 .queue = "q",
+                 .payload = "p",
+                 .steps = {{.count = tasks,
+                            .demand = {.cpu_millis = 1000, .memory_mb = 100},
+                            .estimate_ms = 600}}};
+        core.accept(what, now);
+        return what.id;
+    }
+
+    void pass(duration length)
+    {
+        const time_point until = now + length;
+        while (now < until)
+        {
+            now += milliseconds(10);
+            executor.let_end(now);
+            if (now >= next_beat_)
+            {
+                next_beat_ = now + seconds(1);
+                const auto beat = springstair::platform::decode_heartbeat(
+                    executor.heartbeat(now));
+                keeper.on_worker(beat->worker, beat->clock_ms, now);
+            }
+            serve_holder();
+            serve_guard();
+        }
+    }
+
+    [[nodiscard]] std::optional<job_state> shown(const std::string& id) const
+    {
+        return core.shown(id, now, now);
+    }
+
+    time_point now{std::chrono::hours(1)};
+    scheduler_core core{scheduler_options{}};
+    run_keeper keeper{{}, "guard process"};
+    restarting_executor executor;
+
+private:
+    void serve_holder()
+    {
+        core.tick(now, 0);
+        while (const auto batch = core.next_commit(now))
+        {
+            core.committed(*batch, ++revision_, now);
+        }
+        for (const addressed_orders& one : core.take_orders())
+        {
+            keeper.on_orders(one.orders, now);
+        }
+        if (keeper.take_news() || now >= next_report_)
+        {
+            next_report_ = now + milliseconds(400);
+            worker_report report = keeper.report(now);
+            report.guard = "g";
+            report.address = "10.0.0.1:7000";
+            report.sequence = ++reports_;
+            keeper.on_answer(core.report(report, now, now), report, now, now);
+        }
+    }
+
+    void serve_guard()
+    {
+        for (const keeper_action& action : keeper.due(now))
+        {
+            std::visit([this](const auto& one) { carry_out(one); }, action);
+        }
+    }
+
+    template <class Order>
+    http_result call(const Order& what)
+    {
+        return executor.answer(
+            springstair::platform::encode(what, "10.0.0.1:8080"), now);
+    }
+
+    void carry_out(const start_run& what)
+    {
+        const auto how = springstair::platform::decode_result(call(what));
+        keeper.on_started(what.order.task, what.order.run, how, now);
+    }
+
+    void carry_out(const stop_run& what)
+    {
+        const auto how = springstair::platform::decode_result(call(what));
+        keeper.on_stopped(what.order.task, what.order.run, how, now);
+    }
+
+    void carry_out(const pace_run& what)
+    {
+        keeper.on_paced(what, springstair::platform::decode_result(call(what)));
+    }
+
+    void carry_out(const look_at_worker& what)
+    {
+        const http_result got = call(what);
+        keeper.on_looked(what.life, springstair::platform::decode_result(got),
+                         springstair::platform::decode_look(got), now, now);
+    }
+
+    int jobs_ = 0;
+    std::int64_t revision_ = 100;
+    std::int64_t reports_ = 0;
+    time_point next_beat_{};
+    time_point next_report_{};
+};
+
+} // namespace springstair::tests
