Tests: what becomes of runs when an executor starts again, by hand; the soak too

By hand: a run that the next life lists is followed, one whose start may be under way there is stopped first, one that surely went is placed again at once, at a new holder and beside older versions too; a guard carries its doubts; a second copy of an order begins nothing.

Soak: executors start again under their ids (restarts.py, drawn for itself, so that seeds keep their meaning): alone, some at once, twice, while calls wait unread or lose their answers, overtaking a heartbeat of their former life, and together with all processes. Half of the other crashes keep the id. A connection ends with the life that took it; tickets hold for one life. A program that was killed while paused was never started again, and no breach told of it: it is now, and AWAY tells if one is missing in the end.

--- a/tests/soak/advice.py
+++ b/tests/soak/advice.py
@@ -14,7 +14,7 @@
     def __init__(self, draw):
         self.draw = draw
         self.verdicts = {}  # (step, life): whether it may, for good
-        self.tickets = {}  # text: (step, life, until)
+        self.tickets = {}  # text: (step, executor, since, until)
         self.turn = asyncio.Lock()
         self.waiting = 0
 
@@ -43,15 +43,18 @@
 
     def ticket(self, step, life):
         text = f"{self.draw.getrandbits(48):012x}"
-        self.tickets[text] = (step, life, time.monotonic() + VALID_MS / 1000)
+        now = time.monotonic()
+        self.tickets[text] = (step, life, now, now + VALID_MS / 1000)
         return text
 
-    def admits(self, record, life, order):
-        """Whether a start carries what its queue asks for."""
+    def admits(self, record, executor, order):
+        """Whether a start carries what its queue asks for: a ticket of this
+        life of the executor."""
         job, _ = record.starts_as(order["task"])
         if job is None or job.queue != "heavy":
             return True
-        step, held_by, until = self.tickets.get(
-            order.get("ticket"), (None, None, 0))
-        return (order["task"].rsplit(".", 1)[0] == step and held_by == life
+        step, held_by, since, until = self.tickets.get(
+            order.get("ticket"), (None, None, 0, 0))
+        return (order["task"].rsplit(".", 1)[0] == step
+                and held_by == executor.ident and since >= executor.since
                 and time.monotonic() < until)
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -3,6 +3,7 @@
 soak's record."""
 
 import asyncio
+import random
 import time
 
 from wire import Connection, Reset, Silence, serve
@@ -13,6 +14,7 @@
 STOP_S = 0.1
 UNREAD_S = (0.5, 2.0)  # a start's own limit is 2 s
 SLOW_S = (0.3, 2.0)
+KEEPS_ID = 0.5  # of lives that follow a crash under a task
 
 
 class Run:
@@ -36,7 +38,10 @@
         self.capacity = capacity
         self.advice = advice
         self.enforces = enforces  # rejects what does not fit
-        self.lives = 0
+        self.births = random.Random(name)  # drawn apart: seeds keep their
+        self.lives = 0                      # meaning
+        self.lives_of = {}  # port of a connection: the life that took it
+        self.news = asyncio.Event()
         self.down = False
         self.late_share = 0.0
         self.is_late = False  # the order at hand was held up here
@@ -50,10 +55,19 @@
         self.still = False
         self.begin_life()
 
-    def begin_life(self):
+    def begin_life(self, keeps_id=False):
+        """A life that keeps the id of the one before knows nothing of it; its
+        counts and its clock start anew, and its birth tells the two apart."""
         self.lives += 1
-        self.life = f"{self.name}-{self.lives}"
-        self.clock_offset = self.draw.randrange(10**6)
+        if not keeps_id:
+            self.ident = f"{self.name}-{self.lives}"
+        # The time of day may have stepped back meanwhile.
+        self.born = (int(time.time() * 1000) +
+                     self.lives * self.births.choice((-1, 1)))
+        self.life = f"{self.ident}@{self.born}"  # as the record names it
+        self.since = time.monotonic()
+        self.clock_offset = (self.draw.randrange(10**6) -
+                             int(self.since * 1000))
         self.runs = {}
         self.highest = {}  # task: highest run stopped or ended here
         self.ended = []
@@ -61,6 +75,7 @@
         self.fence = 0
         self.deadline = 0
         self.sequence = 0
+        self.news.set()  # who waits for an end of the former life
         self.news = asyncio.Event()
 
     def clock_ms(self):
@@ -72,12 +87,14 @@
         self.tasks = [asyncio.create_task(self.beat()),
                       asyncio.create_task(self.work())]
 
-    def crash(self, back_after_s):
-        """All that runs is gone; another life begins later."""
+    def crash(self, back_after_s, keeps_id=False):
+        """All that runs is gone; another life begins later, or at once."""
         for task in self.runs:
             self.record.vanished(self, task)
+        self.begin_life(keeps_id)
+        if not back_after_s:
+            return
         self.down = True
-        self.begin_life()
         asyncio.get_running_loop().call_later(
             back_after_s, lambda: setattr(self, "down", False))
 
@@ -86,15 +103,20 @@
     async def beat(self):
         while True:
             if not self.down:
-                self.sequence += 1
-                await self.guard.call(
-                    "POST", f"/springstair/executors/{self.life}/heartbeat",
-                    {"service": "s", "address": self.address, "zone": self.zone,
-                     "slots": 8, "state": "ready", "seq": self.sequence,
-                     "capacity": self.capacity, "labels": ["a", "r1"],
-                     "clock_ms": self.clock_ms()}, timeout=1)
+                await self.tell(*self.heartbeat())
             await asyncio.sleep(HEARTBEAT_S)
 
+    def heartbeat(self):
+        self.sequence += 1
+        return (f"/springstair/executors/{self.ident}/heartbeat",
+                {"service": "s", "address": self.address, "zone": self.zone,
+                 "slots": 8, "state": "ready", "seq": self.sequence,
+                 "capacity": self.capacity, "labels": ["a", "r1"],
+                 "clock_ms": self.clock_ms(), "born": self.born})
+
+    async def tell(self, path, what):
+        await self.guard.call("POST", path, what, timeout=1)
+
     async def work(self):
         while True:
             await asyncio.sleep(TICK_S)
@@ -106,7 +128,8 @@
                 crash = run.traits["crashes_after"]
                 if crash is not None and now - run.began >= crash:
                     self.record.note("crash under", task, self.life)
-                    self.crash(self.draw.uniform(1, 4))
+                    self.crash(self.draw.uniform(1, 4),
+                               self.births.random() < KEEPS_ID)
                     break
                 if lapsed:
                     self.end(task, run, "lapsed")
@@ -133,26 +156,36 @@
     async def handle(self, _method, path, _query, headers, document):
         if self.down:
             raise Silence
-        life = headers.get("target-executor", self.life)
+        self.end_if_taken_before(headers["peer-port"])
+        ident = headers.get("target-executor", self.ident)
+        life = self.life  # that took the call, whichever was meant
         call = self.note_call(path, headers, document)
         if self.draw.random() < self.late_share:
             self.note(call, "answer lost: silence; carried out late")
             asyncio.get_running_loop().call_later(
-                self.draw.uniform(1, 5), self.carry_out_late, call, path, life,
-                document)
+                self.draw.uniform(1, 5), self.carry_out_late, call, path, ident,
+                document, life)
             raise Silence
         await self.leave_unread(call)
-        status, answer = self.answer(call, path, life, document)
+        if life != self.life:
+            raise Reset  # it went with the process that had it
+        status, answer = self.answer(call, path, ident, document)
         if self.happens(self.slow_share):
             await asyncio.sleep(self.draw.uniform(*SLOW_S))
         if path.endswith("/hold") and status == 200:
             await self.wait_for_end(document)
             if self.down or life != self.life:
-                raise Silence
+                raise Reset
             answer = self.lists()
         self.lose_answer(call)
         return status, answer | {"clock_ms": self.clock_ms()}
 
+    def end_if_taken_before(self, port):
+        """A connection ends with the life that took it."""
+        if self.lives_of.setdefault(port, self.life) != self.life:
+            del self.lives_of[port]
+            raise Reset
+
     def happens(self, share):
         return share > 0 and self.draw.random() < share
 
@@ -167,14 +200,14 @@
         if self.down:
             raise Silence
 
-    def answer(self, call, path, life, order):
+    def answer(self, call, path, ident, order):
         """What the call is answered; a busy executor does nothing for it."""
         if self.happens(self.busy_share):
             status = self.draw.choice((429, 503))
             self.note(call, status, "busy")
             self.record.refused[f"{status} busy"] += bool(call)
             return status, {}
-        return self.carry_out(call, path, life, order)
+        return self.carry_out(call, path, ident, order)
 
     def lose_answer(self, call):
         if self.happens(self.lost_share):
@@ -194,23 +227,26 @@
         if call:
             self.record.note(call, *words)
 
-    def carry_out_late(self, call, path, life, order):
-        """No bound of time holds for what the executor itself holds up."""
+    def carry_out_late(self, call, path, ident, order, life):
+        """No bound of time holds for what the executor itself holds up; it
+        goes with its life."""
+        if life != self.life:
+            return
         self.is_late = True
-        self.carry_out(call, path, life, order)
+        self.carry_out(call, path, ident, order)
         self.is_late = False
 
-    def carry_out(self, call, path, life, order):
+    def carry_out(self, call, path, ident, order):
         self.call = call
-        status, answer = self.decide(path, life, order)
+        status, answer = self.decide(path, ident, order)
         self.note(call, status, *answer.values())
         if call and status != 200:
             self.record.refused[" ".join(map(str, (status, *answer.values())))
                                 ] += 1
         return status, answer
 
-    def decide(self, path, life, order):
-        if self.down or life != self.life:
+    def decide(self, path, ident, order):
+        if self.down or ident != self.ident:
             return 421, {}
         if order.get("fencing_token", 0) < self.fence:
             return 409, {"reason": "fence"}
@@ -243,7 +279,7 @@
         if here or number <= self.highest.get(task, 0):
             self.extend(order)
             return 409, {"reason": "old"}
-        if not self.advice.admits(self.record, self.life, order):
+        if not self.advice.admits(self.record, self, order):
             return 409, {"reason": "ticket"}
         if self.enforces and self.record.lacks(self, task):
             self.extend(order)
@@ -278,4 +314,5 @@
             percent = 100 if run.traits["lasts"] else min(99, int(100 * share))
             running.append([task, run.number, run.checkpoint,
                             0 if self.still else percent, 100])
-        return {"running": running, "ended": self.ended[:500]}
+        return {"born": self.born, "running": running,
+                "ended": self.ended[:500]}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import signal
 import time
 
+from executor import KEEPS_ID
 from fleet import ZONES
 
 BETWEEN_REPORTS_S = 0.6  # guards report twice a second
@@ -208,7 +209,7 @@
     async def worker_crash(self, length):
         one = self.draw.choice(self.fleet.executors)
         self.record.disturb("crash", one.life, f"{length:.1f} s")
-        one.crash(length)
+        one.crash(length, one.births.random() < KEEPS_ID)
 
     async def on_worker(self, length, **fields):
         one = self.draw.choice(self.fleet.executors)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -101,8 +101,9 @@
             return
         if which in (signal.SIGTERM, signal.SIGKILL):
             self.ended_by_us = True
+        # What is killed while it is paused has ended, too.
         self.paused = which == signal.SIGSTOP or (
-            self.paused and which != signal.SIGCONT)
+            self.paused and which not in (signal.SIGCONT, signal.SIGKILL))
         self.child.send_signal(which)
 
     def revive(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 from fleet import PROGRAM, Fleet  # noqa: E402
 from outages import Outages  # noqa: E402
 from record import FINAL, Record  # noqa: E402
+from restarts import Restarts  # noqa: E402
 
 READY_S = 20  # to a first accepted job; ends a fleet that does not come up
 SETTLE_S = 25  # after the last fault every job has ended; leases are 10 s
@@ -65,7 +66,9 @@
             Faults(fleet, record, random.Random(seed + 4),
                    only="closures").run(options.seconds, CLOSURES_GAP_S),
             Outages(fleet, record, random.Random(seed + 5)).run(
-                options.seconds, options.outage_gap))
+                options.seconds, options.outage_gap),
+            Restarts(fleet, record, random.Random(seed + 7)).run(
+                options.seconds, options.restart_gap))
         fleet.calm()
         record.disturb("calm from here on")
         await settle(fleet, record, caller)
@@ -75,6 +78,8 @@
         record.check_end()
         caller.close()
         for one in fleet.processes:
+            if not one.runs():
+                record.breach("AWAY", one.name, "is not there in the end")
             if one.own_exits:
                 record.breach("EXIT", one.name, "ended by itself")
             if one.uses_too_much():
@@ -162,7 +167,7 @@
     """The command that plays one seed of many as all are to be played."""
     line = [sys.executable, __file__, "--seed", str(seed),
             "--figures", os.path.join(figures, f"{seed}.json")]
-    for name in ("seconds", "rate", "gap", "outage_gap", "entries", "guards",
+    for name in ("seconds", "rate", "gap", "outage_gap", "restart_gap", "entries", "guards",
                  "crashing"):
         line += ["--" + name.replace("_", "-"), str(getattr(options, name))]
     line += ["--weights", *map(str, options.weights)]
@@ -205,6 +210,8 @@
     parser.add_argument("--rate", type=float, default=6)
     parser.add_argument("--gap", type=float, default=1.2)
     parser.add_argument("--outage-gap", type=float, default=5)
+    parser.add_argument("--restart-gap", type=float, default=4,
+                        help="between executors that start again, seconds")
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--guards", type=int, default=5)
     parser.add_argument("--weights", type=int, nargs=3, default=WEIGHTS,
--- a/tests/unit/restarted_executor_tests.cpp
+++ b/tests/unit/restarted_executor_tests.cpp
@@ -3,6 +3,7 @@
 // beside free workers: ends of the new life had numbers that were noted in the
 // former one.
 
+#include "holder_by_hand.hpp"
 #include "restarting_executor.hpp"
 
 #include <doctest/doctest.h>
@@ -41,3 +42,210 @@
     CHECK(fleet.shown(second) == job_state::succeeded);
     CHECK(fleet.executor.began_after_done == std::vector<std::string>{});
 }
+
+// ---------------------------------------------------------------------------
+// What has become of runs of the life before
+// ---------------------------------------------------------------------------
+
+namespace
+{
+
+// A holder that has placed one run on g1, which has begun its next life.
+class restarted_worker
+{
+public:
+    restarted_worker()
+    {
+        at.worker("g1").worker.life = {"i-1", 1};
+        at.say("g1");
+        at.submit({step_of(1)});
+        at.turn();
+        at.turn();
+        REQUIRE(at.runs(task));
+        at.worker("g2");
+        at.say("g2");
+        row = at.worker("g1").running.at(0);
+        at.worker("g1").worker.life = {"i-1", 2};
+        at.worker("g1").running.clear();
+        at.started.clear();
+    }
+
+    void hear()
+    {
+        at.say("g1");
+        at.turn();
+        at.turn();
+    }
+
+    const std::string task = "job1.0.0.0";
+    holder at;
+    running_task row;
+};
+
+} // namespace
+
+TEST_CASE("a run that the next life of its executor shows is that run")
+{
+    restarted_worker with;
+    SUBCASE("at work")
+    {
+        with.at.worker("g1").running = {with.row};
+        with.hear();
+        CHECK_FALSE(with.at.runs(with.task));
+        with.at.started[with.task] = {.task = with.task, .run = 1};
+        with.at.end(with.task, run_end::done);
+    }
+    SUBCASE("ended")
+    {
+        with.at.worker("g1").ended = {
+            {.number = 1, .task = with.task, .run = 1, .how = run_end::done}};
+    }
+    with.hear();
+    CHECK(with.at.shown("job1") == job_state::succeeded);
+    CHECK(with.at.stopped.empty());
+}
+
+TEST_CASE("a run whose start may reach the next life is stopped there first")
+{
+    restarted_worker with;
+    worker_report& report = with.at.worker("g1");
+    SUBCASE("its guard says that a start may be under way")
+    {
+        report.starting = {with.task};
+    }
+    SUBCASE("a former process of its guard has sent it")
+    {
+        report.incarnation = "another";
+    }
+    with.hear();
+    CHECK(with.at.stops[with.task] == 1);
+    CHECK_FALSE(with.at.runs(with.task));
+    report.starting.clear();
+    report.refused = {{.task = with.task, .run = 1, .reason = "stopped"}};
+    with.hear();
+    with.at.turn(seconds(1));
+    with.at.say("g2");
+    with.at.turn();
+    REQUIRE(with.at.runs(with.task));
+    CHECK(with.at.started.at(with.task).run == 2);
+}
+
+TEST_CASE("a run that went with its executor is placed again at once")
+{
+    restarted_worker with;
+    with.hear();
+    REQUIRE(with.at.runs(with.task));
+    CHECK(with.at.started.at(with.task).run == 2);
+    CHECK(with.at.stopped.empty());
+}
+
+TEST_CASE("a new holder asks the same of a record of the life before")
+{
+    restarted_worker with;
+    with.at.take_over();
+    with.hear();
+    CHECK(with.at.stops[with.task] == 1);
+    CHECK_FALSE(with.at.runs(with.task));
+}
+
+// Records and guards of an older version do not tell of births.
+TEST_CASE("a life without a birth may be the one that is there")
+{
+    restarted_worker with;
+    with.at.worker("g1").worker.life = executor_life("i-1");
+    with.at.worker("g1").running = {with.row};
+    with.hear();
+    with.at.worker("g1").worker.life = {"i-1", 2};
+    with.hear();
+    CHECK_FALSE(with.at.runs(with.task));
+    CHECK(with.at.stopped.empty());
+}
+
+TEST_CASE("a guard stops at the next life what may have been started there")
+{
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper({}, "guard process");
+    const worker_description what{.life = {"i-1", 1}, .service = "s"};
+    const auto look = [&](std::int64_t born)
+    {
+        keeper.on_looked(keeper.worker().life, order_result::accepted,
+                         worker_look{.clock_ms = 5, .born_ms = born}, now, now);
+    };
+    keeper.on_worker(what, 5, now);
+    const guard_orders orders{
+        .epoch = 7,
+        .life = what.life,
+        .incarnation = "guard process",
+        .starts = {{.task = "j.0.0.0",
+                    .run = 1,
+                    .told_incarnation = "guard process"}}};
+    report_answer answer{.holds = true, .permit_ms = 4000, .orders = orders};
+    keeper.on_answer(answer, keeper.report(now), now, now);
+    look(1);
+    REQUIRE(keeper.due(now).size() == 2); // the start, and a look
+    keeper.on_started({.order = orders.starts.at(0), .life = what.life},
+                      order_result::unanswered, now);
+    look(2);
+    CHECK(keeper.worker().life == executor_life("i-1", 2));
+    CHECK(keeper.worker().service.empty());
+    CHECK_FALSE(keeper.report(now).looked);
+    now += milliseconds(20);
+    std::vector<stop_run> stops;
+    for (const keeper_action& one : keeper.due(now))
+    {
+        if (const auto* const stop = std::get_if<stop_run>(&one))
+        {
+            stops.push_back(*stop);
+        }
+    }
+    REQUIRE(stops.size() == 1);
+    CHECK(stops.at(0).life == executor_life("i-1", 2));
+    look(2);
+    CHECK(keeper.report(now).starting == std::vector<std::string>{"j.0.0.0"});
+    keeper.on_stopped(stops.at(0), order_result::accepted, now);
+    now += seconds(1);
+    look(2);
+    REQUIRE(keeper.report(now).refused.size() == 1);
+    CHECK(keeper.report(now).refused.at(0).reason == "executor_restarted");
+    // Its own heartbeat tells what it can run.
+    keeper.on_worker({.life = {"i-1", 2}, .service = "s"}, 5, now);
+    CHECK(keeper.worker().service == "s");
+}
+
+// The executor has forgotten the end, the holder has it, and a copy of the
+// order comes late.
+TEST_CASE("a second copy of the order of an ended run begins nothing")
+{
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper({}, "guard process");
+    const worker_description what{.life = {"i-1", 1}, .service = "s"};
+    keeper.on_worker(what, 5, now);
+    guard_orders orders{.epoch = 7,
+                        .life = what.life,
+                        .incarnation = "guard process",
+                        .starts = {{.task = "j.0.0.0",
+                                    .run = 1,
+                                    .told_incarnation = "guard process"}}};
+    report_answer answer{.holds = true, .permit_ms = 4000, .orders = orders};
+    keeper.on_answer(answer, keeper.report(now), now, now);
+    const auto look = [&](std::vector<ended_task> ended)
+    {
+        keeper.on_looked(
+            what.life, order_result::accepted,
+            worker_look{.clock_ms = 5, .born_ms = 1, .ended = std::move(ended)},
+            now, now);
+    };
+    const auto starts_due = [&]
+    {
+        return std::ranges::count_if(
+            keeper.due(now), [](const keeper_action& one)
+            { return std::holds_alternative<start_run>(one); });
+    };
+    look({{.number = 1, .task = "j.0.0.0", .run = 1, .how = run_end::done}});
+    keeper.on_orders(orders, now);
+    CHECK(starts_due() == 0);
+    now += seconds(2);
+    look({});
+    keeper.on_orders(orders, now);
+    CHECK(starts_due() == 0);
+}
