--- a/tests/unit/ticket_tests.cpp
+++ b/tests/unit/ticket_tests.cpp
@@ -95,3 +95,21 @@
     CHECK(book.tickets("j.0.0", now).empty());
     CHECK_FALSE(book.next_question(now).has_value());
 }
+
+// A step whose name comes late was asked about last, each time: with others
+// that ask again whenever their tickets are over, its turn never came.
+TEST_CASE("the question that has waited longest is asked first" *
+          doctest::may_fail())
+{
+    ticket_book book;
+    time_point now{std::chrono::hours(1)};
+    book.want("z.0.0", {"a"}, now);
+    now += std::chrono::milliseconds(10);
+    book.want("b.0.0", {"a"}, now);
+    CHECK(book.next_question(now)->step == "z.0.0");
+    book.answered(advice_answer{.tickets = {{"a", "t"}}, .valid_ms = 1000},
+                  now);
+    now += std::chrono::milliseconds(10);
+    book.want("a.0.0", {"a"}, now);
+    CHECK(book.next_question(now)->step == "b.0.0");
+}
