--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -280,6 +280,9 @@
                                              const task_position& first,
                                              const ticket_map* tickets,
                                              time_point now);
+    void tell_gang_wait(job_record& of, const queue_row& queue,
+                        const task_position& first, const ticket_map* tickets,
+                        time_point now);
     ticket_map tickets_for(const job_step& step, const std::string& group,
                            const queue_row& queue, time_point now);
     void write_ends_first(worker_record& at);
@@ -301,7 +304,8 @@
 
     // What is told of waits and service (scheduler_sight.cpp).
     void tell_wait(const placement_query& query, const job_record& of,
-                   const job_task& first);
+                   const job_task& first,
+                   std::optional<wait_cause> known = std::nullopt);
     void watch_service(time_point now);
     void sample_jobs();
     void tell_service();
--- a/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
@@ -22,7 +22,9 @@
     room,      ///< there will be room once shorter runs have ended
     bound,     ///< where there is room, its step is at its bound
     ticket,    ///< where there is room, the advice lets it not run
-    harm       ///< where there is room, those that serve do not bear it
+    harm,      ///< where there is room, those that serve do not bear it
+    gang,      ///< there is room for a member, not for all of them at once
+    trials     ///< it may crash its executor, and others are tried before it
 };
 
 /// @brief The name of a cause, as logs and metrics show it.
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -243,12 +243,14 @@
                                     static_cast<double>(workers_.size())));
     if (is_bound && trials_ >= most)
     {
+        tell_wait(query, of, task, wait_cause::trials);
         return false;
     }
     worker_record* const at =
         choose_worker(workers_, query, options_.placement);
     if (at == nullptr)
     {
+        tell_wait(query, of, task);
         return false;
     }
     ++trials_;
@@ -367,6 +369,8 @@
         gang_workers(of, queue, first, queue.advice ? &tickets : nullptr, now);
     if (chosen.empty())
     {
+        tell_gang_wait(of, queue, first, queue.advice ? &tickets : nullptr,
+                       now);
         return true;
     }
     std::int64_t number = 0;
@@ -381,6 +385,25 @@
     return false;
 }
 
+void scheduler_core::tell_gang_wait(job_record& of, const queue_row& queue,
+                                    const task_position& first,
+                                    const ticket_map* tickets, time_point now)
+{
+    const job_task& member = *of.find(first);
+    const std::string group = step_group(of.what().id, first);
+    const placement_query query{.step = of.step_at(first),
+                                .service = queue.service,
+                                .group = group,
+                                .avoided = member.avoided,
+                                .harm = harm_,
+                                .now = now,
+                                .tickets = tickets};
+    const bool fits_one =
+        choose_worker(workers_, query, options_.placement) != nullptr;
+    tell_wait(query, of, member,
+              fits_one ? std::optional(wait_cause::gang) : std::nullopt);
+}
+
 // One worker a member, chosen on a copy of the ledger; empty if they do not
 // all fit. A gang that wants one rack is tried rack by rack first.
 std::vector<worker_record*>
--- a/packages/scheduler/src/scheduler_sight.cpp
+++ b/packages/scheduler/src/scheduler_sight.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 void scheduler_core::tell_wait(const placement_query& query,
-                               const job_record& of, const job_task& first)
+                               const job_record& of, const job_task& first,
+                               std::optional<wait_cause> known)
 {
     const duration waited = query.now - first.ready_since;
     if (waited < options_.long_wait ||
@@ -37,7 +38,7 @@
           {"step", std::to_string(at.step)},
           {"tasks", std::to_string(waiting)},
           {"waited_ms", std::to_string(to_milliseconds(waited))},
-          {"why", std::string(to_string(found.cause))},
+          {"why", std::string(to_string(known.value_or(found.cause)))},
           {"cpu_millis", std::to_string(query.step.demand.cpu_millis)},
           {"memory_mb", std::to_string(query.step.demand.memory_mb)},
           {"workers", std::to_string(found.workers)},
--- a/packages/scheduler/src/wait_report.cpp
+++ b/packages/scheduler/src/wait_report.cpp
@@ -60,9 +60,13 @@
     case wait_cause::ticket:
         return "ticket";
     case wait_cause::harm:
+        return "harm";
+    case wait_cause::gang:
+        return "gang";
+    case wait_cause::trials:
         break;
     }
-    return "harm";
+    return "trials";
 }
 
 wait_report explain_wait(const worker_map& workers,
--- a/tests/unit/scheduler_sight_tests.cpp
+++ b/tests/unit/scheduler_sight_tests.cpp
@@ -106,6 +106,22 @@
         at.submit({step});
         CHECK(cause_told(at) == "bound");
     }
+    SUBCASE("room for a member of a gang, not for all")
+    {
+        at.say("g1");
+        job_step step = step_of(2, 3000);
+        step.gang = true;
+        at.submit({step});
+        CHECK(cause_told(at) == "gang");
+    }
+    SUBCASE("a gang larger than any worker")
+    {
+        at.say("g1");
+        job_step step = step_of(2, 5000);
+        step.gang = true;
+        at.submit({step});
+        CHECK(cause_told(at) == "size");
+    }
 }
 
 TEST_CASE("a lasting job that is not wholly served is told with its shares")
