--- /dev/null
+++ b/packages/guard/src/run_keeper_lives.cpp
@@ -0,0 +1,246 @@
+// Lives of the executor beside a guard: which is there, and what went with the
+// one before.
+
+#include <springstair/guard.hpp>
+
+#include <algorithm>
+
+namespace springstair
+{
+
+void run_keeper::on_worker(const worker_description& what,
+                           std::int64_t clock_ms, time_point now)
+{
+    if (worker_.life != what.life)
+    {
+        if (past_lives_.contains(what.life))
+        {
+            return;
+        }
+        if (looked_)
+        {
+            stranger_ = {.what = what, .clock_ms = clock_ms, .heard = now};
+            return;
+        }
+        begin_life(what.life, now);
+    }
+    news_ = news_ || worker_ != what;
+    worker_ = what;
+    clock_ms_ = clock_ms;
+    clock_at_ = now;
+    answered_ = now;
+}
+
+// A new life has seen no order. It runs nothing, unless it is of the same
+// executor: then it may have taken starts that were meant for the life before.
+void run_keeper::begin_life(const executor_life& next, time_point now)
+{
+    remember_life();
+    refuses_ = false;
+    if (next.id == worker_.life.id)
+    {
+        carry_doubts(now);
+    }
+    else
+    {
+        runs_.clear();
+    }
+    running_.clear();
+    ended_.clear();
+    refused_.clear();
+    given_back_.clear();
+    over_here_.clear();
+    stops_beside_.clear();
+    looked_ = false;
+    looked_at_ = now;
+    look_failed_ = false;
+    vouched_at_ = {};
+    whole_told_ = {}; // the first report of a life has to show what it took
+    look_open_ = false;
+    acknowledged_ = 0;
+    // By an earlier guard, or by a call that was meant for the life before: its
+    // deadline is on another clock, and only the longest lease bounds it.
+    leased_until_ = now +
+                    from_seconds(to_seconds(options_.longest_lease) *
+                                 (1 + options_.clock_drift)) +
+                    options_.lease_slack;
+    next_look_ = now;
+    interference_ = interference(options_.interference);
+}
+
+// A start without an answer may be at the next life of the executor, now or
+// later; its stop is repeated there. Remembered at the former life alone, such
+// a run began beside the one that had taken its place.
+void run_keeper::carry_doubts(time_point now)
+{
+    std::erase_if(runs_,
+                  [](const auto& one)
+                  {
+                      const kept_run& run = one.second;
+                      return !run.in_doubt && !run.call_open &&
+                             run.at != stage::stopping;
+                  });
+    for (auto& [task, run] : runs_)
+    {
+        start_order order = std::move(run.order);
+        run = {.order = std::move(order),
+               .at = stage::stopping,
+               .in_doubt = true,
+               .next_call = now,
+               .refusal = "executor_restarted"};
+    }
+}
+
+// A look that another life was meant by tells who lives at the address. Only
+// an answer decides between two lives: a heartbeat that was held back can come
+// after its sender's end, and lives have no order.
+void run_keeper::meet_stranger(order_result result,
+                               const std::optional<worker_look>& look,
+                               time_point now)
+{
+    stranger_.asking = false;
+    const executor_life& asked = stranger_.what.life;
+    const bool names_it = asked.id != worker_.life.id;
+    if (look)
+    {
+        const executor_life there(asked.id, look->born_ms);
+        if (!names_it && there.may_be(worker_.life))
+        {
+            past_lives_.insert(asked);
+            stranger_ = {};
+        }
+        else
+        {
+            meet_next_life(there.may_be(asked) ? asked : there, now);
+        }
+    }
+    else if (names_it && (result == order_result::accepted ||
+                          result == order_result::fenced))
+    {
+        meet_next_life(asked, now);
+    }
+    else if (result == order_result::other_life)
+    {
+        stranger_ = {};
+    }
+    else
+    {
+        stranger_.next_ask = now + options_.look_retry;
+    }
+}
+
+// Another life has answered. Until its own heartbeat has told what it can run,
+// it gets nothing to run.
+void run_keeper::meet_next_life(const executor_life& who, time_point now)
+{
+    worker_description next = worker_;
+    next.life = who;
+    next.service.clear();
+    next.draining = false;
+    next.leaves_ms = 0;
+    if (who == stranger_.what.life)
+    {
+        next = stranger_.what;
+        clock_ms_ = stranger_.clock_ms;
+        clock_at_ = stranger_.heard;
+    }
+    past_lives_.insert(worker_.life);
+    begin_life(who, now);
+    worker_ = std::move(next);
+    answered_ = now;
+    stranger_ = {};
+    news_ = true;
+}
+
+void run_keeper::on_leave(const executor_life& life)
+{
+    if (worker_.life.may_be(life))
+    {
+        worker_.draining = true;
+        news_ = true;
+    }
+}
+
+void run_keeper::ask_stranger(time_point now, std::vector<keeper_action>& out)
+{
+    if (stranger_.what.life.empty() || stranger_.asking ||
+        now < stranger_.next_ask)
+    {
+        return;
+    }
+    stranger_.asking = true;
+    out.emplace_back(
+        look_at_worker{.epoch = epoch_, .life = stranger_.what.life});
+}
+
+// ---------------------------------------------------------------------------
+// Former lives of the executor
+// ---------------------------------------------------------------------------
+
+// A run that began here and did not end goes with the life.
+void run_keeper::remember_run(const std::string& task, const kept_run& run)
+{
+    const auto begun = run.begun ? run.begun : run.under_way;
+    if (!begun || is_ended(task, run.order.run))
+    {
+        return;
+    }
+    const duration shown = std::max(duration{0}, run.listed - *begun);
+    over_.begun.push_back({.task = task,
+                           .run = run.order.run,
+                           .at_work_ms = to_milliseconds(shown),
+                           .is_sure = run.surely_begun});
+}
+
+void run_keeper::remember_life()
+{
+    for (const auto& [task, kept] : runs_)
+    {
+        remember_run(task, kept);
+    }
+    if (!over_.begun.empty())
+    {
+        over_.life = worker_.life;
+        former_.push_back({.what = std::exchange(over_, {})});
+    }
+    if (former_.size() > options_.most_former)
+    {
+        former_.erase(former_.begin());
+    }
+}
+
+// A start that was taken for one of the life before may have been the next
+// one's: its lists show it, and no crash speaks of it.
+void run_keeper::spare_taken_runs()
+{
+    if (former_.empty() || former_.back().what.life.id != worker_.life.id)
+    {
+        return;
+    }
+    std::erase_if(former_.back().what.begun,
+                  [this](const begun_run& one) {
+                      return is_running(one.task, one.run) ||
+                             is_ended(one.task, one.run);
+                  });
+}
+
+// A holder has heard a report. It may fall before it has written what it
+// makes of that, so its successor hears the same for a while.
+void run_keeper::forget_told_lives(const worker_report& report, time_point now)
+{
+    for (remembered_life& one : former_)
+    {
+        const bool was_told =
+            std::find(report.former.begin(), report.former.end(), one.what) !=
+            report.former.end();
+        if (was_told && !one.told)
+        {
+            one.told = now;
+        }
+    }
+    std::erase_if(
+        former_, [&](const remembered_life& one)
+        { return one.told && now - *one.told > options_.former_told_for; });
+}
+
+} // namespace springstair
