--- a/packages/jobs/include/springstair/detail/jobs/executor_life.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/executor_life.hpp
@@ -34,7 +34,7 @@
     /// order them: the time of day may step back.
     std::int64_t born_ms = 0;
 
-    auto operator<=>(const executor_life&) const = default;
+    auto operator<=>(const executor_life&) const = default; // NOLINT
 
     [[nodiscard]] bool empty() const noexcept
     {
