Guard: takes the orders of a holder that knows of no births

During an upgrade a guard that tells births has a holder that doesn't yet: its orders name the id alone, and the guard took none of them until the holder was of its version. A life without a birth may be any of its id, as in records and reports.

--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -105,7 +105,7 @@
         return false;
     }
     epoch_ = orders.epoch;
-    if (orders.life != worker_.life || worker_.life.empty())
+    if (worker_.life.empty() || !orders.life.may_be(worker_.life))
     {
         return false;
     }
--- a/tests/unit/restarted_executor_tests.cpp
+++ b/tests/unit/restarted_executor_tests.cpp
@@ -212,6 +212,23 @@
     CHECK(keeper.worker().service == "s");
 }
 
+TEST_CASE("a guard takes the orders of a holder that knows of no births")
+{
+    const time_point now{std::chrono::hours(1)};
+    run_keeper keeper({}, "guard process");
+    keeper.on_worker({.life = {"i-1", 1}, .service = "s"}, 5, now);
+    guard_orders orders{.epoch = 7,
+                        .life = executor_life("i-1"),
+                        .incarnation = "guard process",
+                        .starts = {{.task = "j.0.0.0", .run = 1}}};
+    CHECK(keeper.on_orders(orders, now));
+    CHECK(keeper.report(now).starting.size() == 1);
+    orders.life = {"i-1", 2};
+    CHECK_FALSE(keeper.on_orders(orders, now));
+    orders.life = executor_life("i-2");
+    CHECK_FALSE(keeper.on_orders(orders, now));
+}
+
 // The executor has forgotten the end, the holder has it, and a copy of the
 // order comes late.
 TEST_CASE("a second copy of the order of an ended run begins nothing")
