--- a/tests/unit/restarted_executor_tests.cpp
+++ b/tests/unit/restarted_executor_tests.cpp
@@ -11,15 +11,26 @@
 using namespace springstair;        // NOLINT: a test
 using namespace springstair::tests; // NOLINT: a test
 
-// The new life counts its ends from 1. Its first ends were passed over as known
-// ones: their runs were ordered again and again, each time refused as stale.
-TEST_CASE("the ends of an executor's next life are heard")
+namespace
+{
+
+// Three ends are noted and acknowledged; then the executor starts again.
+void let_end_and_start_again(one_worker_fleet& fleet)
 {
-    one_worker_fleet fleet;
     const std::string before = fleet.submit(3);
     fleet.pass(seconds(5));
     REQUIRE(fleet.shown(before) == job_state::succeeded);
     fleet.executor.start_again(fleet.now);
+}
+
+} // namespace
+
+// The new life counts its ends from 1. Its first ends were passed over as known
+// ones: their runs were ordered again and again, each time refused as stale.
+TEST_CASE("the ends of an executor's next life are heard")
+{
+    one_worker_fleet fleet;
+    let_end_and_start_again(fleet);
     const std::string after = fleet.submit(2);
     fleet.pass(seconds(10));
     CHECK(fleet.shown(after) == job_state::succeeded);
@@ -30,10 +41,7 @@
 TEST_CASE("no end of an executor's next life is acknowledged unread")
 {
     one_worker_fleet fleet;
-    const std::string before = fleet.submit(3);
-    fleet.pass(seconds(5));
-    REQUIRE(fleet.shown(before) == job_state::succeeded);
-    fleet.executor.start_again(fleet.now);
+    let_end_and_start_again(fleet);
     const std::string first = fleet.submit(2);
     fleet.pass(seconds(2));
     const std::string second = fleet.submit(4);
