HTTP client: only calls that ask for an older connection look for its age

Each request that went out walked the kept connections of its peer, with a copy of their list and a system call for each, whatever it had asked for: every order and report paid for what acknowledgements alone need. A call without made_before on a kept connection is let through at once; what it is answered is as before. Found by reading the diff. No figure of what it saves was taken.

--- a/packages/transport/src/open_call.cpp
+++ b/packages/transport/src/open_call.cpp
@@ -201,6 +201,10 @@
 // process that started in between may have taken it.
 bool open_call::may_use(int port)
 {
+    if (!call.made_before && !opened_one)
+    {
+        return true; // its age matters to nobody
+    }
     for (const auto& [kept, since] : pool->kept(peer))
     {
         if (port_of(kept) != port)
