Holder: a placement is written with the ends whose room it uses, or after them

What callers would see: after a takeover a worker that does not guard its room gets more runs than fit (LIMIT).

Cause: the mend in put ends at the front of the queue of writes. An end also counted for the first placement at its worker alone.

Evidence: the new test plays three workers beside a store that takes two jobs a write.

Change: a record keeps which changes of others it needs, and only where the room without those ends is too small; a write takes a record with all of them or not at all. What would need more than one write takes is not placed before the next write, so no write can wait for ever (the test checks that all jobs end).

Ruled out: release of room only once the end is written (costs a write's time of each worker that is full).

--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -2,6 +2,7 @@
 
 #include <springstair/jobs.hpp>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -124,6 +125,9 @@
     std::int64_t revision = 0; ///< of the stored progress; 0: none
     /// Whether a start or a caller waits for the newest change to be kept.
     bool pressing = false;
+    /// Changes of other jobs, by their id, that the store must have no later
+    /// than this record: ends whose room its placements use.
+    std::map<std::string, std::int64_t> needs;
     time_point unkept_since{}; ///< of the oldest change to be written
     job_state shown = job_state::pending;  ///< what callers may see
     std::int64_t order = 0;                ///< in which jobs were accepted
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -261,7 +261,30 @@
     [[nodiscard]] scheduler_figures figures() const;
 
 private:
+    // Writing (scheduler_writing.cpp).
+
+    // Ends of a job's runs at one worker that the store may not have yet.
+    struct unkept_end
+    {
+        std::int64_t change = 0; ///< of the job, with the newest of them
+        resources room;          ///< that they free
+    };
+
     [[nodiscard]] bool may_write(time_point now) const noexcept;
+    [[nodiscard]] bool is_due(const job_record& of, time_point now) const;
+    std::set<std::string> jobs_to_write(time_point now);
+    [[nodiscard]] bool is_kept(const std::string& job,
+                               std::int64_t change) const;
+    void note_freed(const std::string& guard, const job_record& of,
+                    const job_step& step);
+    const std::map<std::string, unkept_end>&
+    unkept_ends(const std::string& guard);
+    bool needs_ends(const worker_record& at, const job_step& step);
+    void use_room(job_record& of, const job_step& step,
+                  const worker_record& at);
+    std::set<std::string> written_with(const std::string& id);
+    bool can_be_written(const std::string& id, const job_step& step,
+                        const std::vector<worker_record*>& chosen);
 
     // Placing (scheduler_placing.cpp).
     // A placement is ordered once it is written, so a pass before the next
@@ -285,7 +308,6 @@
                         time_point now);
     ticket_map tickets_for(const job_step& step, const std::string& group,
                            const queue_row& queue, time_point now);
-    void write_ends_first(worker_record& at);
     void put(job_record& of, job_task& task, worker_record& at,
              std::int64_t number, const ticket_map& tickets, time_point now);
 
@@ -460,6 +482,8 @@
     std::set<std::string> wanting_;  ///< jobs that may have tasks to place
     std::vector<std::string> dirty_; ///< jobs to write, oldest change first
     std::set<std::string> is_dirty_;
+    /// By the guard of the worker whose room they free, and by their job.
+    std::map<std::string, std::map<std::string, unkept_end>> freed_;
     bool committing_ = false;
     time_point last_commit_{};
     worker_map workers_;
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -39,8 +39,6 @@
     std::optional<task_name> on_trial;
     /// Former lives that its guard still tells of and that were judged.
     std::set<executor_life> judged_lives;
-    /// Jobs with runs that are over there, which the store may not know yet.
-    std::set<std::string> freed_by;
     /// The guard process that told of its executor's life last: of what goes
     /// with that life, it knows.
     std::string witness;
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -1,4 +1,4 @@
-// Office, acceptance, writing and what callers see.
+// Office, acceptance and what callers see.
 
 #include <springstair/scheduler.hpp>
 
@@ -158,88 +158,9 @@
 }
 
 // ---------------------------------------------------------------------------
-// Writing
+// Orders
 // ---------------------------------------------------------------------------
 
-bool scheduler_core::may_write(time_point now) const noexcept
-{
-    return !committing_ && now - last_commit_ >= options_.commit_gap;
-}
-
-std::optional<commit_batch> scheduler_core::next_commit(time_point now)
-{
-    if (!begun_ || dirty_.empty() || !may_write(now))
-    {
-        return std::nullopt;
-    }
-    commit_batch batch;
-    std::vector<std::string> later;
-    for (std::string& id : dirty_)
-    {
-        job_record& of = *job_of(id);
-        const bool due =
-            of.pressing || now - of.unkept_since >= options_.gather_ends;
-        if (!due || batch.size() >= options_.jobs_a_commit)
-        {
-            later.push_back(std::move(id));
-            continue;
-        }
-        is_dirty_.erase(id);
-        of.pressing = false;
-        batch.push_back({.job = of.what().id,
-                         .text = encode(of.progress()),
-                         .expected_revision = of.revision,
-                         .change = of.change,
-                         .state = of.state()});
-    }
-    dirty_ = std::move(later);
-    if (batch.empty())
-    {
-        return std::nullopt;
-    }
-    committing_ = true;
-    last_commit_ = now;
-    return batch;
-}
-
-void scheduler_core::committed(const commit_batch& batch, std::int64_t revision,
-                               time_point now)
-{
-    committing_ = false;
-    for (const progress_write& write : batch)
-    {
-        job_record& of = *job_of(write.job);
-        of.kept = write.change;
-        of.revision = revision;
-        of.shown = of.shown == job_state::cancelled ? of.shown : write.state;
-        for (job_task& task : of.tasks())
-        {
-            const bool due = task.run && !task.run->ordered &&
-                             task.run->placed_in <= of.kept;
-            const auto at =
-                due ? workers_.find(task.run->guard) : workers_.end();
-            if (at == workers_.end() || task.run->stopping ||
-                at->second.what.life != task.run->life)
-            {
-                continue;
-            }
-            task.run->ordered = true;
-            task.run->told_incarnation = at->second.incarnation;
-            task.run->ordered_at = now;
-            task.run->moved_at = now;
-            guard_orders& out = outbox_[task.run->guard];
-            if (at->second.closed)
-            {
-                // It must not begin where its data centre has closed meanwhile.
-                const task_name name{of.what().id, of.position_of(task)};
-                order_stop(*task.run, name.text(), out);
-                continue;
-            }
-            out.starts.push_back(order_for(of, task));
-        }
-    }
-}
-
 std::vector<addressed_orders> scheduler_core::take_orders()
 {
     std::vector<addressed_orders> out;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -45,12 +45,12 @@
     if (at != workers_.end())
     {
         release(at->second, step, {of.what().id, where});
-        at->second.freed_by.insert(of.what().id);
         judge_worker(at->second, of, run, how, now);
     }
     task.run.reset();
     task.ready_since = now;
     ++of.change;
+    note_freed(run.guard, of, step);
     if (!over.checkpoint().empty())
     {
         task.checkpoint = over.checkpoint();
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -218,6 +218,10 @@
                        std::ranges::count_if(tasks, &job_task::is_waiting));
             return true; // its siblings ask for the same
         }
+        if (!can_be_written(of.what().id, what, {at}))
+        {
+            return true;
+        }
         put(of, task, *at, task.runs + 1, tickets, now);
     }
     return left;
@@ -253,6 +257,10 @@
         tell_wait(query, of, task);
         return false;
     }
+    if (!can_be_written(of.what().id, query.step, {at}))
+    {
+        return false;
+    }
     ++trials_;
     at->on_trial = task_name{of.what().id, of.position_of(task)};
     put(of, task, *at, task.runs + 1, tickets, query.now);
@@ -286,29 +294,12 @@
     }
 }
 
-// A successor counts on every run that the store has. With a placement written
-// before the end that made its room, it counted on both, and the worker got
-// more than fits.
-void scheduler_core::write_ends_first(worker_record& at)
-{
-    for (const std::string& id : std::exchange(at.freed_by, {}))
-    {
-        job_record* const of = job_of(id);
-        const auto waiting = std::ranges::find(dirty_, id);
-        if (of != nullptr && waiting != dirty_.end())
-        {
-            of->pressing = true;
-            std::rotate(dirty_.begin(), waiting, waiting + 1);
-        }
-    }
-}
-
 void scheduler_core::put(job_record& of, job_task& task, worker_record& at,
                          std::int64_t number, const ticket_map& tickets,
                          time_point now)
 {
     const task_position where = of.position_of(task);
-    write_ends_first(at);
+    use_room(of, of.step_at(where), at);
     ++of.change;
     task.runs = number;
     const auto ticket = tickets.find(at.what.life);
@@ -373,6 +364,10 @@
                        now);
         return true;
     }
+    if (!can_be_written(of.what().id, of.step_at(first), chosen))
+    {
+        return true;
+    }
     std::int64_t number = 0;
     for (const job_task& task : tasks)
     {
--- a/tests/unit/freed_room_tests.cpp
+++ b/tests/unit/freed_room_tests.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 using namespace springstair;        // NOLINT: a test
 using namespace springstair::tests; // NOLINT: a test
 
@@ -20,8 +22,160 @@
     return std::ranges::find(batch, job, &progress_write::job) != batch.end();
 }
 
+// Workers that end runs at random, and a store that takes two jobs a write, so
+// that changes queue up.
+class busy_store
+{
+public:
+    explicit busy_store(unsigned seed) : random_(seed)
+    {
+        for (const char* guard : {"g1", "g2", "g3"})
+        {
+            at_.say(guard);
+        }
+    }
+
+    void turn()
+    {
+        if (chance(0.5))
+        {
+            submit();
+        }
+        for (auto& [guard, report] : at_.reports)
+        {
+            end_some(report);
+            at_.say(guard);
+        }
+        at_.now += milliseconds(25);
+        at_.verified = at_.now;
+        at_.core.tick(at_.now, at_.day_ms);
+        write();
+    }
+
+    // Whether a successor that counts on every run in the store would give a
+    // worker more than it holds.
+    [[nodiscard]] bool counts_more_than_fits() const
+    {
+        std::map<std::string, resources> used;
+        for (const auto& [id, record] : at_.records)
+        {
+            for (const task_progress& one : decode_progress(record.text).tasks)
+            {
+                const job& what = at_.accepted.at(id);
+                used[one.guard] +=
+                    what.steps[static_cast<std::size_t>(one.at.step)].demand;
+            }
+        }
+        used.erase(""); // of tasks that are at no worker
+        return std::ranges::any_of(used, [](const auto& one)
+                                   { return !one.second.fits(room); });
+    }
+
+    [[nodiscard]] std::size_t most_queued() const
+    {
+        return most_queued_;
+    }
+
+    [[nodiscard]] bool all_ended() const
+    {
+        return std::ranges::all_of(
+            at_.accepted, [&](const auto& one)
+            { return at_.shown(one.first) == job_state::succeeded; });
+    }
+
+    void calm()
+    {
+        submits_ = false;
+    }
+
+private:
+    bool chance(double share)
+    {
+        return std::bernoulli_distribution(share)(random_);
+    }
+
+    void submit()
+    {
+        if (!submits_)
+        {
+            return;
+        }
+        std::vector<job_step> steps;
+        for (std::size_t number = 0; number < 3; ++number)
+        {
+            steps.push_back(step_of(chance(0.5) ? 1 : 3, half_a_worker));
+            if (number > 0)
+            {
+                steps.back().after = {number - 1};
+            }
+        }
+        at_.submit(std::move(steps));
+    }
+
+    void end_some(const worker_report& report)
+    {
+        const auto running = report.running;
+        for (const running_task& row : running)
+        {
+            if (chance(0.4))
+            {
+                at_.end(row.task, run_end::done);
+            }
+        }
+    }
+
+    void write()
+    {
+        if (const auto batch = at_.core.next_commit(at_.now))
+        {
+            ++at_.revision;
+            for (const progress_write& one : *batch)
+            {
+                at_.records[one.job] = {.text = one.text,
+                                        .revision = at_.revision};
+            }
+            at_.core.committed(*batch, at_.revision, at_.now);
+            most_queued_ = std::max(most_queued_, batch->size());
+        }
+        for (const addressed_orders& one : at_.core.take_orders())
+        {
+            at_.take(one.orders, one.guard);
+        }
+    }
+
+    holder at_{{.jobs_a_commit = 2, .gather_lasting = duration{0}}};
+    std::mt19937 random_;
+    bool submits_ = true;
+    std::size_t most_queued_ = 0;
+};
+
 } // namespace
 
+// Guards against room that is used twice where more jobs change than one write
+// takes: a placement went ahead of the end that made its room, because its own
+// job had been put first for another worker's sake.
+TEST_CASE("the store never counts more on a worker than fits")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        busy_store store(seed);
+        for (int turn = 0; turn < 400; ++turn)
+        {
+            store.turn();
+            REQUIRE_FALSE(store.counts_more_than_fits());
+        }
+        CHECK(store.most_queued() == 2);
+        store.calm();
+        for (int turn = 0; turn < 4000 && !store.all_ended(); ++turn)
+        {
+            store.turn();
+            REQUIRE_FALSE(store.counts_more_than_fits());
+        }
+        CHECK(store.all_ended());
+    }
+}
+
 TEST_CASE("a placement is not written before the end whose room it uses")
 {
     holder at;
