Holder: shows nothing of a job whose end the store may have

Cause: the write of the end was in the store, its answer was lost. An entry that could not ask the holder read the store; another asked the holder, which showed what it knew for sure. Two sources for one answer, one of which lags behind.

Change: from the sending of an end until it is confirmed the holder shows nothing of that job, and entries read the store, which orders all answers: at most one more read for an ask in that time.

Ruled out: the check itself (both asks were sent after the states that they contradict), a paused holder (it had verified its office just before).

--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -130,6 +130,7 @@
     std::map<std::string, std::int64_t> needs;
     time_point unkept_since{}; ///< of the oldest change to be written
     job_state shown = job_state::pending;  ///< what callers may see
+    job_state sent = job_state::pending;   ///< what the store may have
     std::int64_t order = 0;                ///< in which jobs were accepted
     time_point accepted{};                 ///< when this holder learnt of it
     std::optional<time_point> first_start; ///< when a task was first placed
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -202,7 +202,8 @@
     {
         return of->shown;
     }
-    if (now - verified > options_.show_reach)
+    // An end that the store may have is shown by whoever reads it there.
+    if (is_final(of->sent) || now - verified > options_.show_reach)
     {
         return std::nullopt;
     }
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -175,6 +175,7 @@
         job_record& of = *job_of(id);
         is_dirty_.erase(id);
         of.pressing = false;
+        of.sent = of.state();
         of.needs.clear();
         batch.push_back({.job = id,
                          .text = encode(of.progress()),
--- a/tests/unit/scheduler_tests.cpp
+++ b/tests/unit/scheduler_tests.cpp
@@ -599,6 +599,28 @@
     CHECK(decode_progress(ended->front().text).tasks.empty());
 }
 
+// Guards against a job that goes back from succeeded to running: its end was in
+// the store, the holder had not heard so yet, and who read the store showed it.
+TEST_CASE("nothing is shown against an end that the store may have")
+{
+    holder at;
+    at.say("g1");
+    const job what = at.submit({step_of(1)});
+    at.turn();
+    at.say("g1");
+    CHECK(at.shown(what.id) == job_state::running);
+    at.end(what.id + ".0.0.0", run_end::done);
+    at.say("g1");
+    CHECK(at.shown(what.id) == job_state::running);
+    at.now += milliseconds(25);
+    at.verified = at.now;
+    const auto ended = at.core.next_commit(at.now);
+    REQUIRE(ended.has_value());
+    CHECK_FALSE(at.shown(what.id).has_value());
+    at.core.committed(*ended, ++at.revision, at.now);
+    CHECK(at.shown(what.id) == job_state::succeeded);
+}
+
 TEST_CASE("a start that the successor does not find is sent again")
 {
     holder first;
