Holder: lasting runs give way to a step that may run nowhere else

What callers would see: a job of a queue with advice, or with a label, waits for ever while most of the fleet is free, since lasting runs fill the few workers that may run it.

Cause: what asks for one of few workers later is not known when lasting runs are placed, and nothing took that choice back.

Change: after 1.5 s without anything of the job at work, one lasting run after the other leaves such a worker, if another takes it at once.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -125,7 +125,8 @@
     {event_id::order_failed, severity::warning, "order_failed",
      "A worker's answer to an order, when it was not taken."},
     {event_id::run_moved, severity::info, "run_moved",
-     "A run that is slowed for others' sake is stopped to resume elsewhere."},
+     "A run is stopped to go on elsewhere: it is slowed for others' sake, or "
+     "lasts and stands in the way of a step that may run nowhere else."},
     {event_id::tasks_wait, severity::info, "tasks_wait",
      "Tasks of a step find no worker; why, and the most room on any."},
     {event_id::run_lost, severity::warning, "run_lost",
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -103,6 +103,9 @@
     /// It does not return for so long: what slowed it there, a load that
     /// swings over some ten seconds, is hardly gone before.
     duration no_return = std::chrono::milliseconds(4000);
+    /// A step that only some workers may run, all full of lasting runs, waits
+    /// for so long before one of those moves; half of what the platform allows.
+    duration longest_blocked = std::chrono::milliseconds(1500);
     /// Runs that move at one report: figures follow only half a second later.
     std::size_t most_moves = 3;
     /// A task that waits longer than this has its reason logged: waits below
@@ -373,6 +376,11 @@
                               time_point now);
     void move(const task_name& name, const worker_record& at, std::int64_t pace,
               guard_orders& out, time_point now);
+    void make_way(const placement_query& query, const job_record& of,
+                  const job_task& task);
+    resources room_after_stops(const worker_record& at);
+    bool may_give_way(const task_name& name, const worker_record& at,
+                      time_point now);
     void leave_in_time(worker_record& at, guard_orders& out, time_point now);
     void learn_harm(worker_record& at, const worker_report& from,
                     time_point now);
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -79,6 +79,88 @@
                                {"pace", std::to_string(pace)}});
 }
 
+// A step that may run on few workers waits for as long as lasting runs fill
+// them, though others have room. Where shorter runs will free none in time, one
+// lasting run after the other goes elsewhere.
+void scheduler_core::make_way(const placement_query& query,
+                              const job_record& of, const job_task& task)
+{
+    const bool is_choosy =
+        query.tickets != nullptr || !query.step.label.empty();
+    if (!is_choosy || query.step.lasting || of.has_runs() ||
+        query.now - task.ready_since < options_.longest_blocked)
+    {
+        return;
+    }
+    const resources asked = reserved_by(query.step);
+    std::vector<worker_record*> blocked;
+    for (auto& [guard, at] : workers_)
+    {
+        if (!may_run(at, query, options_.placement))
+        {
+            continue;
+        }
+        if (asked.fits(room_after_stops(at)))
+        {
+            return;
+        }
+        if (asked.fits(at.what.capacity))
+        {
+            blocked.push_back(&at);
+        }
+    }
+    for (worker_record* const at : blocked)
+    {
+        const auto leaves = std::ranges::find_if(
+            at->held, [&](const task_name& name)
+            { return may_give_way(name, *at, query.now); });
+        if (leaves != at->held.end())
+        {
+            move(*leaves, *at, full_percent, outbox_[at->guard], query.now);
+            return;
+        }
+    }
+}
+
+// What a worker will have once shorter runs, and those that are being stopped,
+// have ended.
+resources scheduler_core::room_after_stops(const worker_record& at)
+{
+    resources room = at.room_in_time();
+    for (const task_name& name : at.held)
+    {
+        job_record& of = *job_of(name.job);
+        const job_step& step = of.step_at(name.at);
+        if (step.lasting && of.find(name.at)->run->stopping)
+        {
+            room += reserved_by(step);
+        }
+    }
+    return room;
+}
+
+// Whether a lasting run may be stopped to run elsewhere: its step misses no
+// more tasks than it may, and another worker takes it at once.
+bool scheduler_core::may_give_way(const task_name& name,
+                                  const worker_record& at, time_point now)
+{
+    job_record& of = *job_of(name.job);
+    const job_step& step = of.step_at(name.at);
+    const task_run& run = *of.find(name.at)->run;
+    const queue_row* const queue = table_.queue(of.what().queue);
+    if (!step.lasting || step.gang || !run.seen || run.stopping ||
+        queue == nullptr || queue->advice)
+    {
+        return false;
+    }
+    const auto missing = std::ranges::count_if(
+        of.tasks_of(name.at.round, name.at.step), [](const job_task& task)
+        { return !task.run || !task.run->seen || task.run->stopping; });
+    const bool spares_one =
+        step.most_missing == 0 || missing < step.most_missing;
+    return spares_one && is_welcome_elsewhere(name, at, now);
+}
+
 // A worker that leaves takes down what runs there: what lasts moves at once,
 // the rest when little time remains.
 void scheduler_core::leave_in_time(worker_record& at, guard_orders& out,
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -218,6 +218,7 @@
         {
             vain_.note(query);
             tell_wait(query, of, task);
+            make_way(query, of, task);
             claim_room(query,
                        std::ranges::count_if(tasks, &job_task::is_waiting));
             return true; // its siblings ask for the same
--- /dev/null
+++ b/tests/unit/blocked_step_tests.cpp
@@ -0,0 +1,102 @@
+// Steps that only some workers may run, where lasting runs fill those.
+
+#include "holder_by_hand.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+
+namespace
+{
+
+// Two workers; lasting runs fill the first, the only one with the label.
+class filled_worker
+{
+public:
+    explicit filled_worker(std::int64_t most_missing)
+    {
+        at.worker("g1").worker.labels = {"a"};
+        at.say("g1");
+        job_step step = step_of(4);
+        step.lasting = true;
+        step.most_missing = most_missing;
+        lasting = at.submit({step}).id;
+        at.turn();
+        at.say("g2");
+        job_step wanted = step_of(1, 2000);
+        wanted.label = "a";
+        blocked = at.submit({wanted}).id + ".0.0.0";
+    }
+
+    // A while in which workers end what is stopped.
+    void run(duration length)
+    {
+        const time_point until = at.now + length;
+        while (at.now < until)
+        {
+            at_once = std::max(at_once, at.stops.size());
+            for (const auto& [task, run] : std::exchange(at.stops, {}))
+            {
+                ++stopped;
+                at.end(task, run_end::stopped);
+            }
+            report("g1");
+            report("g2");
+            at.turn(milliseconds(100));
+        }
+    }
+
+    holder at;
+    std::string lasting;
+    std::string blocked; ///< the task that may only run on the first worker
+    int stopped = 0;
+    std::size_t at_once = 0; ///< the most stops between two reports
+
+private:
+    void report(const std::string& guard)
+    {
+        for (running_task& row : at.worker(guard).running)
+        {
+            row.percent = full_percent;
+        }
+        at.say(guard);
+    }
+};
+
+} // namespace
+
+// Guards against a job that waits for as long as lasting runs fill the one
+// worker that may run it, though another has room for them.
+TEST_CASE("lasting runs give way to a step that may run nowhere else")
+{
+    filled_worker with(0);
+    with.run(seconds(1));
+    CHECK(with.stopped == 0);
+    with.run(milliseconds(1500));
+    CHECK(with.at.where[with.blocked] == "g1");
+    CHECK(with.stopped == 2);
+    int elsewhere = 0;
+    for (int index = 0; index < 4; ++index)
+    {
+        const std::string task = with.lasting + ".0.0." + std::to_string(index);
+        elsewhere += with.at.where.at(task) == "g2" ? 1 : 0;
+    }
+    CHECK(elsewhere == 2);
+}
+
+TEST_CASE("no more lasting runs give way at once than may be missing")
+{
+    filled_worker with(1);
+    with.run(milliseconds(2500));
+    CHECK(with.at_once == 1);
+    CHECK(with.at.where[with.blocked] == "g1");
+}
+
+TEST_CASE("lasting runs stay where no other worker takes them")
+{
+    filled_worker with(0);
+    with.at.worker("g2").worker.draining = true;
+    with.run(seconds(5));
+    CHECK(with.stopped == 0);
+}
