Holder: looks for a way for a blocked step twice a second at most

Each look searches all workers for each lasting run that could leave; at hundreds of full workers that was a search of all of them for each lasting run, in each pass. Now one look each half second, at 16 workers, one run of each. By reading, not measured. Unit tests 250 of 250.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -336,7 +336,7 @@
     time_point looked_at_{};   ///< when its lists came last
     bool look_failed_ = false; ///< the newest one; the next is to tell more
     std::optional<time_point> failing_since_; ///< of looks that all failed
-    time_point vouched_at_{};  ///< see look_at_worker
+    time_point vouched_at_{};                 ///< see look_at_worker
     bool look_open_ = false;
     time_point next_look_{};
     std::vector<running_task> running_;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -426,8 +426,8 @@
                       .worker = worker_,
                       .looked = looked_,
                       .lists_age_ms = to_milliseconds(now - looked_at_),
-                      .failing_ms = to_milliseconds(
-                          now - failing_since_.value_or(now)),
+                      .failing_ms =
+                          to_milliseconds(now - failing_since_.value_or(now)),
                       .whole = now - whole_told_ >= options_.whole_every,
                       .answering = !is_silent(now) && !refuses_,
                       .lapsed = is_silent(now) && now >= leased_until_,
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -288,8 +288,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     worker_report, guard, address, epoch, incarnation, sequence, sent_ms,
-    admission, worker, looked, lists_age_ms, failing_ms, whole, answering, lapsed, lease_ms,
-    running, ended, refused, paces, starting, unknown, former)
+    admission, worker, looked, lists_age_ms, failing_ms, whole, answering,
+    lapsed, lease_ms, running, ended, refused, paces, starting, unknown, former)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image,
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -106,6 +106,10 @@
     /// A step that only some workers may run, all full of lasting runs, waits
     /// for so long before one of those moves; half of what the platform allows.
     duration longest_blocked = std::chrono::milliseconds(1500);
+    /// How often a way is looked for, for one step, and at how many workers:
+    /// each is a search of all workers.
+    duration way_gap = std::chrono::milliseconds(500);
+    std::size_t most_ways = 16;
     /// Runs that move at one report: figures follow only half a second later.
     std::size_t most_moves = 3;
     /// A task that waits longer than this has its reason logged: waits below
@@ -379,8 +383,7 @@
     void make_way(const placement_query& query, const job_record& of,
                   const job_task& task);
     resources room_after_stops(const worker_record& at);
-    bool may_give_way(const task_name& name, const worker_record& at,
-                      time_point now);
+    bool may_give_way(const task_name& name);
     void leave_in_time(worker_record& at, guard_orders& out, time_point now);
     void learn_harm(worker_record& at, const worker_report& from,
                     time_point now);
@@ -514,6 +517,7 @@
     ticket_book advice_;
     vain_queries vain_;         ///< of this pass over the waiting tasks
     time_point last_lasting_{}; ///< when the newest lasting job came
+    time_point next_way_{};     ///< when lasting runs may give way again
     std::size_t claims_ = 0;    ///< workers that this pass keeps free
     std::size_t trials_ = 0;    ///< workers up that are closed for suspects
     bool may_place_ = true;     ///< jobs or room changed since the last pass
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -88,10 +88,12 @@
     const bool is_choosy =
         query.tickets != nullptr || !query.step.label.empty();
     if (!is_choosy || query.step.lasting || of.has_runs() ||
-        query.now - task.ready_since < options_.longest_blocked)
+        query.now - task.ready_since < options_.longest_blocked ||
+        query.now < next_way_)
     {
         return;
     }
+    next_way_ = query.now + options_.way_gap;
     const resources asked = reserved_by(query.step);
     std::vector<worker_record*> blocked;
     for (auto& [guard, at] : workers_)
@@ -109,12 +111,14 @@
             blocked.push_back(&at);
         }
     }
+    blocked.resize(std::min(blocked.size(), options_.most_ways));
     for (worker_record* const at : blocked)
     {
-        const auto leaves = std::ranges::find_if(
-            at->held, [&](const task_name& name)
-            { return may_give_way(name, *at, query.now); });
-        if (leaves != at->held.end())
+        const auto leaves =
+            std::ranges::find_if(at->held, [&](const task_name& name)
+                                 { return may_give_way(name); });
+        if (leaves != at->held.end() &&
+            is_welcome_elsewhere(*leaves, *at, query.now))
         {
             move(*leaves, *at, full_percent, outbox_[at->guard], query.now);
             return;
@@ -140,9 +144,8 @@
 }
 
 // Whether a lasting run may be stopped to run elsewhere: its step misses no
-// more tasks than it may, and another worker takes it at once.
-bool scheduler_core::may_give_way(const task_name& name,
-                                  const worker_record& at, time_point now)
+// more tasks than it may.
+bool scheduler_core::may_give_way(const task_name& name)
 {
     job_record& of = *job_of(name.job);
     const job_step& step = of.step_at(name.at);
@@ -156,9 +159,7 @@
     const auto missing = std::ranges::count_if(
         of.tasks_of(name.at.round, name.at.step), [](const job_task& task)
         { return !task.run || !task.run->seen || task.run->stopping; });
-    const bool spares_one =
-        step.most_missing == 0 || missing < step.most_missing;
-    return spares_one && is_welcome_elsewhere(name, at, now);
+    return step.most_missing == 0 || missing < step.most_missing;
 }
 
 // A worker that leaves takes down what runs there: what lasts moves at once,
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -298,10 +298,9 @@
 // Whether a worker is still kept for a suspect that waits.
 bool scheduler_core::is_kept_rightly(const worker_record& at, time_point now)
 {
-    const job_record* const of = job_of(at.kept_for->job);
+    job_record* const of = job_of(at.kept_for->job);
     return now < at.kept_until && at.answering && of != nullptr &&
-           !is_final(of->state()) &&
-           job_of(at.kept_for->job)->find(at.kept_for->at)->is_waiting();
+           !is_final(of->state()) && of->find(at.kept_for->at)->is_waiting();
 }
 
 // Keeps workers free for tasks that no worker can take now. Those behind them
