--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -134,7 +134,7 @@
      "shown it at work, and how many went with it."},
     {event_id::task_suspected, severity::warning, "task_suspected",
      "A task may be why an executor crashed; from suspicion 4 on it runs "
-     "apart, at 4 to 8 its job is given up."},
+     "apart, at 6 to 8 its job is given up."},
     {event_id::run_missing, severity::warning, "run_missing",
      "A worker shows a run no more, or never did; its order is repeated. "
      "Whether the report lists an end of it, and which ends were noted."},
--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -74,6 +74,10 @@
 /// @brief Crashes that must surely have been under a task before its job may
 /// be told that it failed (platform).
 inline constexpr std::int64_t least_crashes = 2;
+/// @brief Crashes surely under a task that give it up whatever ran beside it:
+/// the platform counts starts from here on, and a verdict can be lost with its
+/// holder before it is written.
+inline constexpr std::int64_t naming_crashes = 3;
 
 /// @brief One run that went with its executor.
 struct lost_run_facts
@@ -146,12 +150,14 @@
     bool is_sure = false; ///< it had surely begun
 };
 
-/// @brief Whether a task is given up. Crashes beside others never name it,
-/// however many: a task that was only beside them was told to have failed.
+/// @brief Whether a task is given up. A crash beside others does not name it,
+/// nor does a start that may never have begun: with those, tasks that were only
+/// beside crashes were told to have failed.
 [[nodiscard]] constexpr bool is_given_up(const crash_verdict& of) noexcept
 {
-    const bool named = of.suspicion >= named_at && of.is_sole && of.is_sure &&
-                       of.crashes >= least_crashes;
+    const bool alone = of.is_sole && of.is_sure && of.crashes >= least_crashes;
+    const bool named =
+        of.suspicion >= named_at && (alone || of.crashes >= naming_crashes);
     return named || of.suspicion >= last_at;
 }
 
