Tests: the fleet of crashing executors stands in a header of its own

Change: the fleet by hand goes to crashing_fleet.hpp; the five cases of executors that crash by themselves to a file of their own. Ruled out: two copies of the fleet.

--- /dev/null
+++ b/tests/unit/crashes_by_themselves_tests.cpp
@@ -0,0 +1,140 @@
+// Executors that crash by themselves: no task is behind it, and none may be
+// taken for the cause.
+
+#include "crashing_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("VMs that go by themselves, with their guards, end no job")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    const std::string lasts = fleet.submit(lasting(8));
+    std::mt19937 random(11);
+    for (int turn = 0; turn < 60; ++turn)
+    {
+        passing.run(milliseconds(500), milliseconds(100));
+        const std::string guard = "g" + std::to_string(random() % 11);
+        if (fleet.is_up(guard))
+        {
+            fleet.lose_power(guard);
+        }
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
+
+TEST_CASE("crashes of executors by themselves end no job")
+{
+    crashing_fleet fleet({});
+    passing_jobs passing(fleet);
+    const std::string lasts = fleet.submit(lasting(8));
+    std::mt19937 random(7);
+    for (int turn = 0; turn < 60; ++turn)
+    {
+        passing.run(milliseconds(500), milliseconds(100));
+        const std::string guard = "g" + std::to_string(random() % 11);
+        if (fleet.is_up(guard))
+        {
+            fleet.crash(guard);
+        }
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
+
+TEST_CASE("tasks that crash executors are told from crashes by themselves")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        crashing_fleet fleet({});
+        passing_jobs passing(fleet);
+        const std::string lasts = fleet.submit(lasting(8));
+        std::vector<std::string> bad;
+        std::mt19937 random(seed);
+        for (int turn = 0; turn < 40; ++turn)
+        {
+            passing.run(milliseconds(1000), milliseconds(100));
+            if (turn % 8 == 3)
+            {
+                bad.push_back(fleet.submit_crashing());
+            }
+            const std::string guard = "g" + std::to_string(random() % 11);
+            if (turn % 3 == 0 && fleet.is_up(guard))
+            {
+                fleet.crash(guard);
+            }
+        }
+        fleet.run(seconds(20));
+        for (const std::string& id : bad)
+        {
+            CHECK(fleet.at.shown(id) == job_state::failed);
+            CHECK(fleet.crashes(id) <= most_crashes + most_starts_after);
+        }
+        CHECK(passing.unserved() == 0);
+        CHECK(fleet.at.shown(lasts) == job_state::running);
+    }
+}
+
+TEST_CASE("an executor that goes down and up by turns ends no job")
+{
+    crashing_fleet fleet({.workers = 3, .away = seconds(2)});
+    const std::string lasts = fleet.submit(lasting(9));
+    passing_jobs passing(fleet);
+    for (int turn = 0; turn < 10; ++turn)
+    {
+        passing.run(seconds(4), milliseconds(200));
+        fleet.crash("g0");
+    }
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
+
+TEST_CASE("the loss of a rack, and of all power, ends no job")
+{
+    bool by_racks = false;
+    bool with_guards = false;
+    SUBCASE("a rack of executors")
+    {
+        by_racks = true;
+    }
+    SUBCASE("all executors") {}
+    SUBCASE("all power")
+    {
+        with_guards = true;
+    }
+    crashing_fleet fleet({});
+    const std::string lasts = fleet.submit(lasting(8));
+    passing_jobs passing(fleet);
+    for (int turn = 0; turn < 5; ++turn)
+    {
+        passing.run(seconds(4), milliseconds(100));
+        for (int number = 0; number < 11; ++number)
+        {
+            const std::string guard = "g" + std::to_string(number);
+            if (with_guards)
+            {
+                fleet.lose_power(guard);
+            }
+            else if (!by_racks || number / 3 == turn % 2)
+            {
+                fleet.crash(guard);
+            }
+        }
+    }
+    CHECK(fleet.all_crashes() >= (by_racks ? 15 : 55));
+    fleet.run(seconds(15));
+    CHECK(passing.unserved() == 0);
+    CHECK(fleet.at.shown(lasts) == job_state::running);
+}
--- /dev/null
+++ b/tests/unit/crashing_fleet.hpp
@@ -0,0 +1,358 @@
+#pragma once
+
+#include "holder_by_hand.hpp"
+
+namespace springstair::tests
+{
+
+inline constexpr std::int64_t most_crashes = 3;
+// The platform's bound on starts after the third crash, less one.
+inline constexpr std::int64_t most_starts_after = 2;
+
+// Workers whose executors crash under some tasks and return some seconds later.
+class crashing_fleet
+{
+public:
+    struct options
+    {
+        int workers = 11;
+        int a_rack = 3;
+        duration away = seconds(3);           ///< until the executor is back
+        duration crashes_after = duration{0}; ///< of work
+        duration work = milliseconds(1000);
+        duration silence = milliseconds(1200); ///< until the guard notices
+        /// The guard goes with so many crashes of a task, and knows of none.
+        std::int64_t unwitnessed = 0;
+    };
+
+    explicit crashing_fleet(options from) : options_(from)
+    {
+        for (int number = 0; number < options_.workers; ++number)
+        {
+            const std::string guard = "g" + std::to_string(number);
+            at.worker(guard).worker.rack =
+                "r" + std::to_string(number / options_.a_rack);
+            workers_[guard];
+        }
+        report_all();
+    }
+
+    // A job of tasks of which the first crashes its executor.
+    std::string submit_crashing(job_step step = step_of(1))
+    {
+        std::string id = at.submit({std::move(step)}).id;
+        crashing_.insert(id + ".0.0.0");
+        return id;
+    }
+
+    std::string submit(job_step step = step_of(1))
+    {
+        return at.submit({std::move(step)}).id;
+    }
+
+    void run(duration length)
+    {
+        const time_point until = at.now + length;
+        while (at.now < until)
+        {
+            at.turn();
+            for (auto& [guard, worker] : workers_)
+            {
+                settle(guard, worker);
+            }
+            if (at.now >= next_reports_)
+            {
+                report_all();
+            }
+        }
+    }
+
+    void crash(const std::string& guard)
+    {
+        crash(guard, workers_.at(guard));
+    }
+
+    // The VM with executor and guard goes, and both are back together.
+    void lose_power(const std::string& guard)
+    {
+        crash(guard);
+        workers_.at(guard).dark = true;
+    }
+
+    [[nodiscard]] bool is_up(const std::string& guard) const
+    {
+        return workers_.at(guard).back == time_point{};
+    }
+
+    [[nodiscard]] std::int64_t crashes(const std::string& job) const
+    {
+        const auto found = crashes_.find(job + ".0.0.0");
+        return found == crashes_.end() ? 0 : found->second;
+    }
+
+    [[nodiscard]] std::int64_t all_crashes() const
+    {
+        return all_crashes_;
+    }
+
+    holder at;
+
+private:
+    struct worker_state
+    {
+        time_point back{}; ///< when the executor is back; none: it is up
+        time_point gone{};
+        bool dark = false; ///< its guard is away, too
+        int lives = 1;
+        std::set<std::string> known; ///< starts that the guard has handled
+        std::map<std::string, time_point> since;  ///< of runs that began
+        std::map<std::string, time_point> listed; ///< by the newest look
+        std::set<std::string> ended;
+    };
+
+    static std::string key(const running_task& row)
+    {
+        return row.task + "/" + std::to_string(row.run);
+    }
+
+    void settle(const std::string& guard, worker_state& worker)
+    {
+        if (worker.back != time_point{})
+        {
+            settle_down(guard, worker);
+            return;
+        }
+        const auto rows = at.worker(guard).running;
+        for (const running_task& row : rows)
+        {
+            if (worker.known.insert(key(row)).second)
+            {
+                worker.since[key(row)] = at.now;
+            }
+        }
+        for (const running_task& row : rows)
+        {
+            const duration worked = at.now - worker.since.at(key(row));
+            if (crashing_.contains(row.task) &&
+                worked >= options_.crashes_after)
+            {
+                const std::int64_t crashes = ++crashes_[row.task];
+                crash(guard, worker);
+                worker.dark = crashes <= options_.unwitnessed;
+                return;
+            }
+        }
+        for (const running_task& row : rows)
+        {
+            end_if_over(guard, row, at.now - worker.since.at(key(row)));
+        }
+    }
+
+    void end(const std::string& guard, const running_task& row, run_end how)
+    {
+        workers_.at(guard).ended.insert(key(row));
+        at.end(row.task, how);
+    }
+
+    void end_if_over(const std::string& guard, const running_task& row,
+                     duration worked)
+    {
+        const auto name = task_name::parse(row.task);
+        const bool lasting = at.accepted.at(name->job).steps.front().lasting;
+        for (running_task& listed : at.worker(guard).running)
+        {
+            if (listed.task == row.task)
+            {
+                listed.percent = lasting
+                                     ? full_percent
+                                     : full_percent * worked / options_.work;
+            }
+        }
+        const auto stop = at.stops.find(row.task);
+        if (stop != at.stops.end() && stop->second == row.run)
+        {
+            end(guard, row, run_end::stopped);
+        }
+        else if (broken_.erase(row.task) > 0)
+        {
+            end(guard, row, run_end::broken);
+        }
+        else if (!lasting && worked >= options_.work)
+        {
+            end(guard, row, run_end::done);
+        }
+    }
+
+    // What comes while the executor is down is refused; the guard goes on
+    // listing what it saw there last.
+    void settle_down(const std::string& guard, worker_state& worker)
+    {
+        worker_report& report = at.worker(guard);
+        report.lists_age_ms = to_milliseconds(at.now - worker.gone);
+        report.failing_ms = report.lists_age_ms;
+        std::erase_if(report.running,
+                      [&](const running_task& row)
+                      {
+                          const bool fresh =
+                              worker.known.insert(key(row)).second;
+                          if (fresh)
+                          {
+                              report.refused.push_back({.task = row.task,
+                                                        .run = row.run,
+                                                        .reason = "unhealthy"});
+                          }
+                          return fresh || !shown_.contains(guard + key(row));
+                      });
+        report.answering = at.now - worker.gone < options_.silence;
+        report.lapsed = at.now - worker.gone >= lease_;
+        if (at.now >= worker.back)
+        {
+            begin_life(guard, worker);
+        }
+    }
+
+    former_life former_of(const std::string& guard, const worker_state& worker)
+    {
+        former_life over{.life = at.worker(guard).worker.life,
+                         .lost_ms =
+                             to_milliseconds(worker.gone - time_point{})};
+        for (const auto& [run, since] : worker.since)
+        {
+            if (worker.ended.contains(run))
+            {
+                continue;
+            }
+            const auto listed = worker.listed.find(run);
+            const duration shown = listed == worker.listed.end()
+                                       ? duration{0}
+                                       : listed->second - since;
+            const std::size_t slash = run.find('/');
+            over.begun.push_back({.task = run.substr(0, slash),
+                                  .run = std::stoll(run.substr(slash + 1)),
+                                  .at_work_ms = to_milliseconds(shown),
+                                  .is_sure = true});
+        }
+        return over;
+    }
+
+    void begin_life(const std::string& guard, worker_state& worker)
+    {
+        worker_report& report = at.worker(guard);
+        report.former = {former_of(guard, worker)};
+        report.worker.life = guard + "-" + std::to_string(++worker.lives);
+        report.running.clear();
+        report.ended.clear();
+        report.refused.clear();
+        report.answering = true;
+        report.lapsed = false;
+        report.lists_age_ms = 0;
+        report.failing_ms = 0;
+        if (worker.dark)
+        {
+            report.incarnation += "i";
+            report.former.clear(); // the guard is another one
+        }
+        worker.dark = false;
+        worker.back = {};
+        worker.since.clear();
+        worker.listed.clear();
+    }
+
+    // The members of a gang end with the one that crashed.
+    void break_gang(const running_task& crashed)
+    {
+        const auto name = task_name::parse(crashed.task);
+        const job& what = at.accepted.at(name->job);
+        for (const auto& [task, start] : at.started)
+        {
+            if (what.steps.front().gang && task.starts_with(what.id + ".") &&
+                task != crashed.task)
+            {
+                broken_.insert(task);
+            }
+        }
+    }
+
+    void crash(const std::string& guard, worker_state& worker)
+    {
+        for (const running_task& row : at.worker(guard).running)
+        {
+            break_gang(row);
+        }
+        ++all_crashes_;
+        worker.back = at.now + options_.away;
+        worker.gone = at.now;
+        // Starts that no look has shown yet are not listed.
+        std::erase_if(at.worker(guard).running, [&](const running_task& row)
+                      { return !shown_.contains(guard + key(row)); });
+    }
+
+    void report_all()
+    {
+        next_reports_ = at.now + milliseconds(400);
+        for (auto& [guard, worker] : workers_)
+        {
+            if (worker.dark)
+            {
+                continue;
+            }
+            for (const running_task& row : at.worker(guard).running)
+            {
+                shown_.insert(guard + key(row));
+                worker.listed[key(row)] =
+                    worker.back == time_point{} ? at.now : worker.gone;
+            }
+            at.worker(guard).sent_ms = to_milliseconds(at.now - time_point{});
+            at.say(guard);
+            at.worker(guard).refused.clear();
+        }
+    }
+
+    options options_;
+    duration lease_ = milliseconds(3300);
+    std::map<std::string, worker_state> workers_;
+    std::set<std::string> crashing_;
+    std::set<std::string> shown_;  ///< runs that a report has shown
+    std::set<std::string> broken_; ///< members of a gang that has lost one
+    std::map<std::string, std::int64_t> crashes_;
+    std::int64_t all_crashes_ = 0;
+    time_point next_reports_{};
+};
+
+// Short jobs that come all the time.
+class passing_jobs
+{
+public:
+    explicit passing_jobs(crashing_fleet& at) : at_(at) {}
+
+    void run(duration length, duration gap)
+    {
+        const time_point until = at_.at.now + length;
+        while (at_.at.now < until)
+        {
+            ids_.push_back(at_.submit(step_of(2, 500)));
+            at_.run(gap);
+        }
+    }
+
+    // Jobs that did not end well.
+    [[nodiscard]] std::size_t unserved() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            ids_, [&](const std::string& id)
+            { return at_.at.shown(id) != job_state::succeeded; }));
+    }
+
+private:
+    crashing_fleet& at_;
+    std::vector<std::string> ids_;
+};
+
+inline job_step lasting(std::int64_t count)
+{
+    job_step step = step_of(count, 500);
+    step.lasting = true;
+    return step;
+}
+
+} // namespace springstair::tests
