Holder: which ends a placement needs is asked once

Cause: two places asked whether a run needs ends at a worker and then looked those up again, each time forgetting what is kept; a loop ran over a copy of a set that is mostly empty; an include had lost its use. Change: ends_needed gives them, or none. Behaviour as before. Ruled out: leaving out the closure where no ends are needed (it could let a placement through).

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -286,7 +286,8 @@
                     const job_step& step);
     const std::map<std::string, unkept_end>&
     unkept_ends(const std::string& guard);
-    bool needs_ends(const worker_record& at, const job_step& step);
+    const std::map<std::string, unkept_end>&
+    ends_needed(const worker_record& at, const job_step& step);
     void use_room(job_record& of, const job_step& step,
                   const worker_record& at);
     std::set<std::string> written_with(const std::string& id);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace springstair
 {
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -39,26 +39,25 @@
     return ends;
 }
 
-// Whether a run of a step has room at a worker only where the store has the
-// ends there.
-bool scheduler_core::needs_ends(const worker_record& at, const job_step& step)
+// Of these, the ones that a run of a step needs the store to have: all, if it
+// has no room at the worker without them.
+const std::map<std::string, scheduler_core::unkept_end>&
+scheduler_core::ends_needed(const worker_record& at, const job_step& step)
 {
+    static const std::map<std::string, unkept_end> none;
+    const auto& ends = unkept_ends(at.guard);
     resources room = at.room();
-    for (const auto& [job, end] : unkept_ends(at.guard))
+    for (const auto& [job, end] : ends)
     {
         room -= end.room;
     }
-    return !reserved_by(step).fits(room);
+    return reserved_by(step).fits(room) ? none : ends;
 }
 
 void scheduler_core::use_room(job_record& of, const job_step& step,
                               const worker_record& at)
 {
-    if (!needs_ends(at, step))
-    {
-        return;
-    }
-    for (const auto& [job, end] : unkept_ends(at.guard))
+    for (const auto& [job, end] : ends_needed(at, step))
     {
         if (job != of.what().id)
         {
@@ -102,21 +101,22 @@
     for (const worker_record* const at : chosen)
     {
         // Members of a gang that share a worker use more of its room than one.
-        if (chosen.size() == 1 && !needs_ends(*at, step))
-        {
-            continue;
-        }
-        for (const auto& [job, end] : unkept_ends(at->guard))
+        const auto& ends = chosen.size() == 1 ? ends_needed(*at, step)
+                                              : unkept_ends(at->guard);
+        for (const auto& [job, end] : ends)
         {
             found.merge(written_with(job));
         }
     }
-    const bool fits = found.size() <= options_.jobs_a_commit;
-    for (const std::string& job : fits ? std::set<std::string>() : found)
+    if (found.size() <= options_.jobs_a_commit)
+    {
+        return true;
+    }
+    for (const std::string& job : found)
     {
         job_of(job)->pressing = true;
     }
-    return fits;
+    return false;
 }
 
 // ---------------------------------------------------------------------------
