Guard: calls for a former life of an executor are below the fence of the next

A look that was meant for the life before was carried out late by the next one, 3.9 s after that had answered its first look. Its time was on the former clock, so the lease there grew to the longest one, 6 s from then; guard and holder counted on 3 s of a permit, gave the run up and started it elsewhere.

The mend: the fence that an executor compares is no longer the holder's epoch alone. Below it stand the admission of the guard's process and the number of lives that the process has met. Once the next life has answered a look of its own fence, it takes nothing of before; until then the guard counts with the longest lease. Ruled out: bounding how late a call can come (nothing does), and waiting for the longest lease everywhere (2 s more for each lost worker).

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -97,14 +97,15 @@
 };
 
 // What a guard has its worker do. Each call names the life that is meant, of
-// which the executor compares the id alone.
+// which the executor compares the id alone. Once an executor has taken a call
+// of one fence, it takes none of a lower one: see run_keeper::fence().
 
 /// @brief Start a run. @a deadline_ms is on the worker's clock.
 struct start_run
 {
     start_order order;
     std::int64_t deadline_ms = 0;
-    std::int64_t epoch = 0;
+    std::int64_t fence = 0;
     executor_life life;
 };
 
@@ -112,7 +113,7 @@
 struct stop_run
 {
     stop_order order;
-    std::int64_t epoch = 0;
+    std::int64_t fence = 0;
     executor_life life;
 };
 
@@ -122,7 +123,7 @@
     std::string task;
     std::int64_t run = 0;
     std::int64_t percent = 100;
-    std::int64_t epoch = 0;
+    std::int64_t fence = 0;
     executor_life life;
 };
 
@@ -135,7 +136,7 @@
     /// when the newest look that this life has answered was sent.
     std::optional<time_point> vouched_at;
     std::int64_t wait_ms = 0;
-    std::int64_t epoch = 0;
+    std::int64_t fence = 0;
     executor_life life;
 };
 
@@ -192,6 +193,16 @@
     {
         return epoch_;
     }
+    /// @brief What orders calls to the executor: by the holder's epoch, then
+    /// the guard's processes, then the executor's lives that a process has met.
+    ///
+    /// A call that was meant for a former life of the same id can be carried
+    /// out late by the next one. It would extend the lease there by the longest
+    /// one, or begin a run. Once the next life has answered a call of its own
+    /// fence, it does nothing for those of before.
+    [[nodiscard]] std::int64_t fence() const noexcept;
+    /// @brief Fences of one epoch; those of the next epoch follow.
+    static constexpr std::int64_t fences_an_epoch = std::int64_t{1} << 24;
     [[nodiscard]] time_point permit_until() const noexcept
     {
         return permit_until_;
@@ -309,6 +320,7 @@
     [[nodiscard]] static std::int64_t vm_clock_ms(time_point now);
     [[nodiscard]] bool is_silent(time_point now) const;
     std::int64_t lease_to(duration left, time_point now);
+    void expect_longest_lease(time_point now);
     [[nodiscard]] std::int64_t lease_left(time_point now) const;
     [[nodiscard]] bool is_running(const std::string& task,
                                   std::int64_t run) const;
@@ -320,6 +332,7 @@
     worker_description worker_;
     unproven_life stranger_;
     std::set<executor_life> past_lives_; ///< surely over
+    std::int64_t lives_ = 0;             ///< that this process has met
     std::vector<remembered_life> former_;
     former_life over_; ///< what surely went with the present life
     guard_admission admission_;
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -33,6 +33,16 @@
     return {};
 }
 
+namespace
+{
+
+// Processes of a guard that an epoch tells apart, and lives that a process
+// does; the last ones share a fence.
+constexpr std::int64_t fences_a_level = std::int64_t{1} << 12;
+static_assert(fences_a_level * fences_a_level == run_keeper::fences_an_epoch);
+
+} // namespace
+
 run_keeper::run_keeper(run_keeper_options options, std::string incarnation)
     : options_(options), incarnation_(std::move(incarnation)),
       interference_(options.interference)
@@ -80,6 +90,28 @@
     return worker_clock(now) + to_milliseconds(left);
 }
 
+// Calls of before, of an earlier guard or meant for the life before, may have
+// asked for any lease: only the longest one bounds it.
+void run_keeper::expect_longest_lease(time_point now)
+{
+    const duration longest = from_seconds(to_seconds(options_.longest_lease) *
+                                          (1 + options_.clock_drift));
+    leased_until_ =
+        std::max(leased_until_, now + longest + options_.lease_slack);
+}
+
+// The processes of a guard are told apart by the holder's admissions. Without
+// one of the present epoch, a process may use fences below those of the one
+// before it; it is refused until the holder has admitted it.
+std::int64_t run_keeper::fence() const noexcept
+{
+    const std::int64_t process =
+        admission_.epoch == epoch_ ? admission_.number : 0;
+    return epoch_ * fences_an_epoch +
+           std::min(process, fences_a_level - 1) * fences_a_level +
+           std::min(lives_, fences_a_level - 1);
+}
+
 bool run_keeper::is_running(const std::string& task, std::int64_t run) const
 {
     return std::any_of(running_.begin(), running_.end(),
@@ -187,7 +219,7 @@
     for (stop_order& order : std::exchange(stops_beside_, {}))
     {
         out.emplace_back(stop_run{
-            .order = std::move(order), .epoch = epoch_, .life = worker_.life});
+            .order = std::move(order), .fence = fence(), .life = worker_.life});
     }
 }
 
@@ -349,7 +381,7 @@
     out.emplace_back(pace_run{.task = task,
                               .run = run.order.run,
                               .percent = wanted,
-                              .epoch = epoch_,
+                              .fence = fence(),
                               .life = worker_.life});
 }
 
@@ -364,7 +396,7 @@
     {
         run.call_open = true;
         out.emplace_back(stop_run{.order = {.task = task, .run = run.order.run},
-                                  .epoch = epoch_,
+                                  .fence = fence(),
                                   .life = worker_.life});
         return;
     }
@@ -381,7 +413,7 @@
     }
     out.emplace_back(start_run{.order = run.order,
                                .deadline_ms = lease_to(left, now),
-                               .epoch = epoch_,
+                               .fence = fence(),
                                .life = worker_.life});
 }
 
@@ -397,7 +429,7 @@
     look_open_ = true;
     look_at_worker look{.acknowledged = acknowledged_,
                         .wait_ms = to_milliseconds(options_.look_wait),
-                        .epoch = epoch_,
+                        .fence = fence(),
                         .life = worker_.life};
     const duration left =
         std::min({permit_until_ - now, options_.lease, options_.longest_lease});
--- a/packages/guard/src/run_keeper_lives.cpp
+++ b/packages/guard/src/run_keeper_lives.cpp
@@ -59,12 +59,9 @@
     whole_told_ = {}; // the first report of a life has to show what it took
     look_open_ = false;
     acknowledged_ = 0;
-    // By an earlier guard, or by a call that was meant for the life before: its
-    // deadline is on another clock, and only the longest lease bounds it.
-    leased_until_ = now +
-                    from_seconds(to_seconds(options_.longest_lease) *
-                                 (1 + options_.clock_drift)) +
-                    options_.lease_slack;
+    ++lives_;
+    leased_until_ = {};
+    expect_longest_lease(now);
     next_look_ = now;
     interference_ = interference(options_.interference);
 }
@@ -171,7 +168,7 @@
     }
     stranger_.asking = true;
     out.emplace_back(
-        look_at_worker{.epoch = epoch_, .life = stranger_.what.life});
+        look_at_worker{.fence = fence(), .life = stranger_.what.life});
 }
 
 // ---------------------------------------------------------------------------
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -209,6 +209,7 @@
     ended_ = look->ended;
     if (is_first)
     {
+        expect_longest_lease(now);
         spare_taken_runs();
     }
     settle(sent, now);
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -297,7 +297,7 @@
     CHECK_FALSE(adapter::encode(look_at_worker{}, "a:1").made_before);
 }
 
-TEST_CASE("orders name the life, the epoch and the time limit")
+TEST_CASE("orders name the life, the fence and the time limit")
 {
     const http_call start =
         adapter::encode(start_run{.order = {.task = "j.0.0.0",
@@ -305,7 +305,7 @@
                                             .payload = "p",
                                             .checkpoint = "c"},
                                   .deadline_ms = 900,
-                                  .epoch = 7,
+                                  .fence = 7,
                                   .life = "i-7"},
                         "10.0.0.1:1");
     CHECK(start.url == "http://10.0.0.1:1/springstair/run-start");
@@ -317,7 +317,7 @@
                                            {"fencing_token", 7},
                                            {"checkpoint", "c"}});
     const http_call look =
-        adapter::encode(look_at_worker{.acknowledged = 3, .epoch = 7}, "a:1");
+        adapter::encode(look_at_worker{.acknowledged = 3, .fence = 7}, "a:1");
     CHECK(json::parse(*look.body) ==
           json{{"fencing_token", 7}, {"last_seen", 3}});
 }
--- a/tests/unit/job_world.hpp
+++ b/tests/unit/job_world.hpp
@@ -227,7 +227,7 @@
     std::int64_t draw_percent(const fake_executor::at_work& work) const;
     std::optional<order_result> refusal(fake_executor& at,
                                         const executor_life& life,
-                                        std::int64_t epoch) const;
+                                        std::int64_t fence) const;
     order_result carry_out(std::size_t index, const start_run& what);
     void start(fake_executor& at, const std::string& task, std::int64_t run);
     void count_start_after_crashes(const std::string& task,
--- a/tests/unit/job_world_guards.cpp
+++ b/tests/unit/job_world_guards.cpp
@@ -268,7 +268,7 @@
 // Why an executor does nothing for a call; nothing if it takes it.
 std::optional<order_result> job_world::refusal(fake_executor& at,
                                                const executor_life& life,
-                                               std::int64_t epoch) const
+                                               std::int64_t fence) const
 {
     if (now_ < at.busy_until || now_ < at.born)
     {
@@ -278,18 +278,18 @@
     {
         return order_result::other_life;
     }
-    if (epoch < at.fence)
+    if (fence < at.fence)
     {
         return order_result::fenced;
     }
-    at.fence = epoch;
+    at.fence = fence;
     return std::nullopt;
 }
 
 order_result job_world::carry_out(std::size_t index, const start_run& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (const auto refused = refusal(at, what.life, what.epoch))
+    if (const auto refused = refusal(at, what.life, what.fence))
     {
         return *refused;
     }
@@ -398,7 +398,7 @@
 order_result job_world::carry_out(std::size_t index, const stop_run& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (const auto refused = refusal(at, what.life, what.epoch))
+    if (const auto refused = refusal(at, what.life, what.fence))
     {
         return *refused;
     }
@@ -429,7 +429,7 @@
 order_result job_world::carry_out(std::size_t index, const look_at_worker& what)
 {
     fake_executor& at = guards_[index].executor;
-    if (const auto refused = refusal(at, what.life, what.epoch))
+    if (const auto refused = refusal(at, what.life, what.fence))
     {
         return *refused;
     }
--- a/tests/unit/resent_call_tests.cpp
+++ b/tests/unit/resent_call_tests.cpp
@@ -333,7 +333,7 @@
     server.cut_each_kept(cut::closed);
     const start_run start{.order = {.task = "j.0.0.0", .run = 1},
                           .deadline_ms = 900,
-                          .epoch = 7,
+                          .fence = 7,
                           .life = "i-7"};
     const http_result result =
         client.send_and_wait(platform::encode(start, server.address()));
--- a/tests/unit/restarted_executor_tests.cpp
+++ b/tests/unit/restarted_executor_tests.cpp
@@ -220,6 +220,63 @@
     CHECK(keeper.worker().service == "s");
 }
 
+// Carried out late by the next life, such a look extended the lease there by
+// the longest one, to beyond what the guard and its holder counted on: the
+// tasks of a guard that fell silent then were started elsewhere while they ran.
+TEST_CASE("a call for a former life is below the fence of the next one")
+{
+    time_point now{std::chrono::hours(1)};
+    const run_keeper_options options;
+    run_keeper keeper(options, "guard process");
+    const auto look_due = [&]
+    {
+        for (const keeper_action& one : keeper.due(now))
+        {
+            if (const auto* const look = std::get_if<look_at_worker>(&one))
+            {
+                return *look;
+            }
+        }
+        return look_at_worker{};
+    };
+    const auto answer = [&](const look_at_worker& to, std::int64_t born)
+    {
+        keeper.on_looked(to.life, order_result::accepted,
+                         worker_look{.clock_ms = 5, .born_ms = born}, now, now);
+    };
+    keeper.on_worker({.life = {"i-1", 1}, .service = "s"}, 5, now);
+    keeper.on_answer({.holds = true, .permit_ms = 4000, .orders = {.epoch = 7}},
+                     keeper.report(now), now, now);
+    answer(look_due(), 1);
+    now += milliseconds(20);
+    const look_at_worker held_back = look_due();
+    REQUIRE(held_back.deadline_ms.has_value());
+    answer(held_back, 2); // the next life answers
+    now += milliseconds(20);
+    const look_at_worker first = look_due();
+    REQUIRE(first.life == executor_life("i-1", 2));
+    CHECK(first.fence > held_back.fence);
+    // Until that fence was there, any call of before could still be taken.
+    now += seconds(3);
+    answer(first, 2);
+    CHECK(keeper.report(now).lease_ms >
+          to_milliseconds(options.longest_lease));
+    // A process that comes later is above both, and so is a later holder.
+    const auto fence_of = [&](guard_admission admission)
+    {
+        run_keeper next(options, "another");
+        next.on_worker({.life = {"i-1", 2}, .service = "s"}, 5, now);
+        next.on_answer({.holds = true,
+                        .orders = {.epoch = admission.epoch},
+                        .admission = admission},
+                       next.report(now), now, now);
+        return next.fence();
+    };
+    CHECK(fence_of({.epoch = 7, .number = 1}) > first.fence);
+    CHECK(fence_of({.epoch = 8, .number = 1}) >
+          fence_of({.epoch = 7, .number = 900}));
+}
+
 TEST_CASE("a guard takes the orders of a holder that knows of no births")
 {
     const time_point now{std::chrono::hours(1)};
--- a/tests/unit/run_keeper_tests.cpp
+++ b/tests/unit/run_keeper_tests.cpp
@@ -93,7 +93,7 @@
     REQUIRE(looks[0].deadline_ms.has_value());
     // The permit of the first answer is the longer one and still holds.
     CHECK(*looks[0].deadline_ms <= at.clock() + 4000);
-    CHECK(looks[0].epoch == 5);
+    CHECK(looks[0].fence / run_keeper::fences_an_epoch == 5);
     at.looked({});
     at.now += seconds(4);
     const auto later = at.due<look_at_worker>();
