Guard: leases are on the clock of the life that is there, or not asked for

Causes, from traces of both. A look that another life answered told of it before its heartbeat did; the guard's first look at that life then asked for a lease on the clock of the life before, 7 s ahead: carried out late, the lease lasted for the longest time. And while looks were taken and not answered, starts and looks that were meant for the life before went on to the next one, whose heartbeats came: each gave it the longest lease, and the guard said that all leases had run out.

The mend: no lease is asked for, and nothing started, before the present life has told its clock, nor while a heartbeat says that the same executor may have started again; from such a heartbeat on the longest lease is counted with.

Both tests fail without it.

--- a/packages/guard/include/springstair/detail/guard/run_keeper.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_keeper.hpp
@@ -286,6 +286,8 @@
         time_point next_ask{};
     };
 
+    void meet_beat_of_another(const worker_description& what,
+                              std::int64_t clock_ms, time_point now);
     void begin_life(const executor_life& next, time_point now);
     void carry_doubts(time_point now);
     void meet_stranger(order_result result,
@@ -320,7 +322,8 @@
     [[nodiscard]] static std::int64_t vm_clock_ms(time_point now);
     [[nodiscard]] bool is_silent(time_point now) const;
     std::int64_t lease_to(duration left, time_point now);
-    void expect_longest_lease(time_point now);
+    void expect_longest_lease(time_point from);
+    [[nodiscard]] bool may_lease(time_point now) const;
     [[nodiscard]] std::int64_t lease_left(time_point now) const;
     [[nodiscard]] bool is_running(const std::string& task,
                                   std::int64_t run) const;
@@ -338,6 +341,7 @@
     guard_admission admission_;
     std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
     time_point clock_at_{};
+    bool knows_clock_ = false; ///< that of the present life
     std::int64_t epoch_ = 0;
     bool closed_ = false; ///< the data centre, by the newest orders
     time_point permit_until_{};
--- a/packages/guard/src/run_keeper.cpp
+++ b/packages/guard/src/run_keeper.cpp
@@ -92,12 +92,20 @@
 
 // Calls of before, of an earlier guard or meant for the life before, may have
 // asked for any lease: only the longest one bounds it.
-void run_keeper::expect_longest_lease(time_point now)
+void run_keeper::expect_longest_lease(time_point from)
 {
     const duration longest = from_seconds(to_seconds(options_.longest_lease) *
                                           (1 + options_.clock_drift));
     leased_until_ =
-        std::max(leased_until_, now + longest + options_.lease_slack);
+        std::max(leased_until_, from + longest + options_.lease_slack);
+}
+
+// A lease is a time on the clock of the present life. Not while that clock is
+// unknown, or while the executor may have started again.
+bool run_keeper::may_lease(time_point now) const
+{
+    const bool may_be_over = stranger_.what.life.id == worker_.life.id;
+    return knows_clock_ && !may_be_over && !is_silent(now);
 }
 
 // The processes of a guard are told apart by the holder's admissions. Without
@@ -402,7 +410,7 @@
     }
     const duration left = std::min(permit_until_ - now, options_.start_limit);
     if (run.at != stage::starting || left <= duration{0} || worker_.draining ||
-        closed_ || is_silent(now))
+        closed_ || !may_lease(now))
     {
         return;
     }
@@ -433,7 +441,7 @@
                         .life = worker_.life};
     const duration left =
         std::min({permit_until_ - now, options_.lease, options_.longest_lease});
-    if (left > duration{0} && !is_silent(now))
+    if (left > duration{0} && may_lease(now))
     {
         look.deadline_ms = lease_to(left, now);
     }
--- a/packages/guard/src/run_keeper_lives.cpp
+++ b/packages/guard/src/run_keeper_lives.cpp
@@ -19,7 +19,7 @@
         }
         if (looked_)
         {
-            stranger_ = {.what = what, .clock_ms = clock_ms, .heard = now};
+            meet_beat_of_another(what, clock_ms, now);
             return;
         }
         begin_life(what.life, now);
@@ -28,9 +28,29 @@
     worker_ = what;
     clock_ms_ = clock_ms;
     clock_at_ = now;
+    knows_clock_ = true;
     answered_ = now;
 }
 
+// Whether the present life is over is not known yet. If the same executor has
+// started again, calls that were meant for the life before may be taken there,
+// with the longest lease: their times are on another clock.
+void run_keeper::meet_beat_of_another(const worker_description& what,
+                                      std::int64_t clock_ms, time_point now)
+{
+    if (stranger_.what.life != what.life)
+    {
+        stranger_ = {};
+    }
+    stranger_.what = what;
+    stranger_.clock_ms = clock_ms;
+    stranger_.heard = now;
+    if (what.life.id == worker_.life.id)
+    {
+        expect_longest_lease(now + options_.silence);
+    }
+}
+
 // A new life has seen no order. It runs nothing, unless it is of the same
 // executor: then it may have taken starts that were meant for the life before.
 void run_keeper::begin_life(const executor_life& next, time_point now)
@@ -55,6 +75,7 @@
     looked_ = false;
     looked_at_ = now;
     look_failed_ = false;
+    knows_clock_ = false;
     vouched_at_ = {};
     whole_told_ = {}; // the first report of a life has to show what it took
     look_open_ = false;
@@ -128,7 +149,8 @@
 }
 
 // Another life has answered. Until its own heartbeat has told what it can run,
-// it gets nothing to run.
+// it gets nothing to run; until it has told its clock, no lease. A time on the
+// clock of the life before is far ahead on its own.
 void run_keeper::meet_next_life(const executor_life& who, time_point now)
 {
     worker_description next = worker_;
@@ -136,14 +158,15 @@
     next.service.clear();
     next.draining = false;
     next.leaves_ms = 0;
+    past_lives_.insert(worker_.life);
+    begin_life(who, now);
     if (who == stranger_.what.life)
     {
         next = stranger_.what;
         clock_ms_ = stranger_.clock_ms;
         clock_at_ = stranger_.heard;
+        knows_clock_ = true;
     }
-    past_lives_.insert(worker_.life);
-    begin_life(who, now);
     worker_ = std::move(next);
     answered_ = now;
     stranger_ = {};
--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -197,6 +197,7 @@
     }
     clock_ms_ = look->clock_ms;
     clock_at_ = now;
+    knows_clock_ = true;
     answered_ = now;
     const bool is_first = !looked_;
     news_ = news_ || is_first || last_number(look->ended) > last_number(ended_);
--- a/tests/unit/restarted_executor_tests.cpp
+++ b/tests/unit/restarted_executor_tests.cpp
@@ -220,16 +220,37 @@
     CHECK(keeper.worker().service == "s");
 }
 
-// Carried out late by the next life, such a look extended the lease there by
-// the longest one, to beyond what the guard and its holder counted on: the
-// tasks of a guard that fell silent then were started elsewhere while they ran.
-TEST_CASE("a call for a former life is below the fence of the next one")
+// ---------------------------------------------------------------------------
+// Leases across lives. A lease is a time on the clock of one life. Taken by
+// another one, it lasted for the longest lease there, beyond what the guard and
+// its holder counted on: the tasks of a guard that fell silent then were
+// started elsewhere while they ran.
+// ---------------------------------------------------------------------------
+
+namespace
 {
-    time_point now{std::chrono::hours(1)};
-    const run_keeper_options options;
-    run_keeper keeper(options, "guard process");
-    const auto look_due = [&]
+
+// A guard that has looked at the first life of its executor.
+struct leased_worker
+{
+    leased_worker()
+    {
+        beat(1);
+        keeper.on_answer(
+            {.holds = true, .permit_ms = 4000, .orders = {.epoch = 7}},
+            keeper.report(now), now, now);
+        answer(look_due(), 1);
+    }
+
+    void beat(std::int64_t born)
+    {
+        keeper.on_worker({.life = {"i-1", born}, .service = "s"}, clock_ms,
+                         now);
+    }
+
+    look_at_worker look_due()
     {
+        now += milliseconds(20);
         for (const keeper_action& one : keeper.due(now))
         {
             if (const auto* const look = std::get_if<look_at_worker>(&one))
@@ -237,39 +258,54 @@
                 return *look;
             }
         }
-        return look_at_worker{};
-    };
-    const auto answer = [&](const look_at_worker& to, std::int64_t born)
+        FAIL("no look is due");
+        return {};
+    }
+
+    void answer(const look_at_worker& to, std::int64_t born)
     {
         keeper.on_looked(to.life, order_result::accepted,
-                         worker_look{.clock_ms = 5, .born_ms = born}, now, now);
-    };
-    keeper.on_worker({.life = {"i-1", 1}, .service = "s"}, 5, now);
-    keeper.on_answer({.holds = true, .permit_ms = 4000, .orders = {.epoch = 7}},
-                     keeper.report(now), now, now);
-    answer(look_due(), 1);
-    now += milliseconds(20);
-    const look_at_worker held_back = look_due();
+                         worker_look{.clock_ms = clock_ms, .born_ms = born},
+                         now, now);
+    }
+
+    void let_fail(const look_at_worker& look)
+    {
+        keeper.on_looked(look.life, order_result::unanswered, std::nullopt, now,
+                         now);
+    }
+
+    static constexpr std::int64_t clock_ms = 5;
+    time_point now{std::chrono::hours(1)};
+    const run_keeper_options options;
+    run_keeper keeper{options, "guard process"};
+};
+
+} // namespace
+
+TEST_CASE("a call for a former life is below the fence of the next one")
+{
+    leased_worker at;
+    const look_at_worker held_back = at.look_due();
     REQUIRE(held_back.deadline_ms.has_value());
-    answer(held_back, 2); // the next life answers
-    now += milliseconds(20);
-    const look_at_worker first = look_due();
+    at.answer(held_back, 2); // the next life answers
+    const look_at_worker first = at.look_due();
     REQUIRE(first.life == executor_life("i-1", 2));
     CHECK(first.fence > held_back.fence);
     // Until that fence was there, any call of before could still be taken.
-    now += seconds(3);
-    answer(first, 2);
-    CHECK(keeper.report(now).lease_ms >
-          to_milliseconds(options.longest_lease));
+    at.now += seconds(3);
+    at.answer(first, 2);
+    CHECK(at.keeper.report(at.now).lease_ms >
+          to_milliseconds(at.options.longest_lease));
     // A process that comes later is above both, and so is a later holder.
     const auto fence_of = [&](guard_admission admission)
     {
-        run_keeper next(options, "another");
-        next.on_worker({.life = {"i-1", 2}, .service = "s"}, 5, now);
+        run_keeper next(at.options, "another");
+        next.on_worker({.life = {"i-1", 2}, .service = "s"}, 5, at.now);
         next.on_answer({.holds = true,
                         .orders = {.epoch = admission.epoch},
                         .admission = admission},
-                       next.report(now), now, now);
+                       next.report(at.now), at.now, at.now);
         return next.fence();
     };
     CHECK(fence_of({.epoch = 7, .number = 1}) > first.fence);
@@ -277,6 +313,40 @@
           fence_of({.epoch = 7, .number = 900}));
 }
 
+// Its time would be on the clock of the life before, far ahead on its own.
+TEST_CASE("a life gets no lease before it has told its clock")
+{
+    leased_worker at;
+    at.answer(at.look_due(), 2);
+    const look_at_worker first = at.look_due();
+    CHECK_FALSE(first.deadline_ms.has_value());
+    at.answer(first, 2);
+    const look_at_worker second = at.look_due();
+    REQUIRE(second.deadline_ms.has_value());
+    CHECK(*second.deadline_ms <=
+          at.clock_ms + 20 + to_milliseconds(at.options.lease));
+}
+
+// Looks are taken and not answered: starts and leases that are meant for the
+// life before may all be the next one's.
+TEST_CASE("a worker that may have started again gets no lease until it answers")
+{
+    leased_worker at;
+    const look_at_worker unanswered = at.look_due();
+    at.beat(2);
+    at.let_fail(unanswered);
+    at.now += at.options.look_retry;
+    CHECK_FALSE(at.look_due().deadline_ms.has_value());
+    for (int beats = 0; beats < 10; ++beats)
+    {
+        at.now += seconds(1);
+        at.beat(2);
+    }
+    const worker_report report = at.keeper.report(at.now);
+    CHECK_FALSE(report.lapsed);
+    CHECK(report.lease_ms > to_milliseconds(at.options.longest_lease));
+}
+
 TEST_CASE("a guard takes the orders of a holder that knows of no births")
 {
     const time_point now{std::chrono::hours(1)};
