Guard: what was given back is remembered by its newest run

Cause, from its trace: run 2 was refused for want of room and given back; then the stop of run 1 was answered, run 1 given back as well, and remembered in place of run 2. A second copy of the order for run 2 came 1.3 s later and began it, while its holder had placed run 3 elsewhere.

The mend keeps the newest run of a task. Test red before.

--- a/packages/guard/src/run_keeper_results.cpp
+++ b/packages/guard/src/run_keeper_results.cpp
@@ -39,7 +39,11 @@
 
 void run_keeper::tell_given_back(refused_run what, time_point now)
 {
-    given_back_[what.task] = {.what = what, .at = now};
+    given_back_run& newest = given_back_[what.task];
+    if (what.run >= newest.what.run)
+    {
+        newest = {.what = what, .at = now};
+    }
     refused_.push_back(std::move(what));
     news_ = true;
 }
--- a/tests/unit/restarted_guard_tests.cpp
+++ b/tests/unit/restarted_guard_tests.cpp
@@ -360,6 +360,37 @@
     CHECK(keeper.report(later).refused == told.refused);
 }
 
+// What was given back of an earlier run hid it: the copy was begun.
+TEST_CASE("a run that was given back is remembered beside earlier ones")
+{
+    time_point now{std::chrono::hours(1)};
+    run_keeper keeper;
+    keeper.on_worker({.life = "w1", .service = "s"}, 1000, now);
+    guard_orders orders{
+        .epoch = 5, .life = "w1", .starts = {{.task = "j.0.0.0", .run = 2}}};
+    report_answer permit{.holds = true, .permit_ms = 4000};
+    permit.orders = {.epoch = 5, .life = "w1"};
+    keeper.on_answer(permit, keeper.report(now), now, now);
+    keeper.on_orders(orders, now);
+    keeper.due(now);
+    keeper.on_started({.order = orders.starts[0], .life = "w1"},
+                      order_result::no_room, now);
+    const stop_order earlier{.task = "j.0.0.0", .run = 1};
+    keeper.on_orders({.epoch = 5, .life = "w1", .stops = {earlier}}, now);
+    keeper.due(now);
+    keeper.on_stopped({.order = earlier, .life = "w1"}, order_result::stale,
+                      now);
+    now += seconds(1);
+    keeper.on_looked("w1", order_result::accepted,
+                     worker_look{.clock_ms = 2000}, now, now);
+    REQUIRE(keeper.report(now).refused.size() == 2);
+    keeper.on_orders(orders, now);
+    for (const keeper_action& action : keeper.due(now))
+    {
+        CHECK_FALSE(std::holds_alternative<start_run>(action));
+    }
+}
+
 TEST_CASE("an order for a former guard process begins nothing")
 {
     const time_point now{std::chrono::hours(1)};
