Entries send heartbeats to the holder, and hear who else is there

Every two seconds an entry tells the holder its address, its size and whether the store serves it; the answer names the newest office, the entry's place among the successors and some entries that the store serves. Ruled out: a list of the entries in the store (a write for each entry and its changes, and no use to one that the store turns away); a second membership service.

Cost at 184 entries: 92 small calls a second at the holder.

--- /dev/null
+++ b/packages/daemon/src/holder_contact.cpp
@@ -0,0 +1,116 @@
+#include "holder_contact.hpp"
+
+#include <random>
+#include <utility>
+
+namespace springstair
+{
+
+namespace
+{
+
+constexpr duration heartbeat_every = std::chrono::milliseconds(2000);
+// A holder answers within milliseconds; a crowded thin link takes longer.
+constexpr duration heartbeat_timeout = std::chrono::milliseconds(400);
+constexpr duration retry_pause = std::chrono::milliseconds(150);
+// All entries meet a new holder, which is busy then.
+constexpr int most_delay_ms = 300;
+
+duration some_delay()
+{
+    static std::minstd_rand random{std::random_device{}()};
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<int>(0, most_delay_ms)(random));
+}
+
+} // namespace
+
+holder_contact::holder_contact(job_process& process,
+                               platform::store_client& store,
+                               office_keeper& office)
+    : process_(process), store_(store), office_(office)
+{
+}
+
+void holder_contact::tick(time_point now)
+{
+    if (office_.holds())
+    {
+        asked_.clear();
+        return;
+    }
+    if (!office_.holder().empty() && office_.holder() != asked_)
+    {
+        asked_ = office_.holder();
+        failures_ = 0;
+        next_ = now + some_delay();
+    }
+    if (busy_ || now < next_)
+    {
+        return;
+    }
+    const std::string target = next_target();
+    if (!target.empty())
+    {
+        send(target, now);
+    }
+}
+
+// Every other time the holder, also while it does not answer: it may be back.
+std::string holder_contact::next_target()
+{
+    const std::string own = announced_address(process_.from);
+    if (!office_.holder().empty() && failures_ % 2 == 0)
+    {
+        return office_.holder();
+    }
+    const auto& others = peers_.empty() ? process_.from.entries : peers_;
+    for (std::size_t tried = 0; tried < others.size(); ++tried)
+    {
+        const std::string& one = others[++others_ % others.size()];
+        if (one != own)
+        {
+            return one;
+        }
+    }
+    return office_.holder();
+}
+
+void holder_contact::send(const std::string& to, time_point now)
+{
+    busy_ = true;
+    const entry_heartbeat what{.address = announced_address(process_.from),
+                               .data_centre = process_.from.data_centre,
+                               .processors = process_.from.processors,
+                               .store_away = store_.is_away()};
+    process_.client.send(
+        {.method = "POST",
+         .url = "http://" + to + wire::rpc_path,
+         .headers = {{"content-type", "application/json"}},
+         .body = make_body(rpc_request(entry_heartbeat_method, what)),
+         .timeout = heartbeat_timeout},
+        process_.on_control<http_result>([this, now](const http_result& result)
+                                         { on_answer(result, now); }));
+}
+
+void holder_contact::on_answer(const http_result& result, time_point sent)
+{
+    busy_ = false;
+    const auto answer = rpc_answer_of<entry_heartbeat_answer>(result);
+    if (answer)
+    {
+        office_.told(answer->epoch, answer->holder);
+    }
+    if (answer && answer->holds)
+    {
+        failures_ = 0;
+        answered_at_ = sent;
+        peers_ = answer->peers;
+        next_ = sent + heartbeat_every;
+        return;
+    }
+    ++failures_;
+    next_ = boot_clock::now() + retry_pause;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/holder_contact.hpp
@@ -0,0 +1,52 @@
+#pragma once
+// What an entry and the holder of all jobs tell one another.
+
+#include "office_keeper.hpp"
+
+#include <springstair/jobs.hpp>
+
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// Sends an entry's heartbeats to the holder. While that one does not answer,
+/// other entries are asked who holds.
+class holder_contact
+{
+public:
+    holder_contact(job_process& process, platform::store_client& store,
+                   office_keeper& office);
+
+    void tick(time_point now);
+
+    /// Entries that the store served when the holder last told.
+    [[nodiscard]] const std::vector<std::string>& peers() const noexcept
+    {
+        return peers_;
+    }
+    /// When the holder last answered.
+    [[nodiscard]] time_point answered_at() const noexcept
+    {
+        return answered_at_;
+    }
+
+private:
+    [[nodiscard]] std::string next_target();
+    void send(const std::string& to, time_point now);
+    void on_answer(const http_result& result, time_point sent);
+
+    job_process& process_;
+    platform::store_client& store_;
+    office_keeper& office_;
+    std::string asked_; ///< where the newest heartbeat went
+    bool busy_ = false;
+    std::size_t failures_ = 0; ///< in a row
+    std::size_t others_ = 0;   ///< counts, to ask other entries in turn
+    time_point next_{};
+    time_point answered_at_{};
+    std::vector<std::string> peers_;
+};
+
+} // namespace springstair
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -1,5 +1,6 @@
 // The parts of an entry of the job system.
 
+#include "holder_contact.hpp"
 #include "job_desk.hpp"
 #include "job_holder.hpp"
 #include "office_keeper.hpp"
@@ -32,15 +33,19 @@
 public:
     explicit job_entry_control(job_process& process)
         : process_(process), store_(process.client, process.from.store),
-          office_(
-              process, store_,
-              {.taken = [this](std::int64_t epoch) { holder_.begin(epoch); },
-               .lost =
-                   [this]
-               {
-                   holder_.end();
-               }}),
-          holder_(process, store_, office_),
+          office_(process, store_,
+                  {.taken =
+                       [this](std::int64_t epoch)
+                   {
+                       entries_.clear();
+                       holder_.begin(epoch);
+                   },
+                   .lost =
+                       [this]
+                   {
+                       holder_.end();
+                   }}),
+          contact_(process, store_, office_), holder_(process, store_, office_),
           desk_(process, store_, office_, holder_),
           operator_(process, store_,
                     {.table =
@@ -81,6 +86,10 @@
                  });
         rpc_.add("count", [this](const json& message)
                  { return desk_.count_for_peer(message); });
+        rpc_.add(entry_heartbeat_method,
+                 [this](const json& message) {
+                     return json(answer_entry(message.get<entry_heartbeat>()));
+                 });
     }
 
     void run()
@@ -110,6 +119,7 @@
     {
         operator_.tick(now);
         office_.tick(now);
+        contact_.tick(now);
         holder_.tick(now);
         desk_.tick(now);
         if (process_.drain && !stop_since_)
@@ -122,6 +132,21 @@
         }
     }
 
+    entry_heartbeat_answer answer_entry(const entry_heartbeat& from)
+    {
+        entry_heartbeat_answer answer{.epoch = office_.newest_epoch(),
+                                      .holder = office_.holder(),
+                                      .holds = office_.holds()};
+        if (answer.holds)
+        {
+            const time_point now = boot_clock::now();
+            entries_.note(from, now);
+            answer.rank = entries_.rank(from.address, now);
+            answer.peers = entries_.peers_of(from, now);
+        }
+        return answer;
+    }
+
     void begin_stop(time_point now)
     {
         stop_since_ = now;
@@ -176,6 +201,8 @@
     job_process& process_;
     platform::store_client store_;
     office_keeper office_;
+    entry_list entries_;
+    holder_contact contact_;
     job_holder holder_;
     job_desk desk_;
     operator_watch operator_;
--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -103,6 +103,10 @@
 
 void office_keeper::follow(const std::optional<platform::store_item>& item)
 {
+    if (item && item->revision < newest_epoch())
+    {
+        return; // a newer one is known
+    }
     if (at_ == stage::holding)
     {
         const bool newer = item && item->revision > epoch_;
@@ -143,6 +147,23 @@
     at_ = stage::watching;
 }
 
+void office_keeper::told(std::int64_t epoch, const std::string& holder)
+{
+    if (epoch <= newest_epoch() || holder.empty() || at_ == stage::retired)
+    {
+        return;
+    }
+    if (at_ == stage::holding)
+    {
+        lose("another entry tells of a newer holder");
+    }
+    holder_ = holder;
+    holder_epoch_ = epoch;
+    holder_processors_ = process_.from.processors;
+    next_request_ = boot_clock::now() + settling;
+    at_ = stage::watching;
+}
+
 // The key of a process of this VM that is gone: this one has its port. It need
 // not wait for the end of the lease, 0.8 s of the 1.7 s between a loss of all
 // power and the next office (the holders' log of a played day, 62 workers).
@@ -389,6 +410,7 @@
     at_ = stage::watching;
     watch_.refresh();
     lease_ = 0;
+    holder_epoch_ = std::max(holder_epoch_, epoch_);
     epoch_ = 0;
     next_ = {};
     holder_.clear();
--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -30,6 +30,9 @@
     /// Gives the office of an epoch up to a larger entry that asks for it.
     /// @return whether that office was held
     bool hand_over(std::int64_t epoch);
+    /// Another entry says who holds. A newer holder than is known here is
+    /// believed; the store has the last word.
+    void told(std::int64_t epoch, const std::string& holder);
     /// A write conditioned on the office succeeded; it was sent at a time.
     void verified(time_point sent);
     /// A write conditioned on the office found another one.
@@ -48,6 +51,11 @@
     {
         return verified_;
     }
+    /// The newest office that is known here, its own or another's.
+    [[nodiscard]] std::int64_t newest_epoch() const noexcept
+    {
+        return std::max(epoch_, holder_epoch_);
+    }
     /// The holder's internal address; empty if not known.
     [[nodiscard]] const std::string& holder() const noexcept
     {
--- /dev/null
+++ b/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <springstair/core.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace springstair
+{
+
+/// @brief The method of an entry's heartbeat.
+inline constexpr const char* entry_heartbeat_method = "entry_heartbeat";
+
+/// @brief What an entry says of itself to the holder of all jobs.
+struct entry_heartbeat
+{
+    std::string address; ///< its internal address, and its name here
+    std::string data_centre;
+    double processors = 1; ///< of its VM, in cores
+    /// Whether the newest call to the platform's store that ended got no
+    /// service.
+    bool store_away = false;
+
+    bool operator==(const entry_heartbeat&) const = default;
+};
+
+/// @brief The holder's answer, or that of an entry that is not the holder.
+struct entry_heartbeat_answer
+{
+    /// The newest office that the answering entry knows of; 0: none.
+    std::int64_t epoch = 0;
+    std::string holder; ///< its address
+    bool holds = false; ///< whether it is the answering entry's own
+
+    // Told by the holder only.
+
+    /// Place among those that take the office next, from 0.
+    std::optional<std::int64_t> rank;
+    /// Entries that the store serves, to pass requests on to.
+    std::vector<std::string> peers;
+
+    bool operator==(const entry_heartbeat_answer&) const = default;
+};
+
+void to_json(json& to, const entry_heartbeat_answer& from);
+void from_json(const json& from, entry_heartbeat_answer& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(entry_heartbeat, address,
+                                                data_centre, processors,
+                                                store_away)
+
+} // namespace springstair
--- /dev/null
+++ b/packages/jobs/src/entry_messages.cpp
@@ -0,0 +1,32 @@
+#include <springstair/jobs.hpp>
+
+namespace springstair
+{
+
+void to_json(json& to, const entry_heartbeat_answer& from)
+{
+    to = {{"epoch", from.epoch}, {"holder", from.holder}};
+    if (from.holds)
+    {
+        to["holds"] = true;
+        to["peers"] = from.peers;
+    }
+    if (from.rank)
+    {
+        to["rank"] = *from.rank;
+    }
+}
+
+void from_json(const json& from, entry_heartbeat_answer& to)
+{
+    to = {.epoch = from.value("epoch", std::int64_t{0}),
+          .holder = from.value("holder", ""),
+          .holds = from.value("holds", false),
+          .peers = from.value("peers", std::vector<std::string>{})};
+    if (from.contains("rank"))
+    {
+        to.rank = from.at("rank").get<std::int64_t>();
+    }
+}
+
+} // namespace springstair
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -7,6 +7,7 @@
 
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
 #include <springstair/detail/scheduler/data_centre_book.hpp>
+#include <springstair/detail/scheduler/entry_list.hpp>
 #include <springstair/detail/scheduler/failure_test.hpp>
 #include <springstair/detail/scheduler/harm_model.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
--- /dev/null
+++ b/packages/scheduler/src/entry_list.cpp
@@ -0,0 +1,106 @@
+#include <springstair/scheduler.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace springstair
+{
+
+namespace
+{
+
+// Best first: the largest, then by a hash that all holders share.
+auto place_of(const entry_heartbeat& of)
+{
+    return std::tuple(-of.processors, std::hash<std::string>{}(of.address),
+                      of.address);
+}
+
+} // namespace
+
+void entry_list::note(const entry_heartbeat& from, time_point now)
+{
+    const auto [found, is_new] = entries_.try_emplace(from.address);
+    is_sorted_ = is_sorted_ && !is_new && found->second.what == from;
+    found->second = {.what = from, .at = now};
+}
+
+void entry_list::clear()
+{
+    entries_.clear();
+    is_sorted_ = false;
+}
+
+void entry_list::sort(time_point now)
+{
+    if (is_sorted_ && now - sorted_at_ < options_.order_age)
+    {
+        return;
+    }
+    std::erase_if(entries_, [&](const auto& one)
+                  { return now - one.second.at > options_.heard_within; });
+    order_.clear();
+    for (const auto& [address, entry] : entries_)
+    {
+        if (!entry.what.store_away)
+        {
+            order_.push_back(entry.what);
+        }
+    }
+    std::ranges::sort(order_, {}, place_of);
+    ranks_.clear();
+    for (const entry_heartbeat& one : order_)
+    {
+        ranks_.emplace(one.address, static_cast<std::int64_t>(ranks_.size()));
+    }
+    sorted_at_ = now;
+    is_sorted_ = true;
+}
+
+const std::vector<entry_heartbeat>& entry_list::successors(time_point now)
+{
+    sort(now);
+    return order_;
+}
+
+std::optional<std::int64_t> entry_list::rank(const std::string& address,
+                                             time_point now)
+{
+    sort(now);
+    const auto found = ranks_.find(address);
+    return found == ranks_.end() ? std::nullopt : std::optional(found->second);
+}
+
+// Begins at another place of the order for each, so that what one data centre
+// passes on does not all come to the same entry.
+std::vector<std::string> entry_list::peers_of(const entry_heartbeat& asking,
+                                              time_point now)
+{
+    sort(now);
+    std::vector<std::string> near;
+    std::vector<std::string> elsewhere;
+    const std::size_t most_near =
+        options_.most_peers - options_.most_peers_elsewhere;
+    const std::size_t begin = std::hash<std::string>{}(asking.address);
+    for (std::size_t offset = 0; offset < order_.size(); ++offset)
+    {
+        const entry_heartbeat& one = order_[(begin + offset) % order_.size()];
+        const bool is_near = one.data_centre == asking.data_centre;
+        auto& to = is_near ? near : elsewhere;
+        const std::size_t most =
+            is_near ? most_near : options_.most_peers_elsewhere;
+        if (one.address != asking.address && to.size() < most)
+        {
+            to.push_back(one.address);
+        }
+        if (near.size() + elsewhere.size() == options_.most_peers)
+        {
+            break;
+        }
+    }
+    near.insert(near.end(), elsewhere.begin(), elsewhere.end());
+    return near;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/tests/unit/entry_list_tests.cpp
@@ -0,0 +1,118 @@
+// The other entries as a holder knows them: who takes the office next, and whom
+// an entry passes requests on to when the store turns it away.
+
+#include <springstair/scheduler.hpp>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace springstair; // NOLINT: a test
+using std::chrono::seconds;
+
+namespace
+{
+
+entry_heartbeat entry(const std::string& address, double processors,
+                      const std::string& data_centre = "a")
+{
+    return {.address = address,
+            .data_centre = data_centre,
+            .processors = processors};
+}
+
+// Two large and eight small entries in each of two data centres.
+entry_list two_data_centres(time_point now)
+{
+    entry_list list;
+    for (const std::string name : {"a", "b"})
+    {
+        for (int number = 0; number < 10; ++number)
+        {
+            list.note(entry(name + std::to_string(number),
+                            number < 2 ? 1.0 : 0.12, name),
+                      now);
+        }
+    }
+    return list;
+}
+
+} // namespace
+
+TEST_CASE("the largest entries that the store serves take the office next")
+{
+    time_point now{std::chrono::hours(1)};
+    entry_list list = two_data_centres(now);
+    const auto best = list.successors(now).front();
+    CHECK(best.processors == 1.0);
+    CHECK(list.rank(best.address, now) == 0);
+    CHECK(list.rank("a9", now) >= 4);
+    CHECK_FALSE(list.rank("unknown", now).has_value());
+
+    entry_heartbeat turned_away = best;
+    turned_away.store_away = true;
+    list.note(turned_away, now);
+    CHECK(list.successors(now).size() == 19);
+    CHECK_FALSE(list.rank(best.address, now).has_value());
+
+    now += seconds(6);
+    list.note(entry("a9", 0.12), now);
+    now += seconds(2);
+    REQUIRE(list.successors(now).size() == 1); // the others went silent
+    CHECK(list.rank("a9", now) == 0);
+}
+
+TEST_CASE("every holder tells about the same order")
+{
+    const time_point now{std::chrono::hours(1)};
+    entry_list one = two_data_centres(now);
+    entry_list other = two_data_centres(now);
+    other.clear();
+    for (const entry_heartbeat& entry : one.successors(now))
+    {
+        other.note(entry, now);
+    }
+    CHECK(one.successors(now) == other.successors(now));
+}
+
+TEST_CASE("peers are near, reach the store, and differ for each that asks")
+{
+    const time_point now{std::chrono::hours(1)};
+    entry_list list = two_data_centres(now);
+    entry_heartbeat away = entry("b5", 0.12, "b");
+    away.store_away = true;
+    list.note(away, now);
+    std::set<std::string> first;
+    for (int number = 0; number < 10; ++number)
+    {
+        const std::string address = "a" + std::to_string(number);
+        const auto peers = list.peers_of(entry(address, 1), now);
+        REQUIRE(peers.size() == 6);
+        first.insert(peers.front());
+        CHECK(std::ranges::count(peers, address) == 0);
+        CHECK(std::ranges::count(peers, "b5") == 0);
+        CHECK(std::ranges::count_if(peers, [](const std::string& peer)
+                                    { return peer.starts_with("a"); }) == 4);
+    }
+    CHECK(first.size() > 1);
+}
+
+TEST_CASE("heartbeats of entries and their answers pass the wire unchanged")
+{
+    const entry_heartbeat beat{.address = "a:1",
+                               .data_centre = "d",
+                               .processors = 0.12,
+                               .store_away = true};
+    CHECK(json(beat).get<entry_heartbeat>() == beat);
+    const entry_heartbeat_answer answer{.epoch = 7,
+                                        .holder = "a:1",
+                                        .holds = true,
+                                        .rank = 2,
+                                        .peers = {"b:1"}};
+    CHECK(json(answer).get<entry_heartbeat_answer>() == answer);
+    const entry_heartbeat_answer other{.epoch = 7, .holder = "a:1"};
+    CHECK(json(other).get<entry_heartbeat_answer>() == other);
+    CHECK(json::object().get<entry_heartbeat_answer>() ==
+          entry_heartbeat_answer{});
+}
