Callers of an entry that the store turns away are served through others

States and cancellations were not passed on at all.

The mend: what the store gives no service for goes to the holder, to entries that the holder named, to those of the settings, each request to four at most, until one serves it; who could not help is passed over for two seconds. Submissions are passed on at the first refusal. A submission that may have been written anywhere is still never told as not taken.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -53,6 +53,7 @@
     job_ended = 1624,
     job_cancelled = 1625,
     job_service = 1626,
+    job_passed_on = 1627,
     run_unwanted = 1630,
     run_placed = 1631,
     run_ended = 1632,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 62> catalogue{{
+constexpr std::array<event_description, 63> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process serves; its name, role and address follow."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -111,6 +111,9 @@
     {event_id::job_service, severity::info, "job_service",
      "A lasting job was not wholly served since its last such line; shares "
      "in percent of its tasks' time."},
+    {event_id::job_passed_on, severity::info, "job_passed_on",
+     "This entry, which the store gives no service, had another entry do what "
+     "a caller asked; which, and its answer."},
     {event_id::run_unwanted, severity::warning, "run_unwanted",
      "A worker runs what is not the present run of its task, and is to stop "
      "it. Where the task stands follows."},
--- a/packages/daemon/src/job_desk.cpp
+++ b/packages/daemon/src/job_desk.cpp
@@ -18,8 +18,10 @@
 } // namespace
 
 job_desk::job_desk(job_process& process, platform::store_client& store,
-                   office_keeper& office, job_holder& holder)
-    : process_(process), store_(store), office_(office), holder_(holder)
+                   office_keeper& office, job_holder& holder,
+                   const holder_contact& contact)
+    : process_(process), store_(store), office_(office), holder_(holder),
+      contact_(contact)
 {
 }
 
@@ -91,7 +93,11 @@
 
 void job_desk::handle(const platform::show_request& what, const request_ptr& to)
 {
-    const std::string id = what.id;
+    show(what.id, to);
+}
+
+void job_desk::show(const std::string& id, const request_ptr& to)
+{
     if (const auto state = holder_.shown(id))
     {
         answer(to, platform::state_answer(*state));
@@ -140,6 +146,12 @@
 
 void job_desk::show_from_store(const std::string& id, const request_ptr& to)
 {
+    if (store_away_since_ && !to->passed_on)
+    {
+        without_store("GET", id, to,
+                      [this, id, to] { show_from_store(id, to); });
+        return;
+    }
     store_.range(job_key(id), {}, call_time(to),
                  process_.on_control<store_result>(
                      [this, id, to](const store_result& result)
@@ -149,13 +161,13 @@
 void job_desk::on_job_read(const std::string& id, const request_ptr& to,
                            const store_result& result)
 {
+    note_store(result);
     if (result.status != store_status::done)
     {
-        timeout_.unanswered();
-        again(to, [this, id, to] { show_from_store(id, to); });
+        without_store("GET", id, to,
+                      [this, id, to] { show_from_store(id, to); });
         return;
     }
-    timeout_.answered(result.took);
     if (result.items.empty())
     {
         answer(to, platform::no_such_job_answer());
@@ -177,13 +189,15 @@
         process_.on_control<store_result>(
             [this, id, cancelled, to](const store_result& result)
             {
+                note_store(result);
                 const bool absent = result.status == store_status::absent;
                 const bool read = result.status == store_status::done &&
                                   !result.items.empty();
                 if (!absent && !read)
                 {
-                    again(to, [this, id, cancelled, to]
-                          { show_progress(id, cancelled, to); });
+                    without_store("GET", id, to,
+                                  [this, id, cancelled, to]
+                                  { show_progress(id, cancelled, to); });
                     return;
                 }
                 const job_state kept =
@@ -207,6 +221,11 @@
 
 void job_desk::cancel(const std::string& id, const request_ptr& to)
 {
+    if (store_away_since_ && !to->passed_on)
+    {
+        without_store("DELETE", id, to, [this, id, to] { cancel(id, to); });
+        return;
+    }
     if (holder_.core().find(id) != nullptr)
     {
         write_cancellation(id, to);
@@ -221,6 +240,7 @@
 void job_desk::on_cancel_read(const std::string& id, const request_ptr& to,
                               const store_result& result)
 {
+    note_store(result);
     if (result.status == store_status::absent)
     {
         answer(to, platform::no_such_job_answer());
@@ -228,8 +248,7 @@
     }
     if (result.status != store_status::done)
     {
-        timeout_.unanswered();
-        again(to, [this, id, to] { cancel(id, to); });
+        without_store("DELETE", id, to, [this, id, to] { cancel(id, to); });
         return;
     }
     write_cancellation(id, to);
@@ -241,15 +260,15 @@
                     process_.on_control<store_result>(
                         [this, id, to](const store_result& result)
                         {
+                            note_store(result);
                             if (result.status != store_status::done)
                             {
-                                timeout_.unanswered();
                                 to->may_be_done = true;
-                                again(to, [this, id, to]
-                                      { write_cancellation(id, to); });
+                                without_store("DELETE", id, to,
+                                              [this, id, to]
+                                              { write_cancellation(id, to); });
                                 return;
                             }
-                            timeout_.answered(result.took);
                             log_event(event_id::job_cancelled, {{"job", id}});
                             holder_.job_was_cancelled(id);
                             ask_holder("cancelled", {{"id", id}},
--- a/packages/daemon/src/job_desk.hpp
+++ b/packages/daemon/src/job_desk.hpp
@@ -1,17 +1,20 @@
 #pragma once
 // Callers' requests at one entry.
 
+#include "holder_contact.hpp"
 #include "job_holder.hpp"
 
 #include <deque>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace springstair
 {
 
-/// Where an entry takes jobs that another one cannot write.
-inline constexpr const char* forward_path = "/internal/jobs";
+/// Where an entry takes what another one cannot do: jobs to write, and below
+/// it, by their ids, jobs to show (GET) or to cancel (DELETE).
+inline constexpr std::string_view forward_path = "/internal/jobs";
 
 /// Before the caller's own time is over, so that the answer still arrives.
 inline constexpr duration answer_margin = std::chrono::milliseconds(250);
@@ -26,11 +29,12 @@
 {
 public:
     job_desk(job_process& process, platform::store_client& store,
-             office_keeper& office, job_holder& holder);
+             office_keeper& office, job_holder& holder,
+             const holder_contact& contact);
 
     void set_table(const queue_table& table);
     void on_request(const http_arrival& arrival);
-    /// A job that another entry took but cannot write.
+    /// A request that another entry took but cannot serve.
     void on_forwarded(const http_arrival& arrival);
     void tick(time_point now);
 
@@ -58,9 +62,18 @@
         std::int64_t tries = 0;
         std::int64_t unanswered = 0; ///< tries that the store left so
         bool passed_on = false;      ///< another entry has tried, or asks us
+        std::vector<std::string> asked{}; ///< entries that it was passed on to
     };
     using request_ptr = std::shared_ptr<open_request>;
 
+    /// What another entry is to do.
+    struct passed_request
+    {
+        std::string method;
+        std::string job; ///< its id
+        shared_body body{};
+    };
+
     void handle(const platform::submit_request& what, const request_ptr& to);
     void handle(const platform::show_request& what, const request_ptr& to);
     void handle(const platform::cancel_request& what, const request_ptr& to);
@@ -70,13 +83,10 @@
     void submit(const job& what, const request_ptr& to);
     void on_submitted(const job& what, const request_ptr& to,
                       const platform::store_result& result);
-    void on_unanswered(const job& what, const request_ptr& to);
+    void on_unserved(const job& what, const request_ptr& to);
     void forward(const job& what, const request_ptr& to);
-    void on_forward_ended(const job& what, const request_ptr& to,
-                          const http_result& result);
-    [[nodiscard]] std::string other_entry();
-    void probe(time_point now);
     void tell_holder(const job& what);
+    void show(const std::string& id, const request_ptr& to);
     void show_from_store(const std::string& id, const request_ptr& to);
     void on_job_read(const std::string& id, const request_ptr& to,
                      const platform::store_result& result);
@@ -87,6 +97,17 @@
                         const platform::store_result& result);
     void write_cancellation(const std::string& id, const request_ptr& to);
 
+    // Passing requests on while the store gives no service here.
+    void pass_on(const passed_request& what, const request_ptr& to,
+                 std::function<void()> in_vain);
+    void on_passed(const passed_request& what, const request_ptr& to,
+                   const http_result& result, std::function<void()> in_vain);
+    [[nodiscard]] std::string next_helper(const open_request& of) const;
+    void serve_passed(const http_request& what, const request_ptr& to);
+    void without_store(const char* method, const std::string& id,
+                       const request_ptr& to, std::function<void()> again);
+    void probe(time_point now);
+
     /// Runs something later, or answers that the time is over.
     void again(const request_ptr& to, std::function<void()> what);
     void answer(const request_ptr& to, http_response with);
@@ -103,13 +124,15 @@
     platform::store_client& store_;
     office_keeper& office_;
     job_holder& holder_;
+    const holder_contact& contact_;
     queue_table table_;
     adaptive_timeout timeout_;
     /// Since when the store has given no answer here; nothing while it does.
     std::optional<time_point> store_away_since_;
     bool probing_ = false; ///< a read finds out whether it is back
     time_point next_probe_{};
-    std::size_t forwarded_ = 0; ///< counts, to take other entries in turn
+    /// Entries that could not help, and when they last could not.
+    std::map<std::string, time_point> helpless_;
     std::int64_t open_ = 0;
     std::deque<std::pair<time_point, std::function<void()>>> later_;
     std::map<std::string, std::int64_t> last_counts_;
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -46,7 +46,7 @@
                        holder_.end();
                    }}),
           contact_(process, store_, office_), holder_(process, store_, office_),
-          desk_(process, store_, office_, holder_),
+          desk_(process, store_, office_, holder_, contact_),
           operator_(process, store_,
                     {.table =
                          [this](const queue_table& table)
@@ -185,7 +185,7 @@
 
     void answer_internal(http_arrival& arrival)
     {
-        if (arrival.request.path == forward_path)
+        if (arrival.request.path.starts_with(forward_path))
         {
             desk_.on_forwarded(arrival);
             return;
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -28,6 +28,7 @@
 BUSY_S = 3.0  # for what comes after a start
 UNREAD_S = 1.9  # below the time limit of a start, 2 s
 BUSY_S = 2.0  # the task runs for longer
+HEARD_S = 2.5  # each entry has heard from the holder
 SOON_S = 1.6  # a caller that is given up on waits no longer for its answer
 
 
@@ -187,6 +188,37 @@
         self.assertEqual([one for one in self.record.breaches
                           if one.startswith("REFUSED")], [])
 
+    def store_link(self, entry):
+        return next(one for one in self.fleet.links
+                    if one.name == f"store of entry-{entry}")
+
+    async def call(self, entry, method, job):
+        connection = self.fleet.connection(entry)
+        body = {"spec": job.spec, "steps": [
+            {name: value for name, value in step.items() if name != "traits"}
+            for step in job.steps]} if method == "POST" else None
+        status, _ = await connection.call(
+            method, f"/{job.queue}/{job.ident}", body,
+            {"Host": HOST, "Deadline-Ms": "2500"})
+        connection.close()
+        return status
+
+    # One entry after the other refused its first callers, and passed the
+    # next ones on to a holder that the store turned away, too.
+    async def test_an_entry_that_the_store_turns_away_serves_its_callers(self):
+        larger = self.fleet.processes[0].settings["announced_address"]
+        await self.until("entry-0 holds", lambda: self.holds(larger))
+        await asyncio.sleep(HEARD_S)
+        self.store_link(2).begin_turning_away()
+        for _ in range(3):
+            job = self.caller.make_job()
+            self.assertEqual(await self.call(2, "POST", job), 200)
+            self.assertIn(await self.ask(2, job), ("pending", "running"))
+            self.assertEqual(await self.call(2, "DELETE", job), 200)
+            self.assertEqual(await self.ask(2, job), "cancelled")
+        unknown = self.caller.make_job()
+        self.assertEqual(await self.call(2, "GET", unknown), 410)
+
     async def test_the_office_moves_to_the_larger_entry(self):
         larger = self.fleet.processes[0].settings["announced_address"]
 
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -3,6 +3,8 @@
 
 import asyncio
 
+from wire import read_message
+
 PASSES_S = 0.02  # a request of one segment is at its target by then
 ANSWERED_S = 1.0  # ... and was carried out
 
@@ -20,11 +22,15 @@
         self.held = set()  # connections whose bytes wait until it heals
         self.held_in = set()  # ... of which only requests wait
         self.cuts_left = 0  # requests that pass and then lose their connection
+        self.turns_away = False  # each request is answered 503 here
 
     async def start(self, address, port):
         self.server = await asyncio.start_server(self.connect, address, port)
 
     async def connect(self, reader, writer):
+        if self.turns_away:
+            await self.turn_away(reader, writer)
+            return
         try:
             host, port = self.target.split(":")
             far_reader, far_writer = await asyncio.open_connection(
@@ -68,6 +74,22 @@
         if pair not in self.hushed:
             writer.write_eof()
 
+    async def turn_away(self, reader, writer):
+        """Answers every request in the target's place that nothing is done."""
+        try:
+            while self.turns_away:
+                await read_message(reader)
+                writer.write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    def begin_turning_away(self):
+        self.turns_away = True
+        self.reset()
+
     async def cut(self, pair):
         """Ends a connection for its client, once its request has passed; the
         target never learns that nobody hears the answer."""
@@ -99,6 +121,7 @@
         self.held_in |= self.open
 
     def heal(self):
+        self.turns_away = False
         self.held.clear()
         self.held_in.clear()
         self.cuts_left = 0
