Office: a holder that the store does not serve gives it to another entry

Cause, from the logs: the office stood on a VM that the store turned away, or fell silent for. It stayed there to the end of its lease, up to 2 s without a placement.

The mend: the holder gives its office up itself. It knows which entries the store serves, by their heartbeats, and asks the best of them to take it: when the store has not served its own VM for 0.4 s, when it is to stop, or when another VM has 1.5 times its processors. The one that is asked gets a lease and claims the key by the revision of the former office, so that one at most takes it; it tells the former holder, which the store may not reach. Until then that one goes on. The fences are as they were.

Ruled out: a shorter lease (renewals of a slow store would lose it); a coordinator among the entries.

--- a/packages/cli/explain.cpp
+++ b/packages/cli/explain.cpp
@@ -30,7 +30,7 @@
 {
     static const std::set<std::string> names{"office_taken",
                                              "office_lost",
-                                             "office_asked_for",
+                                             "office_offered",
                                              "store_lost",
                                              "store_back",
                                              "commit_uncertain",
--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -38,7 +38,7 @@
     office_lost = 1602,
     entry_ready = 1603,
     entry_unready = 1604,
-    office_asked_for = 1605,
+    office_offered = 1605,
     configuration_in_force = 1611,
     configuration_refused = 1612,
     record_unreadable = 1613,
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -3,6 +3,7 @@
 #include "holder_contact.hpp"
 #include "job_desk.hpp"
 #include "job_holder.hpp"
+#include "office_handover.hpp"
 #include "office_keeper.hpp"
 #include "operator_watch.hpp"
 
@@ -25,6 +26,9 @@
 // After a planned stop began, the balancer takes up to two checks, a second
 // apart, to send new connections elsewhere.
 constexpr duration balancer_notice = std::chrono::milliseconds(2600);
+// An entry that is asked to take the office has it after some tens of
+// milliseconds; two may be asked.
+constexpr duration successor_within = std::chrono::milliseconds(1000);
 // Before the grace ends, the process has to be gone.
 constexpr duration grace_margin = std::chrono::milliseconds(700);
 
@@ -33,18 +37,8 @@
 public:
     explicit job_entry_control(job_process& process)
         : process_(process), store_(process.client, process.from.store),
-          office_(process, store_,
-                  {.taken =
-                       [this](std::int64_t epoch)
-                   {
-                       entries_.clear();
-                       holder_.begin(epoch);
-                   },
-                   .lost =
-                       [this]
-                   {
-                       holder_.end();
-                   }}),
+          office_(process, store_, office_callbacks()),
+          handover_(process, store_, office_),
           contact_(process, store_, office_), holder_(process, store_, office_),
           desk_(process, store_, office_, holder_, contact_),
           operator_(process, store_,
@@ -78,18 +72,23 @@
                      holder_.job_was_cancelled(message.value("id", ""));
                      return json::object();
                  });
-        rpc_.add(wire::hand_over_method,
-                 [this](const json& message) -> json
+        rpc_.add(take_over_method,
+                 [this](const json& message)
                  {
-                     const auto epoch = message.value("epoch", std::int64_t{0});
-                     return {{"done", office_.hand_over(epoch)}};
+                     office_.take_over(message.get<take_over_request>());
+                     return json::object();
+                 });
+        rpc_.add(took_over_method,
+                 [this](const json& message)
+                 {
+                     handover_.on_result(message.get<take_over_result>());
+                     return json::object();
                  });
         rpc_.add("count", [this](const json& message)
                  { return desk_.count_for_peer(message); });
-        rpc_.add(entry_heartbeat_method,
-                 [this](const json& message) {
-                     return json(answer_entry(message.get<entry_heartbeat>()));
-                 });
+        rpc_.add(
+            entry_heartbeat_method, [this](const json& message)
+            { return json(handover_.answer(message.get<entry_heartbeat>())); });
     }
 
     void run()
@@ -115,10 +114,27 @@
     }
 
 private:
+    office_keeper::callbacks office_callbacks()
+    {
+        return {.taken =
+                    [this](std::int64_t epoch)
+                {
+                    handover_.begin();
+                    holder_.begin(epoch);
+                },
+                .lost = [this] { holder_.end(); },
+                .told =
+                    [this](const std::string& from, std::int64_t epoch)
+                {
+                    tell_taken(from, epoch);
+                }};
+    }
+
     void tick(time_point now)
     {
         operator_.tick(now);
         office_.tick(now);
+        handover_.tick(now, stop_since_.has_value());
         contact_.tick(now);
         holder_.tick(now);
         desk_.tick(now);
@@ -126,25 +142,28 @@
         {
             begin_stop(now);
         }
-        if (stop_since_ && may_end(now))
+        if (stop_since_)
         {
-            process_.parts.stop();
+            give_office_up(now);
+            if (may_end(now))
+            {
+                process_.parts.stop();
+            }
         }
     }
 
-    entry_heartbeat_answer answer_entry(const entry_heartbeat& from)
+    // Who asked for it may be cut off from the store, or about to stop.
+    void tell_taken(const std::string& to, std::int64_t epoch)
     {
-        entry_heartbeat_answer answer{.epoch = office_.newest_epoch(),
-                                      .holder = office_.holder(),
-                                      .holds = office_.holds()};
-        if (answer.holds)
-        {
-            const time_point now = boot_clock::now();
-            entries_.note(from, now);
-            answer.rank = entries_.rank(from.address, now);
-            answer.peers = entries_.peers_of(from, now);
-        }
-        return answer;
+        const take_over_result result{.epoch = epoch,
+                                      .by = announced_address(process_.from)};
+        process_.client.send(
+            {.method = "POST",
+             .url = "http://" + to + wire::rpc_path,
+             .headers = {{"content-type", "application/json"}},
+             .body = make_body(rpc_request(took_over_method, result)),
+             .timeout = holder_timeout},
+            [](const http_result&) {}); // the key tells it, too
     }
 
     void begin_stop(time_point now)
@@ -152,7 +171,16 @@
         stop_since_ = now;
         log_event(event_id::process_draining,
                   {{"open", std::to_string(desk_.open())}});
-        office_.retire();
+    }
+
+    // Until another entry has taken it, jobs are served here. If none does,
+    // the office is free for whoever comes.
+    void give_office_up(time_point now)
+    {
+        if (!office_.holds() || now - *stop_since_ > successor_within)
+        {
+            office_.retire();
+        }
     }
 
     [[nodiscard]] bool may_end(time_point now) const
@@ -201,7 +229,7 @@
     job_process& process_;
     platform::store_client store_;
     office_keeper office_;
-    entry_list entries_;
+    office_handover handover_;
     holder_contact contact_;
     job_holder holder_;
     job_desk desk_;
--- /dev/null
+++ b/packages/daemon/src/office_handover.cpp
@@ -0,0 +1,112 @@
+#include "office_handover.hpp"
+
+namespace springstair
+{
+
+namespace
+{
+
+// To be granted a lease and to claim the office takes two answers of the store;
+// another entry is asked after that.
+constexpr duration result_within = std::chrono::milliseconds(500);
+
+} // namespace
+
+office_handover::office_handover(job_process& process,
+                                 const platform::store_client& store,
+                                 office_keeper& office)
+    : process_(process), store_(store), office_(office)
+{
+}
+
+void office_handover::begin()
+{
+    entries_.clear();
+    asked_.clear();
+}
+
+office_state office_handover::state(time_point now, bool stopping) const
+{
+    const duration silent = now - store_.served_at();
+    return {.processors = process_.from.processors,
+            .held_for = now - office_.held_since(),
+            .store_silent = store_.is_away() ? silent : duration{0},
+            .stopping = stopping};
+}
+
+void office_handover::tick(time_point now, bool stopping)
+{
+    if (!office_.holds())
+    {
+        return;
+    }
+    if (!asked_.empty())
+    {
+        if (now - asked_at_ < result_within)
+        {
+            return;
+        }
+        entries_.note_declined(asked_, now);
+        asked_.clear();
+    }
+    if (const auto next = entries_.next_hand_over(state(now, stopping), now))
+    {
+        ask(*next, now);
+    }
+}
+
+void office_handover::ask(const hand_over& what, time_point now)
+{
+    asked_ = what.to;
+    asked_at_ = now;
+    log_event(event_id::office_offered,
+              {{"to", what.to},
+               {"epoch", std::to_string(office_.epoch())},
+               {"why", std::string(to_string(what.why))}});
+    const take_over_request request{.epoch = office_.epoch(),
+                                    .from = announced_address(process_.from)};
+    process_.client.send(
+        {.method = "POST",
+         .url = "http://" + what.to + wire::rpc_path,
+         .headers = {{"content-type", "application/json"}},
+         .body = make_body(rpc_request(take_over_method, request)),
+         .timeout = result_within},
+        process_.on_control<http_result>(
+            [this, to = what.to](const http_result& result)
+            {
+                if (result.how != delivery::answered)
+                {
+                    on_result({.by = to});
+                }
+            }));
+}
+
+void office_handover::on_result(const take_over_result& result)
+{
+    if (result.epoch > 0)
+    {
+        office_.told(result.epoch, result.by);
+    }
+    else if (result.by == asked_)
+    {
+        entries_.note_declined(asked_, boot_clock::now());
+        asked_.clear();
+    }
+}
+
+entry_heartbeat_answer office_handover::answer(const entry_heartbeat& from)
+{
+    entry_heartbeat_answer answer{.epoch = office_.newest_epoch(),
+                                  .holder = office_.holder(),
+                                  .holds = office_.holds()};
+    if (answer.holds)
+    {
+        const time_point now = boot_clock::now();
+        entries_.note(from, now);
+        answer.rank = entries_.rank(from.address, now);
+        answer.peers = entries_.peers_of(from, now);
+    }
+    return answer;
+}
+
+} // namespace springstair
--- /dev/null
+++ b/packages/daemon/src/office_handover.hpp
@@ -0,0 +1,40 @@
+#pragma once
+// How a holder gives its office to another entry.
+
+#include "office_keeper.hpp"
+
+#include <springstair/scheduler.hpp>
+
+namespace springstair
+{
+
+/// Asks the best of the entries that a holder hears to take its office, where
+/// the holder is to stop, is not served by the store, or is much smaller. It
+/// goes on as holder until that one has taken it.
+class office_handover
+{
+public:
+    office_handover(job_process& process, const platform::store_client& store,
+                    office_keeper& office);
+
+    void tick(time_point now, bool stopping);
+    /// An entry that was asked says what came of it.
+    void on_result(const take_over_result& result);
+    /// The answer to an entry's heartbeat.
+    entry_heartbeat_answer answer(const entry_heartbeat& from);
+    /// A new office begins: nobody has been heard.
+    void begin();
+
+private:
+    [[nodiscard]] office_state state(time_point now, bool stopping) const;
+    void ask(const hand_over& what, time_point now);
+
+    job_process& process_;
+    const platform::store_client& store_;
+    office_keeper& office_;
+    entry_list entries_;
+    std::string asked_; ///< who is to take the office; empty: nobody
+    time_point asked_at_{};
+};
+
+} // namespace springstair
--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -20,23 +20,12 @@
 constexpr duration watch_wait = std::chrono::seconds(8);
 constexpr duration pause = std::chrono::milliseconds(150);
 constexpr int nonce_bytes = 6;
-// An entry with this many times the holder's processors asks for the office:
-// the holder's work grows with the fleet, and a small VM falls behind.
-constexpr double much_larger = 1.5;
-// A new holder is left alone for this long: others may start just now.
-constexpr duration settling = std::chrono::milliseconds(500);
-// Between two requests to the same holder.
-constexpr duration request_every = std::chrono::seconds(5);
-constexpr duration request_timeout = std::chrono::milliseconds(300);
-// Who gave the office up leaves it to others for this long: three lookups.
-constexpr duration stand_back = std::chrono::seconds(3);
 
 json holder_value(const job_process& process, const std::string& nonce)
 {
     return {{"entry", process.from.name},
             {"address", announced_address(process.from)},
-            {"nonce", nonce},
-            {"processors", process.from.processors}};
+            {"nonce", nonce}};
 }
 
 } // namespace
@@ -76,11 +65,6 @@
         const bool usable = lease_ != 0 && now < lease_fresh_until_;
         usable ? claim() : take();
     }
-    if (at_ == stage::watching && !holder_.empty() && now >= next_request_ &&
-        process_.from.processors >= much_larger * holder_processors_)
-    {
-        ask_for_office();
-    }
 }
 
 void office_keeper::note_answer(const store_result& result)
@@ -138,6 +122,10 @@
         return;
     }
     note_holder(*item, document);
+    if (!asked_by_.empty())
+    {
+        then_.told(std::exchange(asked_by_, {}), 0); // another one was faster
+    }
     if (is_of_former_process())
     {
         replaces_ = item->revision;
@@ -159,8 +147,6 @@
     }
     holder_ = holder;
     holder_epoch_ = epoch;
-    holder_processors_ = process_.from.processors;
-    next_request_ = boot_clock::now() + settling;
     at_ = stage::watching;
 }
 
@@ -175,67 +161,41 @@
 void office_keeper::note_holder(const platform::store_item& item,
                                 const json& document)
 {
-    if (item.revision != holder_epoch_)
-    {
-        next_request_ = boot_clock::now() + settling;
-    }
     holder_ = document.value("address", "");
     holder_epoch_ = item.revision;
-    holder_processors_ = document.value("processors", process_.from.processors);
 }
 
 // ---------------------------------------------------------------------------
-// From a small VM to a large one
+// Taking the office
 // ---------------------------------------------------------------------------
 
-// A lease first: it shows that the store answers here, and the claim that
-// follows needs it.
-void office_keeper::ask_for_office()
+// The claim names the holder's revision: of several entries, one takes it.
+void office_keeper::take_over(const take_over_request& what)
 {
-    next_request_ = boot_clock::now() + request_every;
-    busy_ = true;
-    store_.grant_lease(lease_ttl, timeout_.value(),
-                       process_.on_control<store_result>(
-                           [this](const store_result& result)
-                           {
-                               on_lease(result);
-                               if (lease_ != 0 && at_ == stage::watching)
-                               {
-                                   send_request();
-                               }
-                           }));
-}
-
-void office_keeper::send_request()
-{
-    log_event(event_id::office_asked_for,
-              {{"holder", holder_}, {"epoch", std::to_string(holder_epoch_)}});
-    process_.client.send(
-        {.method = "POST",
-         .url = "http://" + holder_ + wire::rpc_path,
-         .headers = {{"content-type", "application/json"}},
-         .body = make_body(
-             rpc_request(wire::hand_over_method, {{"epoch", holder_epoch_}})),
-         .timeout = request_timeout},
-        [](const http_result&) {}); // the key tells what came of it
+    if (at_ != stage::watching || what.epoch < newest_epoch())
+    {
+        then_.told(what.from, 0);
+        return;
+    }
+    asked_by_ = what.from;
+    replaces_ = what.epoch;
+    at_ = stage::taking;
+    next_ = {};
 }
 
-bool office_keeper::hand_over(std::int64_t epoch)
+// Who was asked to take an office and cannot says so: another one can.
+void office_keeper::note_unserved()
 {
-    if (at_ != stage::holding || epoch != epoch_)
+    next_ = boot_clock::now() + pause;
+    if (asked_by_.empty())
     {
-        return false;
+        return;
     }
-    store_.end_lease(lease_, timeout_.value(), [](const store_result&) {});
-    lose("a larger entry takes over");
-    next_ = boot_clock::now() + stand_back;
-    return true;
+    replaces_ = 0;
+    at_ = stage::watching;
+    then_.told(std::exchange(asked_by_, {}), 0);
 }
 
-// ---------------------------------------------------------------------------
-// Taking the office
-// ---------------------------------------------------------------------------
-
 void office_keeper::take()
 {
     busy_ = true;
@@ -251,7 +211,7 @@
     note_answer(result);
     if (result.status != store_status::done)
     {
-        next_ = boot_clock::now() + pause;
+        note_unserved();
         return;
     }
     lease_ = result.lease;
@@ -302,7 +262,7 @@
     case store_status::compacted:
     case store_status::refused:
     case store_status::unknown:
-        next_ = boot_clock::now() + pause;
+        note_unserved();
         return;
     }
 }
@@ -310,6 +270,7 @@
 void office_keeper::hold(std::int64_t revision, time_point sent)
 {
     at_ = stage::holding;
+    held_since_ = boot_clock::now();
     has_held_ = true;
     replaces_ = 0;
     epoch_ = revision;
@@ -317,6 +278,10 @@
     next_renewal_ = sent + renew_every;
     holder_ = announced_address(process_.from);
     then_.taken(epoch_);
+    if (!asked_by_.empty())
+    {
+        then_.told(std::exchange(asked_by_, {}), epoch_);
+    }
 }
 
 // ---------------------------------------------------------------------------
--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -3,6 +3,8 @@
 
 #include "holder_watch.hpp"
 
+#include <springstair/jobs.hpp>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,6 +21,8 @@
     {
         std::function<void(std::int64_t epoch)> taken;
         std::function<void()> lost;
+        /// An office that this entry was asked to take was taken, or not.
+        std::function<void(const std::string& from, std::int64_t epoch)> told;
     };
 
     office_keeper(job_process& process, platform::store_client& store,
@@ -27,9 +31,8 @@
     void tick(time_point now);
     /// Gives the office up and takes it no more.
     void retire();
-    /// Gives the office of an epoch up to a larger entry that asks for it.
-    /// @return whether that office was held
-    bool hand_over(std::int64_t epoch);
+    /// The holder asks this entry to take its office.
+    void take_over(const take_over_request& what);
     /// Another entry says who holds. A newer holder than is known here is
     /// believed; the store has the last word.
     void told(std::int64_t epoch, const std::string& holder);
@@ -46,6 +49,11 @@
     {
         return epoch_;
     }
+    /// Since when it holds the office.
+    [[nodiscard]] time_point held_since() const noexcept
+    {
+        return held_since_;
+    }
     /// When the office was last known to be ours.
     [[nodiscard]] time_point verified_at() const noexcept
     {
@@ -79,8 +87,6 @@
     void follow(const std::optional<platform::store_item>& item);
     void note_holder(const platform::store_item& item, const json& document);
     [[nodiscard]] bool is_of_former_process() const;
-    void ask_for_office();
-    void send_request();
     void take();
     void on_lease(const platform::store_result& result);
     void claim();
@@ -91,6 +97,7 @@
     void hold(std::int64_t revision, time_point sent);
     void lose(const char* why);
     void note_answer(const platform::store_result& result);
+    void note_unserved();
 
     job_process& process_;
     platform::store_client& store_;
@@ -103,14 +110,14 @@
     std::int64_t holder_epoch_ = 0;
     std::int64_t replaces_ = 0; ///< claimed over this revision; 0: none there
     bool has_held_ = false;     ///< this process, at some time
-    double holder_processors_ = 0;
-    time_point next_request_{}; ///< when to ask a smaller holder again
-    bool busy_ = false;         ///< a claim is under way
+    std::string asked_by_; ///< whose office is being taken; empty: nobody's
+    bool busy_ = false;    ///< a claim is under way
     bool renewing_ = false;
     bool checking_ = false;
     std::int64_t lease_ = 0;
     time_point lease_fresh_until_{}; ///< too old to begin an office on
     std::int64_t epoch_ = 0;
+    time_point held_since_{};
     time_point verified_{};
     time_point next_{};
     time_point next_renewal_{};
--- a/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
@@ -13,6 +13,29 @@
 /// @brief The method of an entry's heartbeat.
 inline constexpr const char* entry_heartbeat_method = "entry_heartbeat";
 
+/// @brief The method by which a holder asks another entry to take its office.
+inline constexpr const char* take_over_method = "take_over";
+/// @brief The method by which that one tells what came of it.
+inline constexpr const char* took_over_method = "took_over";
+
+/// @brief A holder asks another entry to take its office.
+struct take_over_request
+{
+    std::int64_t epoch = 0; ///< of that office
+    std::string from;       ///< the holder's address
+
+    bool operator==(const take_over_request&) const = default;
+};
+
+/// @brief What came of it.
+struct take_over_result
+{
+    std::int64_t epoch = 0; ///< of the new office; 0: it was not taken
+    std::string by;         ///< who was asked
+
+    bool operator==(const take_over_result&) const = default;
+};
+
 /// @brief What an entry says of itself to the holder of all jobs.
 struct entry_heartbeat
 {
@@ -46,6 +69,8 @@
 
 void to_json(json& to, const entry_heartbeat_answer& from);
 void from_json(const json& from, entry_heartbeat_answer& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_request, epoch, from)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_result, epoch, by)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(entry_heartbeat, address,
                                                 data_centre, processors,
                                                 store_away)
--- a/packages/membership/include/springstair/detail/membership/messages.hpp
+++ b/packages/membership/include/springstair/detail/membership/messages.hpp
@@ -177,8 +177,6 @@
 inline constexpr const char* operator_key = "springstair-operator";
 inline constexpr const char* execute_path = "/v1/execute";
 inline constexpr const char* rpc_path = "/v1/rpc";
-/// An entry asks a smaller one that holds all jobs for its office.
-inline constexpr const char* hand_over_method = "hand_over";
 inline constexpr const char* heartbeat_method = "guard.heartbeat";
 inline constexpr const char* exchange_method = "entry.exchange";
 inline constexpr const char* start_task_method = "task.start";
--- a/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
@@ -24,6 +24,47 @@
     /// Of them, those of the asking entry's own data centre come first; so
     /// many are of any other, in case that one is cut off.
     std::size_t most_peers_elsewhere = 2;
+    /// An entry with this many times the holder's processors takes its office:
+    /// the holder's work grows with the fleet, and a small VM falls behind.
+    double much_larger = 1.5;
+    /// A new office is left where it is for this long: other entries may start
+    /// just now.
+    duration settling = std::chrono::milliseconds(500);
+    /// A holder that the store has not served for so long gives its office up:
+    /// above the answer of a store that is fifty times slower than usual, well
+    /// below the lease that others would wait for.
+    duration store_patience = std::chrono::milliseconds(400);
+    /// An entry that could not take the office is passed over for so long.
+    duration decline_lasts = std::chrono::seconds(2);
+};
+
+/// @brief Why a holder gives its office to another entry.
+enum class hand_over_reason : std::uint8_t
+{
+    stopping,   ///< its process is to stop
+    store_away, ///< the store does not serve its VM
+    small       ///< another VM is much larger
+};
+
+/// @brief The name of a reason, for the log.
+std::string_view to_string(hand_over_reason value) noexcept;
+
+/// @brief What decides whether a holder gives its office up.
+struct office_state
+{
+    double processors = 1;    ///< of its VM
+    duration held_for{0};     ///< since the office was taken
+    duration store_silent{0}; ///< since the store last served it; 0: it does
+    bool stopping = false;
+};
+
+/// @brief Who is to take an office.
+struct hand_over
+{
+    std::string to;
+    hand_over_reason why = hand_over_reason::stopping;
+
+    bool operator==(const hand_over&) const = default;
 };
 
 /// @brief The entries that a holder hears, and the order in which they take
@@ -47,6 +88,11 @@
     /// @brief An entry's place among them, from 0; nothing if it cannot.
     std::optional<std::int64_t> rank(const std::string& address,
                                      time_point now);
+    /// @brief Who is to take the holder's office now; nothing if it keeps it.
+    std::optional<hand_over> next_hand_over(const office_state& of,
+                                            time_point now);
+    /// @brief An entry could not take the office, or said nothing of it.
+    void note_declined(const std::string& address, time_point now);
     /// @brief Entries that the store serves, for one that asks.
     std::vector<std::string> peers_of(const entry_heartbeat& asking,
                                       time_point now);
@@ -62,6 +108,7 @@
 
     entry_list_options options_;
     std::map<std::string, heard_entry> entries_; ///< by address
+    std::map<std::string, time_point> declined_; ///< when, by address
     std::vector<entry_heartbeat> order_;         ///< as sorted last
     std::map<std::string, std::int64_t> ranks_;  ///< places in it
     time_point sorted_at_{};
--- a/packages/scheduler/src/entry_list.cpp
+++ b/packages/scheduler/src/entry_list.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+std::string_view to_string(hand_over_reason value) noexcept
+{
+    switch (value)
+    {
+    case hand_over_reason::stopping:
+        return "a planned stop";
+    case hand_over_reason::store_away:
+        return "the store does not serve this VM";
+    case hand_over_reason::small:
+        return "another VM is much larger";
+    }
+    return {};
+}
+
 void entry_list::note(const entry_heartbeat& from, time_point now)
 {
     const auto [found, is_new] = entries_.try_emplace(from.address);
@@ -29,6 +43,7 @@
 void entry_list::clear()
 {
     entries_.clear();
+    declined_.clear();
     is_sorted_ = false;
 }
 
@@ -72,6 +87,44 @@
     return found == ranks_.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<hand_over> entry_list::next_hand_over(const office_state& of,
+                                                    time_point now)
+{
+    sort(now);
+    const auto best = std::ranges::find_if(
+        order_,
+        [&](const entry_heartbeat& one)
+        {
+            const auto found = declined_.find(one.address);
+            return found == declined_.end() ||
+                   now - found->second >= options_.decline_lasts;
+        });
+    if (best == order_.end())
+    {
+        return std::nullopt;
+    }
+    if (of.stopping)
+    {
+        return hand_over{best->address, hand_over_reason::stopping};
+    }
+    if (of.store_silent >= options_.store_patience)
+    {
+        return hand_over{best->address, hand_over_reason::store_away};
+    }
+    const bool is_small =
+        best->processors >= options_.much_larger * of.processors;
+    if (is_small && of.held_for >= options_.settling)
+    {
+        return hand_over{best->address, hand_over_reason::small};
+    }
+    return std::nullopt;
+}
+
+void entry_list::note_declined(const std::string& address, time_point now)
+{
+    declined_[address] = now;
+}
+
 // Begins at another place of the order for each, so that what one data centre
 // passes on does not all come to the same entry.
 std::vector<std::string> entry_list::peers_of(const entry_heartbeat& asking,
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -219,6 +219,35 @@
         unknown = self.caller.make_job()
         self.assertEqual(await self.call(2, "GET", unknown), 410)
 
+    async def test_a_holder_that_the_store_turns_away_gives_its_office(self):
+        larger = self.fleet.processes[0].settings["announced_address"]
+        await self.until("entry-0 holds", lambda: self.holds(larger))
+        await asyncio.sleep(HEARD_S)
+        items = self.fleet.store.items
+        before = items["springstair/holder"]["revision"]
+
+        async def is_new():
+            item = items.get("springstair/holder")
+            return item is not None and item["revision"] > before
+
+        turned_away = time.monotonic()
+        self.store_link(0).begin_turning_away()
+        await self.until("another entry holds", is_new)
+        self.assertLess(time.monotonic() - turned_away, BACK_S)
+        await self.is_done(await self.submit_tasks(2, SHORT_TASK_S))
+
+    async def test_a_holder_that_stops_gives_its_office(self):
+        holder = self.fleet.processes[0]
+        await self.until("entry-0 holds", lambda: self.holds(
+            holder.settings["announced_address"]))
+        await asyncio.sleep(HEARD_S)
+        items, seen = self.fleet.store.items, []
+        holder.signal(signal.SIGTERM)
+        while len(set(seen)) < 2:
+            seen.append(items.get("springstair/holder", {}).get("revision"))
+            await asyncio.sleep(0.01)
+        self.assertNotIn(None, seen)  # at no time without a holder
+
     async def test_the_office_moves_to_the_larger_entry(self):
         larger = self.fleet.processes[0].settings["announced_address"]
 
--- a/tests/unit/entry_list_tests.cpp
+++ b/tests/unit/entry_list_tests.cpp
@@ -63,6 +63,63 @@
     CHECK(list.rank("a9", now) == 0);
 }
 
+// A holder that the store turned away kept its office to the end of its lease:
+// 1.7 s without a placement, and twice that for what had begun just before.
+TEST_CASE("a holder gives its office up where another one does better")
+{
+    time_point now{std::chrono::hours(1)};
+    entry_list list = two_data_centres(now);
+    const std::string best = list.successors(now).front().address;
+    office_state state{.processors = 1.0, .held_for = seconds(9)};
+    CHECK_FALSE(list.next_hand_over(state, now).has_value());
+    SUBCASE("it is to stop")
+    {
+        state.stopping = true;
+        CHECK(list.next_hand_over(state, now) ==
+              hand_over{best, hand_over_reason::stopping});
+    }
+    SUBCASE("the store does not serve it")
+    {
+        state.store_silent = std::chrono::milliseconds(399);
+        CHECK_FALSE(list.next_hand_over(state, now).has_value());
+        state.store_silent = std::chrono::milliseconds(400);
+        CHECK(list.next_hand_over(state, now) ==
+              hand_over{best, hand_over_reason::store_away});
+    }
+    SUBCASE("it is small, and has settled")
+    {
+        state.processors = 0.12;
+        state.held_for = std::chrono::milliseconds(499);
+        CHECK_FALSE(list.next_hand_over(state, now).has_value());
+        state.held_for = std::chrono::milliseconds(500);
+        CHECK(list.next_hand_over(state, now) ==
+              hand_over{best, hand_over_reason::small});
+    }
+}
+
+TEST_CASE("an entry that could not take the office is passed over for a while")
+{
+    time_point now{std::chrono::hours(1)};
+    entry_list list = two_data_centres(now);
+    const office_state stops{.stopping = true};
+    std::set<std::string> asked;
+    while (const auto next = list.next_hand_over(stops, now))
+    {
+        asked.insert(next->to);
+        list.note_declined(next->to, now);
+    }
+    CHECK(asked.size() == 20);
+    now += seconds(2);
+    CHECK(list.next_hand_over(stops, now).has_value());
+    // Where the store serves nobody, the office stays.
+    for (entry_heartbeat one : list.successors(now))
+    {
+        one.store_away = true;
+        list.note(one, now);
+    }
+    CHECK_FALSE(list.next_hand_over(stops, now).has_value());
+}
+
 TEST_CASE("every holder tells about the same order")
 {
     const time_point now{std::chrono::hours(1)};
