Office: entries claim it by their place among the successors

What grew faster than the fleet: every entry watches the holder's key, and all of them claimed it when it went: a lease and a claim each, 368 calls of the store for one office at 184 entries, and chance decided whether a VM of 0.12 cores got it.

The change: a holder tells each entry its place; the first four have a turn each, 60 ms apart, the others follow in groups that double. Entries that others go before watch the key for 20 s at a time in place of 8, and ask the store at once when two heartbeats find no holder. Where nobody was told a place (the first start, a loss of all entries) each claims at once, as before: waiting there would cost the first that is back.

Unit test of the turns.

--- a/packages/daemon/src/holder_contact.cpp
+++ b/packages/daemon/src/holder_contact.cpp
@@ -13,6 +13,8 @@
 // A holder answers within milliseconds; a crowded thin link takes longer.
 constexpr duration heartbeat_timeout = std::chrono::milliseconds(400);
 constexpr duration retry_pause = std::chrono::milliseconds(150);
+// One lost heartbeat is not rare; a second one is news.
+constexpr std::size_t lost_after = 2;
 // All entries meet a new holder, which is busy then.
 constexpr int most_delay_ms = 300;
 
@@ -113,10 +115,14 @@
         answered_at_ = sent;
         peers_ = answer->peers;
         operator_change_ = answer->operator_change;
+        rank_ = answer->rank;
         next_ = sent + heartbeat_every;
         return;
     }
-    ++failures_;
+    if (++failures_ == lost_after)
+    {
+        office_.look_again();
+    }
     next_ = boot_clock::now() + retry_pause;
 }
 
--- a/packages/daemon/src/holder_contact.hpp
+++ b/packages/daemon/src/holder_contact.hpp
@@ -3,7 +3,7 @@
 
 #include "office_keeper.hpp"
 
-#include <springstair/jobs.hpp>
+#include <springstair/scheduler.hpp>
 
 #include <string>
 #include <vector>
@@ -34,6 +34,11 @@
     {
         return operator_change_;
     }
+    /// When this entry claims an office that is free.
+    [[nodiscard]] claim_turn turn() const
+    {
+        return claim_turn::of(answered_at_ != time_point{}, rank_);
+    }
     /// When the holder last answered.
     [[nodiscard]] time_point answered_at() const noexcept
     {
@@ -56,6 +61,7 @@
     time_point answered_at_{};
     std::vector<std::string> peers_;
     std::int64_t operator_change_ = 0;
+    std::optional<std::int64_t> rank_; ///< among the successors
 };
 
 } // namespace springstair
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -141,6 +141,7 @@
     void tick(time_point now)
     {
         follow_operator(now);
+        office_.set_turn(contact_.turn());
         office_.tick(now);
         handover_.tick(now, stop_since_.has_value());
         contact_.tick(now);
--- a/packages/daemon/src/office_keeper.cpp
+++ b/packages/daemon/src/office_keeper.cpp
@@ -18,6 +18,8 @@
 // A quiet holder reads its key so often; a busy one's writes prove as much.
 constexpr duration check_every = std::chrono::milliseconds(1000);
 constexpr duration watch_wait = std::chrono::seconds(8);
+// An entry that others go before hears of a new holder from anyone.
+constexpr duration long_watch_wait = std::chrono::seconds(20);
 constexpr duration pause = std::chrono::milliseconds(150);
 constexpr int nonce_bytes = 6;
 
@@ -123,6 +125,10 @@
     if (!item)
     {
         holder_.clear();
+        if (at_ == stage::watching)
+        {
+            next_ = boot_clock::now() + turn_.delay;
+        }
         at_ = stage::taking;
         return;
     }
@@ -145,6 +151,20 @@
     at_ = stage::watching;
 }
 
+void office_keeper::set_turn(const claim_turn& turn)
+{
+    turn_ = turn;
+    watch_.set_wait(turn.is_successor ? watch_wait : long_watch_wait);
+}
+
+void office_keeper::look_again()
+{
+    if (at_ == stage::watching)
+    {
+        watch_.refresh();
+    }
+}
+
 void office_keeper::told(std::int64_t epoch, const std::string& holder)
 {
     if (epoch <= newest_epoch() || holder.empty() || at_ == stage::retired)
--- a/packages/daemon/src/office_keeper.hpp
+++ b/packages/daemon/src/office_keeper.hpp
@@ -3,7 +3,7 @@
 
 #include "holder_watch.hpp"
 
-#include <springstair/jobs.hpp>
+#include <springstair/scheduler.hpp>
 
 #include <functional>
 #include <optional>
@@ -34,6 +34,10 @@
     void retire();
     /// The holder asks this entry to take its office.
     void take_over(const take_over_request& what);
+    /// When this entry claims an office that is free.
+    void set_turn(const claim_turn& turn);
+    /// The holder does not answer: the store is asked who holds.
+    void look_again();
     /// Another entry says who holds. A newer holder than is known here is
     /// believed; the store has the last word.
     void told(std::int64_t epoch, const std::string& holder);
@@ -111,6 +115,7 @@
     std::int64_t holder_epoch_ = 0;
     std::int64_t replaces_ = 0; ///< claimed over this revision; 0: none there
     bool has_held_ = false;     ///< this process, at some time
+    claim_turn turn_;
     std::string asked_by_; ///< whose office is being taken; empty: nobody's
     bool busy_ = false;    ///< a claim is under way
     bool renewing_ = false;
--- a/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
@@ -67,6 +67,35 @@
     bool operator==(const hand_over&) const = default;
 };
 
+/// @brief When an entry claims an office that is free, by its place among the
+/// successors, and how closely it watches for that.
+///
+/// All entries see at the same moment that the holder's key is gone. With each
+/// of them claiming, 184 took a lease for one office, and a small one was as
+/// likely as any to get it. Now the first four have a turn each; the others
+/// follow in groups that double, so that the loss of many of the largest costs
+/// a fraction of a second and no more claims than a group has.
+struct claim_turn
+{
+    /// Between two turns: a lease and a claim, each a few milliseconds, and the
+    /// news of it.
+    static constexpr duration step = std::chrono::milliseconds(60);
+    /// Places that watch closely and have a turn of their own.
+    static constexpr std::int64_t successors = 4;
+    /// Turns of those that the store did not serve when they were heard last.
+    static constexpr std::int64_t last_turn = 12;
+
+    bool is_successor = true;
+    duration delay{0};
+
+    /// @param was_told whether a holder has told this entry its place at all;
+    /// after a loss of everything nobody knows of a better one
+    /// @param rank its place; nothing where the store did not serve it
+    static claim_turn of(bool was_told, std::optional<std::int64_t> rank);
+
+    bool operator==(const claim_turn&) const = default;
+};
+
 /// @brief The entries that a holder hears, and the order in which they take
 /// the office after it.
 ///
--- a/packages/scheduler/src/entry_list.cpp
+++ b/packages/scheduler/src/entry_list.cpp
@@ -1,6 +1,7 @@
 #include <springstair/scheduler.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <functional>
 #include <tuple>
 
@@ -33,6 +34,23 @@
     return {};
 }
 
+claim_turn claim_turn::of(bool was_told, std::optional<std::int64_t> rank)
+{
+    if (!was_told)
+    {
+        return {};
+    }
+    const std::int64_t place = rank.value_or(successors);
+    std::int64_t turn = rank ? place : last_turn;
+    if (rank && place >= successors)
+    {
+        const auto groups = static_cast<std::uint64_t>(place / successors);
+        turn = successors + std::bit_width(groups) - 1;
+    }
+    return {.is_successor = place < successors,
+            .delay = std::min(turn, last_turn) * step};
+}
+
 void entry_list::note(const entry_heartbeat& from, time_point now)
 {
     const auto [found, is_new] = entries_.try_emplace(from.address);
--- a/tests/unit/entry_list_tests.cpp
+++ b/tests/unit/entry_list_tests.cpp
@@ -120,6 +120,28 @@
     CHECK_FALSE(list.next_hand_over(stops, now).has_value());
 }
 
+TEST_CASE("successors claim a free office in their order")
+{
+    using std::chrono::milliseconds;
+    CHECK(claim_turn::of(false, std::nullopt) == claim_turn{});
+    CHECK(claim_turn::of(true, 0) ==
+          claim_turn{.is_successor = true, .delay = milliseconds(0)});
+    CHECK(claim_turn::of(true, 1) ==
+          claim_turn{.is_successor = true, .delay = milliseconds(60)});
+    const auto other = [](int turns)
+    {
+        return claim_turn{.is_successor = false,
+                          .delay = turns * milliseconds(60)};
+    };
+    CHECK(claim_turn::of(true, 4) == other(4));
+    CHECK(claim_turn::of(true, 7) == other(4));
+    CHECK(claim_turn::of(true, 8) == other(5));
+    CHECK(claim_turn::of(true, 50) == other(7));
+    CHECK(claim_turn::of(true, 183) == other(9));
+    CHECK(claim_turn::of(true, 100'000) == other(12));
+    CHECK(claim_turn::of(true, std::nullopt) == other(12));
+}
+
 TEST_CASE("every holder tells about the same order")
 {
     const time_point now{std::chrono::hours(1)};
