--- a/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
@@ -36,6 +36,9 @@
     duration store_patience = std::chrono::milliseconds(400);
     /// An entry that could not take the office is passed over for so long.
     duration decline_lasts = std::chrono::seconds(2);
+    /// Entries that are asked in that time: where the store serves nobody, each
+    /// of them would ask it in vain.
+    std::size_t most_asked = 4;
 };
 
 /// @brief Why a holder gives its office to another entry.
--- a/packages/scheduler/src/entry_list.cpp
+++ b/packages/scheduler/src/entry_list.cpp
@@ -109,15 +109,12 @@
                                                     time_point now)
 {
     sort(now);
-    const auto best = std::ranges::find_if(
-        order_,
-        [&](const entry_heartbeat& one)
-        {
-            const auto found = declined_.find(one.address);
-            return found == declined_.end() ||
-                   now - found->second >= options_.decline_lasts;
-        });
-    if (best == order_.end())
+    std::erase_if(declined_, [&](const auto& one)
+                  { return now - one.second >= options_.decline_lasts; });
+    const auto best =
+        std::ranges::find_if(order_, [&](const entry_heartbeat& one)
+                             { return !declined_.contains(one.address); });
+    if (best == order_.end() || declined_.size() >= options_.most_asked)
     {
         return std::nullopt;
     }
--- a/tests/unit/entry_list_tests.cpp
+++ b/tests/unit/entry_list_tests.cpp
@@ -108,7 +108,8 @@
         asked.insert(next->to);
         list.note_declined(next->to, now);
     }
-    CHECK(asked.size() == 20);
+    // With a store that serves nobody, 95 of 184 were asked in 1.5 seconds.
+    CHECK(asked.size() == 4);
     now += seconds(2);
     CHECK(list.next_hand_over(stops, now).has_value());
     // Where the store serves nobody, the office stays.
