Holder: a write without an answer is repeated after 0.1 s, beside the first copy

Cause, from the log: the holder writes one batch at a time. A lost answer was waited for 0.25 s, and twice that after each other one, up to 1 s; then came a pause of 0.1 s. Meanwhile everything stood still, and all further batches were full.

The mend: after 0.1 s without an answer, or four times the last answer's time, another copy of the same batch goes out while those before may still be answered. Each is conditioned on what the batch replaces, so one is done at most; a conflict with our own copy counts as done, as before. A slow store costs a copy at first, then the wait follows its answers. Ruled out: a shorter time limit alone (a store that is slow would never be waited for).

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -163,7 +163,7 @@
     {event_id::holder_found, severity::info, "holder_found",
      "A guard reports to this holder from now on."},
     {event_id::commit_uncertain, severity::warning, "commit_uncertain",
-     "A write to the store got no answer and is sent again."},
+     "A write to the store got no answer or no service; it is sent again."},
 }};
 
 const event_description& describe(event_id id)
--- a/packages/daemon/src/job_holder.cpp
+++ b/packages/daemon/src/job_holder.cpp
@@ -22,6 +22,12 @@
 constexpr duration harms_every = std::chrono::seconds(3);
 // Below any scrape's interval.
 constexpr duration figures_every = std::chrono::seconds(1);
+// A write is answered within milliseconds; above that, and above the wait for a
+// processor that is shared.
+constexpr duration least_copy_after = std::chrono::milliseconds(100);
+// A copy is given up after this many times the wait for the next one.
+constexpr int copies_waited_for = 4;
+constexpr duration least_limit = std::chrono::milliseconds(400);
 // An order is repeated by the next reports; waiting longer helps nobody.
 constexpr duration order_timeout = std::chrono::milliseconds(600);
 
@@ -31,7 +37,8 @@
                        office_keeper& office)
     : process_(process), store_(store), office_(office),
       core_({.closing = {.close_within = process.from.close_within}}),
-      page_timeout_(longest_page)
+      page_timeout_(longest_page),
+      copy_after_(adaptive_timeout::usual_most, least_copy_after)
 {
 }
 
@@ -39,69 +46,87 @@
 // Writing
 // ---------------------------------------------------------------------------
 
+// A store that loses answers is not waited for: another copy of the same batch
+// follows, while those before may still be answered. Each is conditioned on
+// what the batch replaces, so one of them is done at most.
 void job_holder::write()
 {
-    if (writing_ || boot_clock::now() < next_write_)
-    {
-        return;
-    }
+    const time_point now = boot_clock::now();
     if (!batch_)
     {
-        batch_ = core_.next_commit(boot_clock::now());
+        begin_batch(now);
     }
-    if (batch_)
+    if (batch_ && now >= next_copy_)
     {
-        send_batch();
+        send_copy(now);
     }
 }
 
-void job_holder::send_batch()
+void job_holder::begin_batch(time_point now)
 {
-    writing_ = true;
-    const time_point sent = boot_clock::now();
-    store_.transact(transaction_of(*batch_, core_.epoch()), timeout_.value(),
+    batch_ = core_.next_commit(now);
+    ++batches_;
+    copies_ = 0;
+    first_copy_ = now;
+    next_copy_ = now;
+}
+
+void job_holder::send_copy(time_point now)
+{
+    if (++copies_ > 1)
+    {
+        copy_after_.unanswered();
+        log_event(event_id::commit_uncertain,
+                  {{"jobs", std::to_string(batch_->size())},
+                   {"waited_ms",
+                    std::to_string(to_milliseconds(now - first_copy_))}});
+    }
+    next_copy_ = now + copy_after_.value();
+    const duration limit = std::max<duration>(
+        copies_waited_for * copy_after_.value(), least_limit);
+    store_.transact(transaction_of(*batch_, core_.epoch()), limit,
                     process_.on_control<store_result>(
-                        [this, sent, term = term_](const store_result& result)
+                        [this, now, term = term_,
+                         number = batches_](const store_result& result)
                         {
-                            if (term == term_)
+                            if (term == term_ && number == batches_ && batch_)
                             {
-                                on_written(result, sent);
+                                on_written(result, now);
                             }
                         }));
 }
 
+void job_holder::end_batch(std::int64_t revision, time_point sent)
+{
+    office_.verified(sent);
+    core_.committed(*batch_, revision, boot_clock::now());
+    batch_.reset();
+}
+
 void job_holder::on_written(const store_result& result, time_point sent)
 {
-    writing_ = false;
-    const time_point now = boot_clock::now();
-    if (result.status == store_status::done)
+    switch (result.status)
     {
-        timeout_.answered(result.took);
-        office_.verified(sent);
-        core_.committed(*batch_, result.revision, now);
-        batch_.reset();
+    case store_status::done:
+        copy_after_.answered(result.took);
+        end_batch(result.revision, sent);
         return;
-    }
-    if (result.status == store_status::conflict)
-    {
+    case store_status::conflict:
         if (const auto revision = written_before(result))
         {
-            office_.verified(sent);
-            core_.committed(*batch_, *revision, now);
-            batch_.reset();
+            end_batch(*revision, sent);
             return;
         }
         office_.superseded("a write found another holder");
         return;
+    case store_status::refused:
+    case store_status::absent:
+    case store_status::compacted:
+        next_copy_ = boot_clock::now() + pause;
+        return;
+    case store_status::unknown:
+        return; // the next copy is due by itself
     }
-    if (result.status == store_status::unknown)
-    {
-        timeout_.unanswered();
-        log_event(event_id::commit_uncertain,
-                  {{"jobs", std::to_string(batch_->size())},
-                   {"waited_ms", std::to_string(to_milliseconds(now - sent))}});
-    }
-    next_write_ = now + pause;
 }
 
 // A conflict with our own earlier copy of the same batch: it was done, and
--- a/packages/daemon/src/job_holder.hpp
+++ b/packages/daemon/src/job_holder.hpp
@@ -81,8 +81,10 @@
 
     // Writing.
     void write();
-    void send_batch();
+    void begin_batch(time_point now);
+    void send_copy(time_point now);
     void on_written(const platform::store_result& result, time_point sent);
+    void end_batch(std::int64_t revision, time_point sent);
     std::optional<std::int64_t>
     written_before(const platform::store_result& result) const;
 
@@ -111,8 +113,11 @@
     bool watching_ = false;
     time_point next_watch_{};
     std::optional<commit_batch> batch_; ///< being written
-    bool writing_ = false;
-    time_point next_write_{};
+    std::int64_t batches_ = 0; ///< counts; answers to earlier ones are void
+    std::size_t copies_ = 0;   ///< of the batch, sent so far
+    time_point first_copy_{};  ///< when it was sent
+    time_point next_copy_{};
+    adaptive_timeout copy_after_; ///< without an answer to those before
     time_point next_harms_{};
     time_point next_figures_{};
     std::vector<pair_harm> kept_harms_;
--- a/packages/daemon/src/job_holder_reading.cpp
+++ b/packages/daemon/src/job_holder_reading.cpp
@@ -33,7 +33,6 @@
     at_ = stage::reading_jobs;
     reading_ = false;
     watching_ = false;
-    writing_ = false;
     next_read_ = {};
     page_after_.clear();
     batch_.reset();
--- a/packages/daemon/src/job_process.hpp
+++ b/packages/daemon/src/job_process.hpp
@@ -104,7 +104,12 @@
     static constexpr int factor = 4; ///< of the newest answer's time
 
     /// @param most how long to wait in the end, if nothing is answered
-    explicit adaptive_timeout(duration most = usual_most) : most_(most) {}
+    /// @param begin how long to wait at first, and at least
+    explicit adaptive_timeout(duration most = usual_most,
+                              duration begin = least)
+        : most_(most), least_(begin), value_(begin)
+    {
+    }
 
     [[nodiscard]] duration value() const noexcept
     {
@@ -112,7 +117,7 @@
     }
     void answered(duration took) noexcept
     {
-        value_ = std::clamp<duration>(took * factor, least, most_);
+        value_ = std::clamp<duration>(took * factor, least_, most_);
     }
     void unanswered() noexcept
     {
@@ -121,7 +126,8 @@
 
 private:
     duration most_;
-    duration value_ = least;
+    duration least_;
+    duration value_;
 };
 
 } // namespace springstair
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -29,6 +29,8 @@
 UNREAD_S = 1.9  # below the time limit of a start, 2 s
 BUSY_S = 2.0  # the task runs for longer
 HEARD_S = 2.5  # each entry has heard from the holder
+LOST_WRITES = 5
+STARTED_S = 0.3
 REST_S = 6.0
 WATCH_S = 0.7  # the holder's watch of the operator's changes
 SOON_S = 1.6  # a caller that is given up on waits no longer for its answer
@@ -205,6 +207,22 @@
         connection.close()
         return status
 
+    # Nothing else was written for 0.35 s after each answer that was lost, and
+    # everything waited for that.
+    async def test_a_write_whose_answer_is_lost_is_soon_repeated(self):
+        larger = self.fleet.processes[0].settings["announced_address"]
+        await self.until("entry-0 holds", lambda: self.holds(larger))
+        self.fleet.store.loses_below = "springstair/progress/"
+        waits = []
+        for _ in range(LOST_WRITES):
+            began = time.monotonic()
+            job = await self.submit_tasks(1, SHORT_TASK_S)
+            while not await self.shows(0, job, "running"):
+                await asyncio.sleep(0.01)
+            waits.append(time.monotonic() - began)
+        self.assertLess(min(waits), STARTED_S, waits)
+        self.assertGreaterEqual(len(self.fleet.store.lost_keys), LOST_WRITES)
+
     # Each entry asked the store for the operator's changes every 0.7 s, and each
     # guard for the holder every 20 s: 78% of the calls of 984 machines.
     async def test_at_rest_only_the_holder_asks_the_store(self):
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -22,6 +22,8 @@
         self.leases = {}  # id: [ttl, ends at]
         self.changed = asyncio.Event()
         # Misbehaviour, switched by the soak.
+        self.loses_below = None
+        self.lost_keys = set()
         self.noted = None  # paths and prefixes of calls, once it is a list
         self.away = None  # None, "silent", "busy" or "reset"
         self.delay_s = 0.0
@@ -151,8 +153,21 @@
         answer = self.apply(document)
         if self.draw.random() < self.lost_share:
             raise Silence
+        if self.loses_next(document):
+            raise Silence
         return answer
 
+    def loses_next(self, document):
+        """Whether the answer to a write is lost: one for each key below a
+        prefix, if such a prefix is set."""
+        for put in document.get("put", []):
+            key = put["tls_key"]
+            if self.loses_below and key.startswith(self.loses_below) \
+                    and key not in self.lost_keys:
+                self.lost_keys.add(key)
+                return True
+        return False
+
     def apply(self, document):
         keys = {row["tls_key"]: row["revision"]
                 for row in document.get("expected_rev", [])}
