--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -18,10 +18,11 @@
 /// until it has proved itself: a third crash then names it, and those that were
 /// only beside it go on. To run apart from the first crash on cost 0.02 of all
 /// worth on days with crashes by themselves (32 pairs of days, 11 workers).
-/// A task that crashes executors is given up after two to four of them, five if
-/// they go rack by rack. Only crashes that the guard beside the executor lived
-/// through are sure; one that it did not raises the suspicion by the least. A
-/// lapsed lease or a change of the holder says nothing of a task.
+/// A task that crashes executors is given up after three of them, where it ran
+/// apart at the third, and else after four or five. Only crashes of runs that
+/// surely began, which the guard beside the executor lived through, are sure;
+/// others raise the suspicion alone. A lapsed lease or a change of the holder
+/// says nothing of a task.
 
 /// @brief Bounds of suspicion and of the trial of suspects.
 struct suspicion_options
