--- a/tests/unit/job_world_tests.cpp
+++ b/tests/unit/job_world_tests.cpp
@@ -15,6 +15,8 @@
 constexpr seconds short_length{12};
 // A holder that takes over waits 10.5 s for guards that it has not heard.
 constexpr seconds short_calm{20};
+// A cut lasts for up to 15 s; then an executor's next life is heard of.
+constexpr seconds calm_after_cuts{40};
 // After a kill of all processes another one can follow 25 s later.
 constexpr seconds calm_after_kills{50};
 
@@ -36,6 +38,14 @@
          faults.kill_all > 0 ? calm_after_kills : short_calm);
 }
 
+// A guard stays cut off for up to 15 s into the calm.
+void play_cut(const job_faults& faults)
+{
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    job_world world(seed, faults);
+    play(world, short_length, calm_after_cuts);
+}
+
 } // namespace
 
 TEST_CASE("jobs survive everything, each task in one place, to one end")
@@ -153,6 +163,30 @@
                     }));
 }
 
+// Users saw runs that began after an end as done was acknowledged. An executor
+// starts again under its id and takes a start that was meant for its former
+// life, with a lease on the wrong clock; its guard is cut off before it tells.
+TEST_CASE("a guard is cut off while its executor starts again")
+{
+    CHECK(rc::check("calls come late",
+                    []
+                    {
+                        play_cut({.order_late = 10'000,
+                                  .crash_worker = 150,
+                                  .cut_guard = 150,
+                                  .call_held = 10'000});
+                    }));
+    CHECK(rc::check("holders change",
+                    []
+                    {
+                        play_cut({.order_late = 10'000,
+                                  .takeover = 100,
+                                  .crash_worker = 150,
+                                  .cut_guard = 150,
+                                  .answer_lost = 10'000});
+                    }));
+}
+
 // A worker that does not guard its room gets more than fits. Its guard gives a
 // run back; the holder places another in the room and writes that first; all
 // processes are killed before the closed run is written, and the next holder
