Crashes: three surely under a task name it if it was alone at the third

The change: three sure crashes, the third where nothing else was unproven, name a task at any suspicion.

--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -81,9 +81,10 @@
 /// @brief Crashes that must surely have been under a task before its job may
 /// be told that it failed (platform).
 inline constexpr std::int64_t least_crashes = 2;
-/// @brief Crashes surely under a task that give it up whatever ran beside it:
-/// the platform counts starts from here on, and a verdict can be lost with its
-/// holder before it is written.
+/// @brief Crashes surely under a task that give it up, at the suspicion of
+/// three whatever ran beside it, at less if it ran apart: the platform counts
+/// starts from here on, and a verdict can be lost with its holder before it is
+/// written.
 inline constexpr std::int64_t naming_crashes = 3;
 
 /// @brief One run that went with its executor.
@@ -171,9 +172,9 @@
                of.suspicion >= four_crashes;
     }
     const bool alone = of.is_sole && of.is_sure;
-    const bool named =
-        of.suspicion >= named_at && (alone || of.crashes >= naming_crashes);
-    return named || of.suspicion >= four_crashes;
+    const bool thrice = of.crashes >= naming_crashes;
+    const bool named = of.suspicion >= named_at && (alone || thrice);
+    return named || (alone && thrice) || of.suspicion >= four_crashes;
 }
 
 } // namespace springstair
--- a/tests/unit/crashing_task_tests.cpp
+++ b/tests/unit/crashing_task_tests.cpp
@@ -199,6 +199,20 @@
     CHECK((at.shown(id) == job_state::failed) == is_named);
 }
 
+// Guards against a task that is started too often: its first crash, beside a
+// suspect, counted half, and its third one, alone, did not name it.
+TEST_CASE("three crashes surely under a task name it if the third was alone")
+{
+    const crash_verdict third{
+        .suspicion = 5, .crashes = 3, .losses = 3, .is_sure = true};
+    CHECK_FALSE(is_given_up(third));
+    crash_verdict alone = third;
+    alone.is_sole = true;
+    CHECK(is_given_up(alone));
+    alone.crashes = 2;
+    CHECK_FALSE(is_given_up(alone));
+}
+
 // Guards against an innocent job that is told to have failed: executors went
 // with starts of its task that were never carried out, and one went under it.
 TEST_CASE("starts without an answer give no task up, however many crashes")
