--- a/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/crash_suspicion.hpp
@@ -18,10 +18,11 @@
 /// until it has proved itself: a third crash then names it, and those that were
 /// only beside it go on. To run apart from the first crash on cost 0.02 of all
 /// worth on days with crashes by themselves (32 pairs of days, 11 workers).
-/// A task that crashes executors is given up after two to four of them, five if
-/// they go rack by rack. Only crashes that the guard beside the executor lived
-/// through are sure; one that it did not raises the suspicion by the least. A
-/// lapsed lease or a change of the holder says nothing of a task.
+/// A task that crashes executors is given up after three of them, where it ran
+/// apart at the third, and else after four or five. Only crashes of runs that
+/// surely began, which the guard beside the executor lived through, are sure;
+/// others raise the suspicion alone. A lapsed lease or a change of the holder
+/// says nothing of a task.
 
 /// @brief Bounds of suspicion and of the trial of suspects.
 struct suspicion_options
@@ -80,9 +81,10 @@
 /// @brief Crashes that must surely have been under a task before its job may
 /// be told that it failed (platform).
 inline constexpr std::int64_t least_crashes = 2;
-/// @brief Crashes surely under a task that give it up whatever ran beside it:
-/// the platform counts starts from here on, and a verdict can be lost with its
-/// holder before it is written.
+/// @brief Crashes surely under a task that give it up, at the suspicion of
+/// three whatever ran beside it, at less if it ran apart: the platform counts
+/// starts from here on, and a verdict can be lost with its holder before it is
+/// written.
 inline constexpr std::int64_t naming_crashes = 3;
 
 /// @brief One run that went with its executor.
@@ -170,9 +172,9 @@
                of.suspicion >= four_crashes;
     }
     const bool alone = of.is_sole && of.is_sure;
-    const bool named =
-        of.suspicion >= named_at && (alone || of.crashes >= naming_crashes);
-    return named || of.suspicion >= four_crashes;
+    const bool thrice = of.crashes >= naming_crashes;
+    const bool named = of.suspicion >= named_at && (alone || thrice);
+    return named || (alone && thrice) || of.suspicion >= four_crashes;
 }
 
 } // namespace springstair
