--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <springstair/core.hpp>
+#include <springstair/policy.hpp>
+#include <springstair/scheduler.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,14 @@
     std::int64_t memory_mb = 0; ///< limit; 0: unknown
     std::int64_t descriptors = 0; ///< limit; 0: unknown
 
+    // Optional features of entries; without a value they are off.
+
+    std::optional<urgent_room_options> urgent_room;
+    std::optional<submission_options> admission;
+    std::optional<fair_share_options> fair_shares;
+    std::optional<copy_options> copies;
+    std::optional<disruption_budget_options> disruption_budget;
+
     bool operator==(const job_settings&) const = default;
 };
 
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -41,7 +41,11 @@
                              platform::store_client& store,
                              leader_election& election)
     : process_(process), store_(store), leader_election_(election),
-      core_({.closing = {.close_within = process.settings.close_within}}),
+      core_({.closing = {.close_within = process.settings.close_within},
+             .urgent_room = process.settings.urgent_room,
+             .fair_shares = process.settings.fair_shares,
+             .copies = process.settings.copies,
+             .disruption_budget = process.settings.disruption_budget}),
       page_timeout_(max_page),
       hedge_delay_(adaptive_timeout::default_max, min_hedge_delay)
 {
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -3,14 +3,18 @@
 #include <springstair/detail/scheduler/availability_counts.hpp>
 #include <springstair/detail/scheduler/closure_tracker.hpp>
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
+#include <springstair/detail/scheduler/disruption_budget.hpp>
 #include <springstair/detail/scheduler/end_proof.hpp>
+#include <springstair/detail/scheduler/fair_shares.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/straggler_detector.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
+#include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
@@ -133,6 +137,13 @@
     /// Interference below this is not reported to guards; unit as in
     /// pair_interference::harm.
     double min_reported_interference = 0.8;
+
+    // Optional features; without a value, decisions are made without them.
+
+    std::optional<urgent_room_options> urgent_room;
+    std::optional<fair_share_options> fair_shares;
+    std::optional<copy_options> copies;
+    std::optional<disruption_budget_options> disruption_budget;
 };
 
 /// @brief A job's record to be written.
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -8,8 +8,10 @@
 #include <springstair/detail/scheduler/availability_counts.hpp>
 #include <springstair/detail/scheduler/closure_tracker.hpp>
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
+#include <springstair/detail/scheduler/disruption_budget.hpp>
 #include <springstair/detail/scheduler/end_proof.hpp>
 #include <springstair/detail/scheduler/entry_list.hpp>
+#include <springstair/detail/scheduler/fair_shares.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
@@ -18,6 +20,8 @@
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
 #include <springstair/detail/scheduler/sibling_headroom.hpp>
+#include <springstair/detail/scheduler/straggler_detector.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
+#include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -513,6 +513,62 @@
     }
 }
 
+// A feature that a misspelt or misplaced section turns on or off by accident
+// changes decisions without the operator's knowledge.
+TEST_CASE("settings of the job system: optional features")
+{
+    const json plain{
+        {"role", "job_entry"},        {"name", "n"},
+        {"data_centre", "d"},         {"address", "10.0.0.1"},
+        {"internal_port", 7720},      {"store", "10.0.0.2:1"},
+        {"callers", "10.0.0.1:8161"}, {"readiness", "10.0.0.1:8167"}};
+    const job_settings without = parse_job_settings(plain);
+    CHECK_FALSE(without.urgent_room);
+    CHECK_FALSE(without.admission);
+    CHECK_FALSE(without.fair_shares);
+    CHECK_FALSE(without.copies);
+    CHECK_FALSE(without.disruption_budget);
+    CHECK(parse_job_settings(to_document(without)) == without);
+
+    json all = plain;
+    all["urgent_room"] = {{"yield_after_ms", 300}};
+    all["admission"] = json::object();
+    all["fair_shares"] = {{"weights", {{"q", 2.5}}}};
+    all["copies"] = {{"running_share", 0.1}};
+    all["disruption_budget"] = json::object();
+    const job_settings with = parse_job_settings(all);
+    CHECK(with.urgent_room ==
+          urgent_room_options{.yield_after = std::chrono::milliseconds(300)});
+    CHECK(with.admission == submission_options{});
+    CHECK(with.fair_shares->weights.at("q") == 2.5);
+    CHECK(with.copies == copy_options{.running_share = 0.1});
+    CHECK(with.disruption_budget.has_value());
+    CHECK(parse_job_settings(to_document(with)) == with);
+
+    json bad = all;
+    bad["urgent_room"] = {{"lasting_patience_ms", 0}, {"extra", 1}};
+    bad["admission"] = true;
+    bad["fair_shares"] = {{"weights", {{"q", -1}, {"r", 2000}}}};
+    bad["copies"] = {{"running_share", 0.9}};
+    std::set<std::string> places;
+    try
+    {
+        parse_job_settings(bad);
+    }
+    catch (const document_error& error)
+    {
+        for (const finding& one : error.all())
+        {
+            places.insert(one.place);
+        }
+    }
+    CHECK(places == std::set<std::string>{"/urgent_room/lasting_patience_ms",
+                                          "/urgent_room/extra", "/admission",
+                                          "/fair_shares/weights/q",
+                                          "/fair_shares/weights/r",
+                                          "/copies/running_share"});
+}
+
 TEST_CASE("a job's limits, critical path and task names")
 {
     job what{.id = "j",
