Scheduler: jobs are ordered by what they can still achieve (overload_order)

Cause: a job counted as in time until its objective had passed, so under overload each job began when it had just become too late, and estimates that are off by a factor of 2.5 decided the order.

With the section overload_order, run times are learnt by queue, the forecast of a job follows the progress of its tasks, and jobs that can't meet their objective go behind those that can; among these, jobs that have begun go first.

--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -53,6 +53,7 @@
 
     std::optional<urgent_room_options> urgent_room;
     std::optional<submission_options> admission;
+    std::optional<overload_order_options> overload_order;
     std::optional<fair_share_options> fair_shares;
     std::optional<copy_options> copies;
     std::optional<disruption_budget_options> disruption_budget;
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -180,6 +180,9 @@
                                                         all, read_urgent_room);
     settings.admission =
         section<submission_options>(reader, "admission", all, read_admission);
+    settings.overload_order = section<overload_order_options>(
+        reader, "overload_order", all,
+        [](object_reader&) { return overload_order_options{}; });
     settings.fair_shares = section<fair_share_options>(
         reader, "fair_shares", all,
         [&](object_reader& inner) { return read_fair_shares(inner, all); });
@@ -204,6 +207,10 @@
         document["admission"] = {
             {"max_age_ms", to_milliseconds(settings.admission->max_age)}};
     }
+    if (settings.overload_order)
+    {
+        document["overload_order"] = json::object();
+    }
     if (settings.fair_shares)
     {
         document["fair_shares"] = {
--- a/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/scheduler/job_forecast.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 
 #include <compare>
@@ -20,6 +21,13 @@
     duration objective_span = std::chrono::milliseconds(500);
 };
 
+/// @brief Orders jobs that are neither long-running nor scheduled by forecasts;
+/// see rank_of(). It has no parameters.
+struct overload_order_options
+{
+    bool operator==(const overload_order_options&) const = default;
+};
+
 /// @brief The value that a job can still have, from best to worst.
 enum class job_prospect : std::uint8_t
 {
@@ -33,6 +41,9 @@
 {
     std::int64_t priority = 0; ///< of its queue; 0 is the most urgent
     job_prospect prospect = job_prospect::in_time;
+    /// Whether none of its tasks has begun, if its forecast is known: capacity
+    /// completes the jobs that have begun before it begins others.
+    bool is_unbegun = false;
     /// Number of the order_options::objective_span.
     std::int64_t objective_span_index = 0;
     /// Negative processor demand per task of a long-running job: the largest
@@ -49,7 +60,10 @@
 /// span, long-running jobs with the largest tasks are first, then the earliest
 /// objective.
 /// @param queue of the job, or null if the table has none: it is last
+/// @param known how long the job takes; if null, its prospect is decided by its
+/// age and the caller's estimates alone
 job_rank rank_of(const job_record& record, const queue_row* queue,
-                 time_point now, const order_options& options);
+                 time_point now, const order_options& options,
+                 const job_forecast* known = nullptr);
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -39,6 +39,12 @@
     /// Repetitions of the start order since a report last showed the run.
     std::int64_t repeats = 0;
     bool over_target = false; ///< its tail latency, by the newest report
+    /// Whether this leader saw all of it, from its first order, without
+    /// throttling and without a checkpoint to resume from.
+    bool observed_whole = false;
+    /// Progress is extrapolated from this time and percentage on.
+    std::optional<time_point> observed_since;
+    std::int64_t observed_from = 0;
 
     bool operator==(const task_run&) const = default;
 };
@@ -65,6 +71,7 @@
     std::int64_t losses = 0; ///< executors lost with a start, confirmed or not
     std::optional<task_run> run;
     std::string checkpoint;
+    duration observed_work{0};     ///< run time at full speed; 0: unknown
     std::set<std::string> avoided; ///< guards where it failed or got stuck
     /// By its newest relocation, or its newest crash as a suspect.
     std::optional<departed_worker> departed;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -9,9 +9,11 @@
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
+#include <springstair/detail/scheduler/job_forecast.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/run_time_model.hpp>
 #include <springstair/detail/scheduler/straggler_detector.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
@@ -141,6 +143,7 @@
     // Optional features; without a value, decisions are made without them.
 
     std::optional<urgent_room_options> urgent_room;
+    std::optional<overload_order_options> overload_order;
     std::optional<fair_share_options> fair_shares;
     std::optional<copy_options> copies;
     std::optional<disruption_budget_options> disruption_budget;
@@ -331,6 +334,7 @@
     // with a pass per write (bench/office).
     void place_if_due(time_point now, std::int64_t unix_ms);
     void place(time_point now, std::int64_t unix_ms);
+    [[nodiscard]] job_rank rank(const job_record& record, time_point now) const;
     bool place_job(job_record& record, time_point now, std::int64_t unix_ms);
     bool place_step(job_record& record, const queue_row& queue,
                     std::int64_t round, std::int64_t step, time_point now);
@@ -574,6 +578,7 @@
     time_point last_commit_{};
     worker_map workers_;
     interference_model interference_model_;
+    run_time_model run_times_;
     ticket_cache tickets_;
     /// Of the present placement pass.
     infeasible_queries infeasible_queries_;
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -15,9 +15,11 @@
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
+#include <springstair/detail/scheduler/job_forecast.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
+#include <springstair/detail/scheduler/run_time_model.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
 #include <springstair/detail/scheduler/sibling_headroom.hpp>
 #include <springstair/detail/scheduler/straggler_detector.hpp>
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -49,6 +49,12 @@
         release(found->second, step, {record.definition().id, position});
         update_fault_score(found->second, record, run, outcome, now);
     }
+    if (outcome == run_end::done)
+    {
+        run_times_.record(record.definition().queue,
+                          std::chrono::milliseconds(step.estimate_ms),
+                          observe_done(task, now));
+    }
     task.run.reset();
     task.ready_since = now;
     ++record.change;
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -329,6 +329,7 @@
     task_run& run = *record.find(name.position)->run;
     run.last_progress_at = now;
     run.ordered_at = now;
+    run.observed_whole = false;
     run.stopping = is_final(record.state());
     reserve(worker, record.step_at(name.position), name);
     register_suspect(worker, *record.find(name.position), name);
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -73,16 +73,28 @@
     }
 }
 
+job_rank scheduler_core::rank(const job_record& record, time_point now) const
+{
+    const job& definition = record.definition();
+    const queue_row* const queue = table_.queue(definition.queue);
+    const bool is_ordered_by_forecast = options_.overload_order &&
+                                        definition.schedule.count == 0 &&
+                                        !definition.steps.front().lasting;
+    if (!is_ordered_by_forecast)
+    {
+        return rank_of(record, queue, now, options_.order);
+    }
+    const job_forecast known = forecast(record, run_times_);
+    return rank_of(record, queue, now, options_.order, &known);
+}
+
 void scheduler_core::place(time_point now, std::int64_t unix_ms)
 {
     std::vector<std::pair<job_rank, job_record*>> order;
     for (const std::string& id : placeable_jobs_)
     {
         job_record& record = *job_of(id);
-        order.emplace_back(rank_of(record,
-                                   table_.queue(record.definition().queue), now,
-                                   options_.order),
-                           &record);
+        order.emplace_back(rank(record, now), &record);
     }
     std::sort(order.begin(), order.end());
     for (const auto& [rank, record] : order)
@@ -367,7 +379,8 @@
                         .ticket = ticket == tickets.end() ? std::string()
                                                           : ticket->second,
                         .placed_in = record.change,
-                        .last_progress_at = now};
+                        .last_progress_at = now,
+                        .observed_whole = task.checkpoint.empty()};
     const task_name name{record.definition().id, position};
     reserve(worker, record.step_at(position), name);
     register_suspect(worker, task, name);
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -249,6 +249,9 @@
         }
         update_progress(worker, *task->run, record->step_at(position), running,
                         now);
+        observe_progress(*task, running.percent,
+                         worker.paces.contains(record->step_at(position).image),
+                         now);
         task->run->last_seen =
             std::max(task->run->last_seen,
                      now - std::chrono::milliseconds(report.lists_age_ms));
