Retry time during store outages

Every refusal said Retry-After: 1, so callers used up their five attempts within an outage of more than 4 s. With the settings section admission, the retry time is the duration of the outage so far, between 1 and 3 s; without it, refusals still say 1 s.

--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -69,10 +69,19 @@
         delayed_.emplace_back(retry_at, std::move(action));
         return;
     }
-    answer(request, request->may_be_written
-                        ? platform::unknown_answer("the store gave no answer")
-                        : platform::refused_answer(caller_retry_after,
-                                                   "the store is away"));
+    answer(request,
+           request->may_be_written
+               ? platform::unknown_answer("the store gave no answer")
+               : platform::refused_answer(retry_after(), "the store is away"));
+}
+
+// The retry time of a caller whose request this entry could not serve.
+duration job_request_handler::retry_after() const
+{
+    return process_.settings.admission
+               ? outage_backoff().retry_after(store_unavailable_since_,
+                                              boot_clock::now())
+               : caller_retry_after;
 }
 
 void job_request_handler::tick(time_point now)
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -135,6 +135,7 @@
     void answer_unknown(const job& definition, const request_ptr& request);
     void refuse_submission(const job& definition, const request_ptr& request,
                            const char* why);
+    [[nodiscard]] duration retry_after() const;
 
     process_context& process_;
     platform::store_client& store_;
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -72,7 +72,7 @@
                {"why", why},
                {"tries", std::to_string(request->tries)},
                {"store_away_ms", std::to_string(to_milliseconds(outage))}});
-    answer(request, platform::refused_answer(caller_retry_after, why));
+    answer(request, platform::refused_answer(retry_after(), why));
 }
 
 void job_request_handler::submit(const job& definition,
--- a/packages/policy/include/springstair/policy.hpp
+++ b/packages/policy/include/springstair/policy.hpp
@@ -5,6 +5,7 @@
 
 #include <springstair/detail/policy/admission.hpp>
 #include <springstair/detail/policy/fleet_limits.hpp>
+#include <springstair/detail/policy/outage_backoff.hpp>
 #include <springstair/detail/policy/outlier_detector.hpp>
 #include <springstair/detail/policy/retry_budget.hpp>
 #include <springstair/detail/policy/router.hpp>
