Relocation and executor restarts: two faults

- relocate_slowed skipped all further runs of an image after one run without another worker.
It now skips only those of the same step, whose search has the same result.
- on_executor_restart cleared the fault score but not failed_job, so the first failure of that job on the next incarnation was not counted.

--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -76,7 +76,8 @@
     std::deque<applied_end> uncommitted_ends;
     double fault_score = 0; ///< evidence that it is faulty; see fault_detector
     /// Job of the last failed run that was counted as evidence here. Cleared
-    /// when the end of a run brings the fault score to 0.
+    /// with the fault score: when the end of a run brings it to 0, and when the
+    /// executor restarts.
     std::string failed_job;
     time_point ejected_until{};
     std::int64_t ejections = 0; ///< since its fault score was last zero
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -48,6 +48,7 @@
     worker.acknowledged = 0;
     worker.uncommitted_ends.clear();
     worker.fault_score = 0;
+    worker.failed_job.clear();
     worker.ejections = 0;
     worker.ejected_until = {};
 }
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -12,6 +12,8 @@
                                      guard_orders& out, time_point now)
 {
     std::size_t relocated = 0;
+    // Runs of one step ask for the same workers, so one search covers them.
+    std::set<std::string> without_other_worker;
     for (const auto& [image, pace] : report.paces)
     {
         if (pace >= options_.relocate_below_pace)
@@ -28,9 +30,15 @@
             {
                 continue;
             }
+            const std::string group = step_group(name.job, name.position);
+            if (without_other_worker.contains(group))
+            {
+                continue;
+            }
             if (!has_other_worker(name, worker, now))
             {
-                break; // assumes the same for the other runs of this image
+                without_other_worker.insert(group);
+                continue;
             }
             ++relocated;
             relocate(name, worker, pace, out, now);
--- a/tests/unit/fault_detector_tests.cpp
+++ b/tests/unit/fault_detector_tests.cpp
@@ -167,3 +167,36 @@
     }
     CHECK(ejected_until() == until);
 }
+
+// Failure: a restart cleared the fault score but not the job of the last
+// counted failure, so that job's first failure on the next incarnation was not
+// counted.
+TEST_CASE("an executor's next incarnation starts without the last failed job")
+{
+    scheduler_harness harness;
+    harness.report_from_guard("g1");
+    const job definition = harness.submit({step_of(2)});
+    harness.advance();
+    REQUIRE(harness.has_started(definition.id + ".0.0.1"));
+    harness.end(definition.id + ".0.0.0", run_end::failed);
+    harness.report_from_guard("g1");
+    const worker_record& worker = harness.core.workers().at("g1");
+    REQUIRE(worker.failed_job == definition.id);
+    worker_report& report = harness.worker("g1");
+    report.worker.executor = {"g1-2"};
+    report.running.clear();
+    report.ended.clear();
+    harness.report_from_guard("g1");
+    CHECK(worker.fault_score == 0);
+    CHECK(worker.failed_job.empty());
+    harness.advance();
+    harness.advance();
+    REQUIRE(harness.guard_of.at(definition.id + ".0.0.1") == "g1");
+    report.ended = {{.number = 1,
+                     .task = definition.id + ".0.0.1",
+                     .run = harness.started.at(definition.id + ".0.0.1").run,
+                     .how = run_end::failed}};
+    report.running.clear();
+    harness.report_from_guard("g1");
+    CHECK(worker.fault_score > 0);
+}
