Disruption budget: one for every deliberate stop of a long-running task

With the setting disruption_budget, preemption, relocation, stops of stuck runs and drains of leaving workers ask one budget per step. Before, preemption ignored progress and the others asked nothing, so two leaving workers took most of a step away at once.

A leaving worker is drained as the budget allows until leave_margin, then at once.

Without the setting, decisions are as before. Events 1685 and 1686, three metrics.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -75,7 +75,9 @@
     lease_awaited = 1648,
     holder_lost = 1651,
     holder_found = 1652,
-    commit_uncertain = 1661
+    commit_uncertain = 1661,
+    stop_held = 1685,
+    stop_forced = 1686
 };
 
 /// @brief Severity of an event.
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 64> catalogue{{
+constexpr std::array<event_description, 66> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -187,6 +187,13 @@
     {event_id::commit_uncertain, severity::warning, "commit_uncertain",
      "A write to the store was not answered, or the store was unavailable; it "
      "is sent again."},
+    {event_id::stop_held, severity::info, "stop_held",
+     "A deliberate stop of a long-running run waits for the disruption budget "
+     "of its step; fields give the reason of the stop and how many tasks of "
+     "the step are unavailable."},
+    {event_id::stop_forced, severity::warning, "stop_forced",
+     "A long-running run is stopped beyond the disruption budget of its step: "
+     "its worker is about to leave, or it has been stuck for too long."},
 }};
 
 const event_description& describe(event_id id)
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -378,6 +378,15 @@
                static_cast<double>(figures.closed_data_centres));
     gauges.set("runs_in_closed_data_centres",
                static_cast<double>(figures.runs_in_closed));
+    if (process_.settings.disruption_budget)
+    {
+        gauges.set("disruptions_granted",
+                   static_cast<double>(figures.disruptions_granted));
+        gauges.set("disruptions_held",
+                   static_cast<double>(figures.disruptions_held));
+        gauges.set("disruption_emergencies",
+                   static_cast<double>(figures.disruption_emergencies));
+    }
     publish_service_metrics("lasting", figures.lasting);
     publish_service_metrics("largest_lasting", figures.largest_lasting);
     gauges.set("office_epoch", static_cast<double>(core_.epoch()));
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -39,6 +39,7 @@
     /// Repetitions of the start order since a report last showed the run.
     std::int64_t repeats = 0;
     bool over_target = false; ///< its tail latency, by the newest report
+    bool stop_held = false;   ///< a stop of it has waited for the budget
 
     bool operator==(const task_run&) const = default;
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -202,6 +202,10 @@
     availability_counts largest_lasting;
     std::int64_t closed_data_centres = 0;
     std::int64_t runs_in_closed = 0; ///< that may still be running there
+    // Deliberate stops of long-running runs since the start of the term.
+    std::int64_t disruptions_granted = 0;
+    std::int64_t disruptions_held = 0;       ///< runs whose stop had to wait
+    std::int64_t disruption_emergencies = 0; ///< stops beyond the budget
 };
 
 /// @brief All jobs and workers, and every decision about them.
@@ -417,8 +421,26 @@
                          const job_task& task);
     resources capacity_after_stops(const worker_record& worker);
     bool is_preemptible(const task_name& name);
+    bool can_be_preempted(const task_name& name);
     void drain_leaving_worker(worker_record& worker, guard_orders& out,
                               time_point now);
+
+    // Deliberate stops of long-running runs (scheduler_disruption.cpp).
+    disruption_budget budget_of(const task_name& name, time_point now);
+    bool has_budget(const task_name& name);
+    bool may_disrupt(const task_name& name, stop_reason reason, time_point now);
+    void note_held_stop(const task_name& name, stop_reason reason,
+                        time_point now);
+    void disrupt_in_emergency(const task_name& name, stop_reason reason,
+                              time_point now);
+    void log_disruption(event_id id, const task_name& name, stop_reason reason,
+                        time_point now);
+    bool may_stop_stuck(const task_name& name, duration waited, time_point now);
+    void note_held_preemption(const std::vector<worker_record*>& blocked,
+                              time_point now);
+    void drain_within_budget(std::vector<task_name> names, bool is_due,
+                             guard_orders& out, time_point now);
+
     void learn_interference(worker_record& worker, const worker_report& report,
                             time_point now);
     [[nodiscard]] std::vector<pair_interference>
@@ -593,6 +615,7 @@
     std::vector<decision> decisions_;
     std::vector<finished_job> finished_;
     wait_log wait_log_;
+    wait_log held_stop_log_; ///< of stops that wait for the disruption budget
     /// Of long-running jobs, by job id, since the last log line.
     std::map<std::string, availability_counts> availability_;
     time_point next_sample_{};
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -40,6 +40,10 @@
                 without_other_worker.insert(group);
                 continue;
             }
+            if (!may_disrupt(name, stop_reason::relocation, now))
+            {
+                continue;
+            }
             ++relocated;
             relocate(name, worker, pace, out, now);
         }
@@ -132,13 +136,15 @@
             worker->assigned_tasks,
             [&](const task_name& name) { return is_preemptible(name); });
         if (candidate != worker->assigned_tasks.end() &&
-            has_other_worker(*candidate, *worker, query.now))
+            has_other_worker(*candidate, *worker, query.now) &&
+            may_disrupt(*candidate, stop_reason::preemption, query.now))
         {
             relocate(*candidate, *worker, full_percent, outbox_[worker->guard],
                      query.now);
             return;
         }
     }
+    note_held_preemption(blocked, query.now);
 }
 
 // The capacity that will be free once all short runs, and the long-running runs
@@ -158,19 +164,32 @@
     return capacity;
 }
 
-// Whether a long-running run may be relocated: with it, no more tasks of its
-// step may be missing than allowed.
-bool scheduler_core::is_preemptible(const task_name& name)
+// Whether a long-running run may be relocated if enough others of its step are
+// at work.
+bool scheduler_core::can_be_preempted(const task_name& name)
 {
     job_record& record = *job_of(name.job);
     const job_step& step = record.step_at(name.position);
     const task_run& run = *record.find(name.position)->run;
     const queue_row* const queue = table_.queue(record.definition().queue);
-    if (!step.lasting || step.gang || !run.seen || run.stopping ||
-        queue == nullptr || queue->advice)
+    return step.lasting && !step.gang && run.seen && !run.stopping &&
+           queue != nullptr && !queue->advice;
+}
+
+// Whether a long-running run may be relocated: with it, no more tasks of its
+// step may be missing than allowed. Asked during a placement pass.
+bool scheduler_core::is_preemptible(const task_name& name)
+{
+    if (!can_be_preempted(name))
     {
         return false;
     }
+    job_record& record = *job_of(name.job);
+    if (has_budget(name))
+    {
+        return budget_of(name, last_pass_).allows(*record.find(name.position));
+    }
+    const job_step& step = record.step_at(name.position);
     const auto missing = std::ranges::count_if(
         record.tasks_of(name.position.round, name.position.step),
         [](const job_task& task)
@@ -178,10 +197,10 @@
     return step.most_missing == 0 || missing < step.most_missing;
 }
 
-// Stops runs on a worker that is about to leave: long-running ones at once, the
-// others when little time remains.
+// Stops runs on a worker that is about to leave: long-running ones at once, or
+// as their disruption budget allows, the others when little time remains.
 void scheduler_core::drain_leaving_worker(worker_record& worker,
-                                          guard_orders& out, time_point /*now*/)
+                                          guard_orders& out, time_point now)
 {
     if (!worker.description.draining || worker.description.leaves_ms == 0)
     {
@@ -190,16 +209,25 @@
     const bool is_due =
         std::chrono::milliseconds(worker.description.leaves_ms) <
         options_.leave_margin;
+    std::vector<task_name> budgeted;
     for (const task_name& name : worker.assigned_tasks)
     {
         job_record& record = *job_of(name.job);
         task_run& run = *record.find(name.position)->run;
-        if (run.seen && !run.stopping &&
-            (is_due || record.step_at(name.position).lasting))
+        if (!run.seen || run.stopping)
+        {
+            continue;
+        }
+        if (has_budget(name))
+        {
+            budgeted.push_back(name);
+        }
+        else if (is_due || record.step_at(name.position).lasting)
         {
             order_stop(run, name.text(), out);
         }
     }
+    drain_within_budget(std::move(budgeted), is_due, out, now);
 }
 
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -340,6 +340,12 @@
     {
         return;
     }
+    const auto name = task_name::parse(running.task);
+    const duration waited = now - run.last_progress_at - timeout;
+    if (name && !may_stop_stuck(*name, waited, now))
+    {
+        return;
+    }
     run.stopping = true;
     log_decision(event_id::run_stuck,
                  {{"task", running.task},
@@ -348,7 +354,7 @@
                   {"percent", std::to_string(running.percent)},
                   {"still_ms", std::to_string(to_milliseconds(
                                    now - run.last_progress_at))}});
-    if (const auto name = task_name::parse(running.task))
+    if (name)
     {
         job_of(name->job)->find(name->position)->avoided.insert(worker.guard);
     }
