--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -45,6 +45,7 @@
     /// Progress is extrapolated from this time and percentage on.
     std::optional<time_point> observed_since;
     std::int64_t observed_from = 0;
+    bool stop_held = false; ///< a stop of it has waited for the budget
 
     bool operator==(const task_run&) const = default;
 };
