Urgent tasks use reserved capacity, and long-running runs yield to them

With the setting urgent_room, a reservation for a long-running step binds urgent tasks only once the step has waited its patience, or if the urgent task would end after the reserved capacity is complete.

A failed search of a short task no longer hides reserved capacity from long-running tasks of the same image: infeasible_queries keeps a key for each class of tasks. Waits for reserved capacity are logged as reserved instead of harm.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -75,7 +75,8 @@
     lease_awaited = 1648,
     holder_lost = 1651,
     holder_found = 1652,
-    commit_uncertain = 1661
+    commit_uncertain = 1661,
+    run_yielded = 1671
 };
 
 /// @brief Severity of an event.
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 64> catalogue{{
+constexpr std::array<event_description, 65> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -187,6 +187,10 @@
     {event_id::commit_uncertain, severity::warning, "commit_uncertain",
      "A write to the store was not answered, or the store was unavailable; it "
      "is sent again."},
+    {event_id::run_yielded, severity::info, "run_yielded",
+     "A long-running run is stopped so that waiting urgent tasks can use its "
+     "capacity; fields give the job that waits longest and how many tasks the "
+     "capacity serves."},
 }};
 
 const event_description& describe(event_id id)
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -372,6 +372,9 @@
     gauges.set("runs_refused", static_cast<double>(figures.refused));
     gauges.set("runs_lost", static_cast<double>(figures.lost));
     gauges.set("runs_failed", static_cast<double>(figures.failed_runs));
+    gauges.set("yields", static_cast<double>(figures.yields));
+    gauges.set("urgent_on_reserved",
+               static_cast<double>(figures.urgent_on_reserved));
     gauges.set("jobs_open", static_cast<double>(figures.jobs_open));
     gauges.set("workers", static_cast<double>(figures.workers));
     gauges.set("data_centres_closed",
--- a/packages/scheduler/include/springstair/detail/scheduler/infeasible_queries.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/infeasible_queries.hpp
@@ -3,6 +3,7 @@
 #include <springstair/detail/scheduler/placement.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <tuple>
@@ -30,7 +31,9 @@
     {
         if (is_comparable(query))
         {
-            known_[key_of(query)].push_back(query.step.demand);
+            known_[key_of(query)].push_back(
+                {.demand = query.step.demand,
+                 .run_time = query.urgent_run_time.value_or(duration{0})});
         }
     }
 
@@ -42,13 +45,46 @@
         {
             return false;
         }
+        const duration run_time = query.urgent_run_time.value_or(duration{0});
         return std::any_of(found->second.begin(), found->second.end(),
-                           [&](const resources& demand)
-                           { return demand.fits(query.step.demand); });
+                           [&](const failed_search& failed)
+                           {
+                               return failed.demand.fits(query.step.demand) &&
+                                      failed.run_time <= run_time;
+                           });
     }
 
 private:
-    using key = std::tuple<std::string, std::string, std::string, bool>;
+    struct failed_search
+    {
+        resources demand;
+        /// Of an urgent task: a shorter one may use more reserved capacity.
+        duration run_time{0};
+    };
+
+    // Tasks of different classes may use different parts of the free capacity:
+    // see available_to().
+    enum class capacity_class : std::uint8_t
+    {
+        short_run,
+        urgent,
+        lasting,
+        lasting_despite_holds
+    };
+
+    using key =
+        std::tuple<std::string, std::string, std::string, bool, capacity_class>;
+
+    static capacity_class class_of(const placement_query& query)
+    {
+        if (query.step.lasting)
+        {
+            return query.ignores_holds ? capacity_class::lasting_despite_holds
+                                       : capacity_class::lasting;
+        }
+        return query.urgent_run_time ? capacity_class::urgent
+                                     : capacity_class::short_run;
+    }
 
     // The bound per worker and tickets depend on the job, ignored interference
     // on the waiting time, and suspects on the isolations in progress.
@@ -61,10 +97,10 @@
     static key key_of(const placement_query& query)
     {
         return {query.service, query.step.label, query.step.image,
-                query.step.fills};
+                query.step.fills, class_of(query)};
     }
 
-    std::map<key, std::vector<resources>> known_;
+    std::map<key, std::vector<failed_search>> known_;
 };
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/placement.hpp
@@ -5,6 +5,7 @@
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace springstair
@@ -71,6 +72,12 @@
     const task_name* isolated_task = nullptr;
     /// Tickets by incarnation, if the step needs one; else null.
     const ticket_map* tickets = nullptr;
+    /// Expected run time of an urgent task that may use reserved and held
+    /// capacity; nothing for any other task.
+    std::optional<duration> urgent_run_time = std::nullopt;
+    /// A long-running task that has waited so long that capacity held for
+    /// urgent tasks is no longer kept from it.
+    bool ignores_holds = false;
 };
 
 /// @brief Whether a worker accepts new runs at all.
@@ -88,6 +95,15 @@
 bool is_below_step_bound(const worker_record& worker,
                          const placement_query& query);
 
+/// @brief Whether no suspect has the worker reserved but the query's own task.
+bool is_open_to(const worker_record& worker, const placement_query& query);
+
+/// @brief Whether a worker can run one more best-effort task: it has processors
+/// left over, and its latency-critical tasks tolerate it.
+bool has_fill_capacity(const worker_record& worker,
+                       const placement_query& query,
+                       const placement_options& options);
+
 /// @brief Whether a worker can run a task now.
 bool can_take(const worker_record& worker, const placement_query& query,
               const placement_options& options);
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -194,6 +194,10 @@
     std::int64_t refused = 0;
     std::int64_t lost = 0;
     std::int64_t failed_runs = 0;
+    /// Long-running runs that yielded to urgent tasks, in this term.
+    std::int64_t yields = 0;
+    /// Urgent runs placed on capacity reserved for another task, in this term.
+    std::int64_t urgent_on_reserved = 0;
     std::int64_t jobs_open = 0;
     std::int64_t workers = 0;
     availability_counts lasting; ///< at the newest sample
@@ -357,9 +361,38 @@
     worker_record* isolation_worker(const placement_query& query,
                                     time_point ready_since);
     bool is_isolation_valid(const worker_record& worker, time_point now);
-    void reserve_workers(const placement_query& query, std::int64_t tasks);
+    void reserve_workers(const placement_query& query, std::int64_t tasks,
+                         std::optional<time_point> firmly_from);
     void begin_pass();
 
+    // Capacity for urgent tasks (scheduler_urgent.cpp).
+
+    // A long-running run that may yield, and the urgent tasks that it serves.
+    struct yield_choice
+    {
+        worker_record* worker = nullptr;
+        task_name name;
+        std::int64_t served = 0;
+        std::int64_t cpu_millis = 0; ///< that the run reserves
+    };
+
+    void update_urgent_holds(worker_record& worker);
+    void record_urgent_wait(const placement_query& query,
+                            const job_record& record, const queue_row& queue,
+                            task_position position);
+    void record_short_run(const job_record& record, worker_record& worker,
+                          const task_name& name, time_point now);
+    [[nodiscard]] std::vector<expected_capacity>
+    capacity_of_yields(time_point now) const;
+    void yield_to_urgent(time_point now);
+    bool yield_for(const yield_request& request, time_point now);
+    std::vector<worker_record*> yield_workers(const placement_query& query,
+                                              const resources& demand);
+    void improve_yield(worker_record& worker, const placement_query& query,
+                       const yield_request& request, yield_choice& best);
+    void yield_run(const yield_choice& choice, const yield_request& request,
+                   time_point now);
+
     // Closed data centres (scheduler_closing.cpp).
     void log_closure(const std::string& data_centre, time_point now);
     bool may_start(time_point now);
@@ -577,6 +610,7 @@
     ticket_cache tickets_;
     /// Of the present placement pass.
     infeasible_queries infeasible_queries_;
+    urgent_room urgent_room_;
     /// When the newest long-running job was accepted.
     time_point last_lasting_{};
     time_point next_preemption_at_{}; ///< earliest next preemption attempt
--- a/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/wait_report.hpp
@@ -22,9 +22,12 @@
     room,      ///< capacity is free only once shorter runs have ended
     bound,     ///< where it fits, its step is at its bound per worker
     ticket,    ///< where it fits, it has no ticket
-    /// Some worker passes the tests above. Usually interference; also a
-    /// reservation, or too few processors left over for a best-effort run.
+    /// Best-effort tasks only: where it fits, interference is too strong or too
+    /// few processors are left over.
     harm,
+    /// Some worker passes the tests above, but its capacity is reserved for
+    /// another task or held for urgent ones.
+    reserved,
     gang,  ///< one member fits, but not all at the same time
     trials ///< it must be isolated, and its reserved worker is not ready
 };
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace springstair
 {
@@ -21,15 +22,44 @@
     bool operator==(const applied_end&) const = default;
 };
 
+/// @brief A run on a worker that is expected to end by itself.
+struct short_run
+{
+    time_point expected_end;
+    resources capacity; ///< that it reserves
+
+    bool operator==(const short_run&) const = default;
+};
+
+/// @brief Capacity of a long-running run that yields to urgent tasks.
+struct urgent_hold
+{
+    task_name task;
+    std::int64_t run = 0;
+    resources capacity; ///< that no urgent task has taken yet
+    time_point ordered_at;
+    /// When the hold ends; nothing while the stop is under way.
+    std::optional<time_point> until;
+
+    bool operator==(const urgent_hold&) const = default;
+};
+
 /// @brief The leader's view of one worker.
 struct worker_record
 {
     std::string guard;
     std::string address; ///< of the guard
     worker_description description;
-    resources used;                     ///< by runs that may be there
-    resources lasting_used;             ///< share of long-running tasks in it
-    resources reserved;                 ///< for a waiting task
+    resources used;         ///< by runs that may be there
+    resources lasting_used; ///< share of long-running tasks in it
+    resources reserved;     ///< for a waiting task
+    /// From when a reservation for a long-running step also binds urgent tasks;
+    /// see urgent_room. Nothing for other steps: theirs always does.
+    std::optional<time_point> reserved_firmly_from;
+    resources held; ///< free capacity that is held for urgent tasks
+    std::vector<urgent_hold> urgent_holds; ///< of runs that yield or did
+    /// Runs with a known expected end, kept only with urgent_room_options.
+    std::map<task_name, short_run> short_runs;
     std::int64_t fill_cpu_millis = 0;   ///< demand of its best-effort runs
     std::int64_t fill_runs = 0;         ///< number of best-effort runs
     std::set<task_name> assigned_tasks; ///< tasks whose newest run may be there
--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -19,23 +19,12 @@
 // task: above any measurable headroom.
 constexpr double no_interference = 10;
 
-bool has_fill_capacity(const worker_record& worker,
-                       const placement_query& query,
-                       const placement_options& options);
-
 bool has_ticket(const worker_record& worker, const placement_query& query)
 {
     return query.tickets == nullptr ||
            query.tickets->contains(worker.description.executor);
 }
 
-bool is_open_to(const worker_record& worker, const placement_query& query)
-{
-    return !worker.reserved_for ||
-           (query.isolated_task != nullptr &&
-            *query.isolated_task == *worker.reserved_for);
-}
-
 double share(std::int64_t part, std::int64_t whole)
 {
     return whole <= 0 ? 0
@@ -95,21 +84,6 @@
     return pace != worker.paces.end() && pace->second < options.min_pace;
 }
 
-bool has_fill_capacity(const worker_record& worker,
-                       const placement_query& query,
-                       const placement_options& options)
-{
-    if (is_slowed(worker, query.step.image, options))
-    {
-        return false;
-    }
-    const auto asked = static_cast<double>(worker.fill_cpu_millis +
-                                           query.step.demand.cpu_millis);
-    return asked <= fill_capacity(worker, options) &&
-           min_headroom_with(worker, query, options)
-                   .value_or(no_interference) >= options.min_headroom;
-}
-
 // Lower where best-effort runs compete less for processors and interfere less.
 double fill_pressure(const worker_record& worker, const placement_query& query,
                      const placement_options& options)
@@ -175,6 +149,28 @@
 
 } // namespace
 
+bool is_open_to(const worker_record& worker, const placement_query& query)
+{
+    return !worker.reserved_for ||
+           (query.isolated_task != nullptr &&
+            *query.isolated_task == *worker.reserved_for);
+}
+
+bool has_fill_capacity(const worker_record& worker,
+                       const placement_query& query,
+                       const placement_options& options)
+{
+    if (is_slowed(worker, query.step.image, options))
+    {
+        return false;
+    }
+    const auto asked = static_cast<double>(worker.fill_cpu_millis +
+                                           query.step.demand.cpu_millis);
+    return asked <= fill_capacity(worker, options) &&
+           min_headroom_with(worker, query, options)
+                   .value_or(no_interference) >= options.min_headroom;
+}
+
 bool may_run(const worker_record& worker, const placement_query& query,
              const placement_options& options)
 {
@@ -187,9 +183,7 @@
               const placement_options& options)
 {
     return may_run(worker, query, options) &&
-           reserved_by(query.step)
-               .fits(query.step.lasting ? worker.free_capacity()
-                                        : worker.unreserved_capacity()) &&
+           reserved_by(query.step).fits(available_to(worker, query)) &&
            (!query.step.fills || query.ignore_interference ||
             has_fill_capacity(worker, query, options));
 }
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -18,7 +18,7 @@
 
 scheduler_core::scheduler_core(scheduler_options options)
     : options_(options), closures_(options.closing),
-      fault_detector_(options.failures)
+      fault_detector_(options.failures), urgent_room_(options.urgent_room)
 {
 }
 
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -60,6 +60,7 @@
     if (outcome == run_end::done)
     {
         task.done = true;
+        urgent_room_.learn_run_time(step, now - run.ordered_at);
     }
     else if (outcome == run_end::failed)
     {
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -29,6 +29,17 @@
     return std::min(due, schedule.count);
 }
 
+// Since when the task waits that has waited longest.
+time_point waiting_since(std::span<const job_task> tasks)
+{
+    time_point since = time_point::max();
+    for (const job_task& task : tasks)
+    {
+        since = task.is_waiting() ? std::min(since, task.ready_since) : since;
+    }
+    return since;
+}
+
 // When the given round becomes due.
 std::int64_t due_ms_of(const job& definition, std::int64_t round)
 {
@@ -57,11 +68,13 @@
 void scheduler_core::begin_pass()
 {
     infeasible_queries_.clear();
+    urgent_room_.begin_pass();
     reservations_ = 0;
     isolated_workers_ = 0;
     for (auto& [guard, worker] : workers_)
     {
         worker.reserved = {};
+        update_urgent_holds(worker);
         if (worker.reserved_for && !is_isolation_valid(worker, last_pass_))
         {
             worker.reserved_for.reset();
@@ -92,6 +105,7 @@
             placeable_jobs_.erase(record->definition().id);
         }
     }
+    yield_to_urgent(now);
 }
 
 // Returns whether the job may have more tasks to place later.
@@ -216,7 +230,11 @@
                 !record.has_runs() &&
                 now - task.ready_since > options_.max_interference_wait,
             .is_suspect = task.suspicion >= suspect_threshold,
-            .tickets = queue.advice ? &tickets : nullptr};
+            .tickets = queue.advice ? &tickets : nullptr,
+            .urgent_run_time =
+                urgent_room_.urgent_run_time(step_definition, queue.priority),
+            .ignores_holds = urgent_room_.ignores_holds(
+                step_definition, now - task.ready_since)};
         if (task.suspicion >= isolation_threshold)
         {
             has_waiting =
@@ -232,8 +250,12 @@
             infeasible_queries_.record(query);
             log_wait(query, record, task);
             preempt_lasting(query, record, task);
-            reserve_workers(
-                query, std::ranges::count_if(tasks, &job_task::is_waiting));
+            record_urgent_wait(query, record, queue,
+                               {.round = round, .step = step});
+            reserve_workers(query,
+                            std::ranges::count_if(tasks, &job_task::is_waiting),
+                            urgent_room_.reserved_firmly_from(
+                                step_definition, waiting_since(tasks)));
             return true; // the other tasks of the step have the same demand
         }
         if (!fits_one_commit(record.definition().id, step_definition, {worker}))
@@ -263,6 +285,7 @@
 {
     const task_name name{record.definition().id, record.position_of(task)};
     query.isolated_task = &name;
+    query.urgent_run_time.reset();
     worker_record* const worker = isolation_worker(query, task.ready_since);
     const bool is_ready =
         worker != nullptr && worker->unproven.empty() &&
@@ -327,7 +350,8 @@
 // Reserves workers for tasks that no worker can run now. Otherwise the tasks
 // after them would use each piece of freed capacity before enough is free.
 void scheduler_core::reserve_workers(const placement_query& query,
-                                     std::int64_t tasks)
+                                     std::int64_t tasks,
+                                     std::optional<time_point> firmly_from)
 {
     if (query.step.fills)
     {
@@ -347,6 +371,7 @@
             return;
         }
         worker->reserved = reserved_by(query.step);
+        worker->reserved_firmly_from = firmly_from;
         ++reservations_;
     }
 }
@@ -369,6 +394,7 @@
                         .placed_in = record.change,
                         .last_progress_at = now};
     const task_name name{record.definition().id, position};
+    record_short_run(record, worker, name, now);
     reserve(worker, record.step_at(position), name);
     register_suspect(worker, task, name);
     record.enter(job_state::running);
@@ -454,7 +480,9 @@
                                 .avoided = member.avoided,
                                 .interference = interference_model_,
                                 .now = now,
-                                .tickets = tickets};
+                                .tickets = tickets,
+                                .urgent_run_time = urgent_room_.urgent_run_time(
+                                    record.step_at(first), queue.priority)};
     const bool fits_one =
         choose_worker(workers_, query, options_.placement) != nullptr;
     log_wait(query, record, member,
@@ -492,7 +520,9 @@
                                .avoided = tasks[index].avoided,
                                .interference = interference_model_,
                                .now = now,
-                               .tickets = tickets},
+                               .tickets = tickets,
+                               .urgent_run_time = urgent_room_.urgent_run_time(
+                                   step, queue.priority)},
                               options_.placement);
             if (worker == nullptr)
             {
--- a/packages/scheduler/src/wait_report.cpp
+++ b/packages/scheduler/src/wait_report.cpp
@@ -8,12 +8,11 @@
 namespace
 {
 
-// The first check that a worker fails for a task. If it passes all of them, the
-// cause is taken to be interference. It may also be a reservation for another
-// task, or too few processors left over for a best-effort run: neither is
-// checked here.
+// The first check that a worker fails for a task. The last one is not repeated
+// here: if a worker passes the others, its capacity is reserved.
 wait_cause first_failed_check(const worker_record& worker,
-                              const placement_query& query)
+                              const placement_query& query,
+                              const placement_options& options)
 {
     const resources asked = reserved_by(query.step);
     if (!has_label(worker, query.step.label))
@@ -39,7 +38,13 @@
     const bool has_ticket =
         query.tickets == nullptr ||
         query.tickets->contains(worker.description.executor);
-    return has_ticket ? wait_cause::harm : wait_cause::ticket;
+    if (!has_ticket)
+    {
+        return wait_cause::ticket;
+    }
+    const bool is_tolerated = !query.step.fills || query.ignore_interference ||
+                              has_fill_capacity(worker, query, options);
+    return is_tolerated ? wait_cause::reserved : wait_cause::harm;
 }
 
 } // namespace
@@ -66,6 +71,8 @@
         return "ticket";
     case wait_cause::harm:
         return "harm";
+    case wait_cause::reserved:
+        return "reserved";
     case wait_cause::gang:
         return "gang";
     case wait_cause::trials:
@@ -92,7 +99,7 @@
         }
         ++report.workers;
         report.cause =
-            std::max(report.cause, first_failed_check(worker, query));
+            std::max(report.cause, first_failed_check(worker, query, options));
         report.free_millis =
             std::max(report.free_millis, worker.free_capacity().cpu_millis);
         report.free_in_time_millis = std::max(
--- a/packages/scheduler/src/worker_ledger.cpp
+++ b/packages/scheduler/src/worker_ledger.cpp
@@ -94,6 +94,7 @@
     if (worker.assigned_tasks.erase(task) > 0)
     {
         worker.used -= reserved_by(step);
+        worker.short_runs.erase(task);
         end_isolation(worker, task);
         if (step.lasting)
         {
