--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -76,6 +76,7 @@
     holder_lost = 1651,
     holder_found = 1652,
     commit_uncertain = 1661,
+    run_yielded = 1671,
     stop_held = 1685,
     stop_forced = 1686
 };
