--- a/packages/scheduler/src/placement.cpp
+++ b/packages/scheduler/src/placement.cpp
@@ -84,6 +84,21 @@
     return pace != worker.paces.end() && pace->second < options.min_pace;
 }
 
+// Whether the free capacity that a task may use is enough. Most searches are
+// not for urgent tasks and most workers hold nothing for these: the first case
+// spares them the general one.
+bool has_free_capacity(const worker_record& worker,
+                       const placement_query& query)
+{
+    const resources asked = reserved_by(query.step);
+    if (!query.urgent_run_time && worker.urgent_holds.empty())
+    {
+        return asked.fits(query.step.lasting ? worker.free_capacity()
+                                             : worker.unreserved_capacity());
+    }
+    return asked.fits(available_to(worker, query));
+}
+
 // Lower where best-effort runs compete less for processors and interfere less.
 double fill_pressure(const worker_record& worker, const placement_query& query,
                      const placement_options& options)
@@ -183,7 +198,7 @@
               const placement_options& options)
 {
     return may_run(worker, query, options) &&
-           reserved_by(query.step).fits(available_to(worker, query)) &&
+           has_free_capacity(worker, query) &&
            (!query.step.fills || query.ignore_interference ||
             has_fill_capacity(worker, query, options));
 }
