Scheduler: deferred jobs are logged, gangs have a file; sections of built features only

The forecast order shows in the log (1677) and in the metric jobs_deferred. Settings offer what is built: overload_order, outage_backoff, urgent_room and disruption_budget.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -77,6 +77,7 @@
     holder_found = 1652,
     commit_uncertain = 1661,
     run_yielded = 1671,
+    job_deferred = 1677,
     stop_held = 1685,
     stop_forced = 1686
 };
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 67> catalogue{{
+constexpr std::array<event_description, 68> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -191,6 +191,10 @@
      "A long-running run is stopped so that waiting urgent tasks can use its "
      "capacity; fields give the job that waits longest and how many tasks the "
      "capacity serves."},
+    {event_id::job_deferred, severity::info, "job_deferred",
+     "By its forecast, a job can't meet its latency objective any more; jobs "
+     "that can go first. Fields give its age, its chain of steps and what is "
+     "left of it."},
     {event_id::stop_held, severity::info, "stop_held",
      "A deliberate stop of a long-running run waits for the disruption budget "
      "of its step; fields give the reason of the stop and how many tasks of "
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -52,10 +52,8 @@
     // Optional features of entries; without a value they are off.
 
     std::optional<urgent_room_options> urgent_room;
-    std::optional<submission_options> admission;
+    std::optional<outage_backoff_options> outage_backoff;
     std::optional<overload_order_options> overload_order;
-    std::optional<fair_share_options> fair_shares;
-    std::optional<copy_options> copies;
     std::optional<disruption_budget_options> disruption_budget;
 
     bool operator==(const job_settings&) const = default;
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -78,9 +78,9 @@
 // The retry time of a caller whose request this entry could not serve.
 duration job_request_handler::retry_after() const
 {
-    return process_.settings.admission
-               ? outage_backoff().retry_after(store_unavailable_since_,
-                                              boot_clock::now())
+    return process_.settings.outage_backoff
+               ? outage_backoff(*process_.settings.outage_backoff)
+                     .retry_after(store_unavailable_since_, boot_clock::now())
                : caller_retry_after;
 }
 
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -44,8 +44,6 @@
       core_({.closing = {.close_within = process.settings.close_within},
              .urgent_room = process.settings.urgent_room,
              .overload_order = process.settings.overload_order,
-             .fair_shares = process.settings.fair_shares,
-             .copies = process.settings.copies,
              .disruption_budget = process.settings.disruption_budget}),
       page_timeout_(max_page),
       hedge_delay_(adaptive_timeout::default_max, min_hedge_delay)
@@ -376,6 +374,7 @@
     gauges.set("yields", static_cast<double>(figures.yields));
     gauges.set("urgent_on_reserved",
                static_cast<double>(figures.urgent_on_reserved));
+    gauges.set("jobs_deferred", static_cast<double>(figures.jobs_deferred));
     gauges.set("jobs_open", static_cast<double>(figures.jobs_open));
     gauges.set("workers", static_cast<double>(figures.workers));
     gauges.set("data_centres_closed",
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -95,9 +95,6 @@
 // Optional features: an absent section leaves the feature off
 // ---------------------------------------------------------------------------
 
-constexpr double max_weight = 1000;
-constexpr double max_copy_share = 0.5;
-
 // Reads the section @p key with @p read, if it is an object.
 template <class Options, class Read>
 std::optional<Options> section(object_reader& reader, std::string_view key,
@@ -129,64 +126,16 @@
                                         to_milliseconds(defaults.yield_after))};
 }
 
-submission_options read_admission(object_reader& reader)
-{
-    return {.max_age =
-                milliseconds(reader, "max_age_ms",
-                             to_milliseconds(submission_options{}.max_age))};
-}
-
-fair_share_options read_fair_shares(object_reader& reader, findings& all)
-{
-    fair_share_options options;
-    const json* const weights = reader.member("weights");
-    if (weights == nullptr)
-    {
-        return options;
-    }
-    if (!weights->is_object())
-    {
-        reader.report("weights", "must be an object");
-        return options;
-    }
-    object_reader rows(*weights, reader.place_of("weights"), all);
-    for (const auto& [queue, value] : weights->items())
-    {
-        const double weight = rows.positive(queue, 1);
-        if (weight > max_weight)
-        {
-            rows.report(queue, "must be at most 1000");
-        }
-        options.weights[queue] = weight;
-    }
-    return options;
-}
-
-copy_options read_copies(object_reader& reader)
-{
-    const copy_options options{
-        .running_share =
-            reader.positive("running_share", copy_options{}.running_share)};
-    if (options.running_share > max_copy_share)
-    {
-        reader.report("running_share", "must be at most 0.5");
-    }
-    return options;
-}
-
 void read_features(object_reader& reader, findings& all, job_settings& settings)
 {
     settings.urgent_room = section<urgent_room_options>(reader, "urgent_room",
                                                         all, read_urgent_room);
-    settings.admission =
-        section<submission_options>(reader, "admission", all, read_admission);
+    settings.outage_backoff = section<outage_backoff_options>(
+        reader, "outage_backoff", all,
+        [](object_reader&) { return outage_backoff_options{}; });
     settings.overload_order = section<overload_order_options>(
         reader, "overload_order", all,
         [](object_reader&) { return overload_order_options{}; });
-    settings.fair_shares = section<fair_share_options>(
-        reader, "fair_shares", all,
-        [&](object_reader& inner) { return read_fair_shares(inner, all); });
-    settings.copies = section<copy_options>(reader, "copies", all, read_copies);
     settings.disruption_budget = section<disruption_budget_options>(
         reader, "disruption_budget", all,
         [](object_reader&) { return disruption_budget_options{}; });
@@ -202,25 +151,14 @@
             {"yield_after_ms",
              to_milliseconds(settings.urgent_room->yield_after)}};
     }
-    if (settings.admission)
+    if (settings.outage_backoff)
     {
-        document["admission"] = {
-            {"max_age_ms", to_milliseconds(settings.admission->max_age)}};
+        document["outage_backoff"] = json::object();
     }
     if (settings.overload_order)
     {
         document["overload_order"] = json::object();
     }
-    if (settings.fair_shares)
-    {
-        document["fair_shares"] = {
-            {"weights", json(settings.fair_shares->weights)}};
-    }
-    if (settings.copies)
-    {
-        document["copies"] = {
-            {"running_share", settings.copies->running_share}};
-    }
     if (settings.disruption_budget)
     {
         document["disruption_budget"] = json::object();
--- a/packages/policy/include/springstair/policy.hpp
+++ b/packages/policy/include/springstair/policy.hpp
@@ -9,4 +9,3 @@
 #include <springstair/detail/policy/outlier_detector.hpp>
 #include <springstair/detail/policy/retry_budget.hpp>
 #include <springstair/detail/policy/router.hpp>
-#include <springstair/detail/policy/submission_control.hpp>
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -158,6 +158,8 @@
     std::int64_t order = 0;               ///< number in order of acceptance
     time_point accepted{}; ///< when it was accepted, on the leader's clock
     std::optional<time_point> first_start; ///< when a task was first placed
+    /// By its forecast it could not meet its objective any more; set once.
+    bool deferred = false;
     /// A task was seen running, or was placed in an earlier term.
     bool begun = false;
     /// Longest chain of dependent steps, by the caller's estimates.
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -5,7 +5,6 @@
 #include <springstair/detail/scheduler/crash_suspicion.hpp>
 #include <springstair/detail/scheduler/disruption_budget.hpp>
 #include <springstair/detail/scheduler/end_proof.hpp>
-#include <springstair/detail/scheduler/fair_shares.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
@@ -14,7 +13,6 @@
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/run_time_model.hpp>
-#include <springstair/detail/scheduler/straggler_detector.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
@@ -144,8 +142,6 @@
 
     std::optional<urgent_room_options> urgent_room;
     std::optional<overload_order_options> overload_order;
-    std::optional<fair_share_options> fair_shares;
-    std::optional<copy_options> copies;
     std::optional<disruption_budget_options> disruption_budget;
 };
 
@@ -201,6 +197,8 @@
     std::int64_t yields = 0;
     /// Urgent runs placed on capacity reserved for another task, in this term.
     std::int64_t urgent_on_reserved = 0;
+    /// Jobs that could not meet their objective any more, by their forecast.
+    std::int64_t jobs_deferred = 0;
     std::int64_t jobs_open = 0;
     std::int64_t workers = 0;
     availability_counts lasting; ///< at the newest sample
@@ -342,20 +340,12 @@
     // with a pass per write (bench/office).
     void place_if_due(time_point now, std::int64_t unix_ms);
     void place(time_point now, std::int64_t unix_ms);
-    [[nodiscard]] job_rank rank(const job_record& record, time_point now) const;
+    job_rank rank(job_record& record, time_point now);
+    void log_deferral(job_record& record, const job_forecast& known,
+                      time_point now);
     bool place_job(job_record& record, time_point now, std::int64_t unix_ms);
     bool place_step(job_record& record, const queue_row& queue,
                     std::int64_t round, std::int64_t step, time_point now);
-    bool place_gang(job_record& record, const queue_row& queue,
-                    std::int64_t round, std::int64_t step, time_point now);
-    std::vector<worker_record*> gang_workers(job_record& record,
-                                             const queue_row& queue,
-                                             const task_position& first,
-                                             const ticket_map* tickets,
-                                             time_point now);
-    void log_gang_wait(job_record& record, const queue_row& queue,
-                       const task_position& first, const ticket_map* tickets,
-                       time_point now);
     ticket_map tickets_for(const job_step& step, const std::string& group,
                            const queue_row& queue, time_point now);
     void record_placement(job_record& record, job_task& task,
@@ -373,6 +363,18 @@
                          std::optional<time_point> firmly_from);
     void begin_pass();
 
+    // Gangs (scheduler_gangs.cpp).
+    bool place_gang(job_record& record, const queue_row& queue,
+                    std::int64_t round, std::int64_t step, time_point now);
+    std::vector<worker_record*> gang_workers(job_record& record,
+                                             const queue_row& queue,
+                                             const task_position& first,
+                                             const ticket_map* tickets,
+                                             time_point now);
+    void log_gang_wait(job_record& record, const queue_row& queue,
+                       const task_position& first, const ticket_map* tickets,
+                       time_point now);
+
     // Capacity for urgent tasks (scheduler_urgent.cpp).
 
     // A long-running run that may yield, and the urgent tasks that it serves.
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -11,7 +11,6 @@
 #include <springstair/detail/scheduler/disruption_budget.hpp>
 #include <springstair/detail/scheduler/end_proof.hpp>
 #include <springstair/detail/scheduler/entry_list.hpp>
-#include <springstair/detail/scheduler/fair_shares.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
@@ -22,7 +21,6 @@
 #include <springstair/detail/scheduler/run_time_model.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
 #include <springstair/detail/scheduler/sibling_headroom.hpp>
-#include <springstair/detail/scheduler/straggler_detector.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
