--- a/tests/unit/disrupted_fleet.hpp
+++ b/tests/unit/disrupted_fleet.hpp
@@ -172,8 +172,9 @@
         {
             worker_report& report = harness.worker(harness.guard_of.at(task));
             const auto row = std::ranges::find_if(
-                report.running, [&](const running_task& one)
-                { return one.task == task && one.run == number; });
+                report.running,
+                [&name = task, run = number](const running_task& one)
+                { return one.task == name && one.run == run; });
             if (row == report.running.end())
             {
                 end_orphan(task, number);
--- a/tests/unit/urgent_room_tests.cpp
+++ b/tests/unit/urgent_room_tests.cpp
@@ -95,8 +95,9 @@
         {
             harness.started.erase(task);
             worker_report& report = harness.worker(harness.guard_of.at(task));
-            std::erase_if(report.running, [&](const running_task& row)
-                          { return row.task == task; });
+            std::erase_if(report.running,
+                          [&name = task](const running_task& row)
+                          { return row.task == name; });
             report.ended.push_back({.number = ++ends[report.guard],
                                     .task = task,
                                     .run = number,
