Scheduler: tasks that were done unobserved count in a job's forecast

Cause: a task that was done while throttled, or in the term of an earlier leader, has no observed run time and counted as no work. The chain and so the objective of its job shrank, and the job was deferred though it could be in time. The test failed before the fix.

--- a/packages/scheduler/src/job_forecast.cpp
+++ b/packages/scheduler/src/job_forecast.cpp
@@ -33,7 +33,8 @@
 }
 
 // A step ends with its longest task. Tasks of unknown length are expected to be
-// the longer, the more of them there are.
+// the longer, the more of them there are. They include tasks that were done
+// while throttled or in an earlier term.
 step_forecast forecast_step(std::span<const job_task> tasks,
                             const std::string& queue, duration estimate,
                             const run_time_model& model)
@@ -46,7 +47,7 @@
         out.has_begun = out.has_begun || task.done || task.run.has_value();
         out.work = std::max(out.work, task.observed_work);
         const double left = share_left(task);
-        if (task.observed_work > duration{0} || task.done)
+        if (task.observed_work > duration{0})
         {
             out.remaining =
                 std::max(out.remaining,
--- a/tests/unit/overload_order_tests.cpp
+++ b/tests/unit/overload_order_tests.cpp
@@ -161,6 +161,23 @@
     CHECK(corrected.remaining == milliseconds(4550 + 1000));
 }
 
+// A new leader does not know how long tasks took that were done before its
+// term. Counted as no work, they would move the objective of their job forward,
+// and it would be deferred.
+TEST_CASE("overload order: tasks that were done unobserved count as expected")
+{
+    const run_time_model model;
+    job_record record = accepted_at(batch_job("j", 1000), start, 1);
+    for (job_task& task : record.tasks_of(0, 0))
+    {
+        task.done = true;
+    }
+    CHECK(forecast(record, model) ==
+          job_forecast{.chain = milliseconds(2000),
+                       .remaining = milliseconds(1000),
+                       .has_begun = true});
+}
+
 TEST_CASE("overload order: throttled and resumed runs teach nothing")
 {
     job_record record = accepted_at(batch_job("j", 1000), start, 1);
