--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 
 from deployment import BOUNDS, run_case  # noqa: E402
 
-QUEUE = "work"
+QUEUE = "drafts"
 TASK_CPU = 1000
 TASK_S = 8  # of the submission that ends by itself
 CALM_S = 4 + 3  # the rule's calm time before and in the three seconds
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -26,14 +26,20 @@
 sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
 
 from store import Store  # noqa: E402
-from wire import Connection, Reset, Silence, serve  # noqa: E402
+from wire import Connection, Reset, serve  # noqa: E402
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Exit codes of case.py; run.sh makes 1 of BROKEN, as an error of Python's own
+# also ends with 1.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 FRONT, CONTROL, READINESS, APP, STORE = 8161, 8166, 8167, 8170, 8169
 INTERNAL = 7720
 HOST = "jobs.example"
+SERVICE = "draftworks"
+FAILS_AFTER_S = 0.3  # of work, at an executor that fails all it starts
+BREAKS_AFTER_S = 0.05  # until a member's end reaches the rest of its gang
 RESTART_S = 0.3  # after which the platform starts an ended process again
 HEARTBEAT_S = 1.1
+MAX_ATTEMPTS = 3
 BOUNDS = {
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000,
     "catch_up_s": 4, "drain_ms": 2000, "grace_s": 6, "loss_slack_ms": 200,
@@ -95,9 +101,11 @@
         if kind == "^":
             return "" if value else fill(body, scopes)
         if isinstance(value, (list, dict)):
-            entries = list(value.values()) if isinstance(value, dict) else value
+            entries = value if isinstance(value, list) \
+                else list(value.values())
             return "".join(
-                fill(body.replace("{{,}}", "," if n + 1 < len(entries) else ""),
+                fill(body.replace("{{,}}",
+                                  "," if n + 1 < len(entries) else ""),
                      [entry, *scopes]) for n, entry in enumerate(entries))
         return fill(body, scopes) if value else ""
 
@@ -209,11 +217,21 @@
 # ---------------------------------------------------------------------------
 
 class Run:
-    def __init__(self, number, seconds):
+    def __init__(self, number, step):
         self.number = number
-        self.began = time.monotonic()
-        self.seconds = seconds  # None: it lasts
+        self.gang = step.get("gang", False)
+        self.came = time.monotonic()
+        # Members of a gang begin their work when all of them are present.
+        self.began = None if self.gang else self.came
+        self.seconds = step.get("seconds")  # None: it lasts
         self.stops_at = None
+        self.broken_at = None  # when another member's end reaches it
+
+    def share(self, now):
+        if self.began is None:
+            return 0.0
+        return 1.0 if self.seconds is None else min(
+            0.99, (now - self.began) / self.seconds)
 
 
 class Executor:
@@ -236,7 +254,7 @@
         self.sequence = 0
         self.draining_until = None
         self.gone = False
-        self.writers = set()
+        self.fails_all = False
         self.changed = asyncio.Event()
         self.control = Connection(f"{machine.ip}:{CONTROL}")
         self.tasks = []
@@ -266,7 +284,7 @@
     async def beat(self):
         while True:
             self.sequence += 1
-            body = {"service": "work", "address": f"{self.machine.ip}:{APP}",
+            body = {"service": SERVICE, "address": f"{self.machine.ip}:{APP}",
                     "zone": self.machine.zone, "version": "v1", "slots": 8,
                     "state": "draining" if self.draining_until else "ready",
                     "cold_remaining_ms": 0, "capacity": self.capacity,
@@ -286,21 +304,41 @@
             now = time.monotonic()
             lapsed = self.clock() >= self.lease_ends
             for task, run in list(self.runs.items()):
-                if lapsed:
-                    self.end(task, run, "lapsed")
-                elif run.stops_at is not None and now >= run.stops_at:
-                    self.end(task, run, "stopped")
-                elif run.seconds is not None \
-                        and now - run.began >= run.seconds:
-                    self.end(task, run, "done")
+                how = self.fate(task, run, lapsed, now)
+                if how is not None:
+                    self.end(task, run, how)
+
+    def fate(self, task, run, lapsed, now):
+        """How a run ends now; None if it goes on."""
+        if lapsed:
+            return "lapsed"
+        if run.stops_at is not None and now >= run.stops_at:
+            return "stopped"
+        if run.began is None:
+            if self.deployment.is_gang_complete(task, run.number):
+                run.began = now
+            elif now - run.came >= BOUNDS["gang_ms"] / 1000:
+                return "alone"
+            return None
+        if self.fails_all and now - run.began >= FAILS_AFTER_S:
+            return "failed"
+        if run.broken_at is not None and now >= run.broken_at:
+            return "broken"
+        if run.seconds is not None and now - run.began >= run.seconds:
+            return "done"
+        return None
 
     def end(self, task, run, how):
         del self.runs[task]
+        if run.gang and how != "done":
+            self.deployment.break_gang(task, run.number)
         self.highest[task] = max(self.highest.get(task, 0), run.number)
         self.count += 1
         self.ended.append([self.count, task, run.number, how, ""])
         self.deployment.note("run ended", task, run.number, self.ident, how)
         self.deployment.ends.setdefault(task, []).append(how)
+        if how == "failed":
+            self.deployment.failed_runs.setdefault(task, set()).add(run.number)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -348,7 +386,7 @@
             return 409, {"reason": "room"}
         self.deployment.note("run begins", task, number, self.ident)
         self.deployment.begun.add(task)
-        self.runs[task] = Run(number, step.get("seconds"))
+        self.runs[task] = Run(number, step)
         return 200, {}
 
     def used_cpu(self):
@@ -373,11 +411,8 @@
         if self.gone:
             raise Reset
         now = time.monotonic()
-        running = []
-        for task, run in self.runs.items():
-            percent = 100 if run.seconds is None else \
-                min(99, int(100 * (now - run.began) / run.seconds))
-            running.append([task, run.number, "", percent, 100])
+        running = [[task, run.number, "", int(100 * run.share(now)), 100]
+                   for task, run in self.runs.items()]
         return {"running": running, "ended": self.ended[:500]}
 
 
@@ -398,6 +433,7 @@
             self.roles = tomllib.load(text)["roles"]
         self.steps = {}  # submission: its steps, with the seconds of a task
         self.ends = {}  # task: how its runs ended
+        self.failed_runs = {}  # task: numbers of its runs that failed
         self.begun = set()  # tasks of which a run has begun
         network = self.free_network(entries + guards)
         self.store_address = f"{network}.250:{STORE}"
@@ -470,10 +506,11 @@
         document = {
             "version": version,
             "routes": [{"name": name, "host": HOST, "path_prefix": f"/{name}/",
-                        "service": "work", "priority": 1, "max_attempts": 3,
-                        "stretch": 2, "target_latency_ms": 1000,
-                        "timeout_ms": 3000} for name in routes],
-            "services": [{"name": "work", "enforces_capacity": True}]}
+                        "service": SERVICE, "priority": 1,
+                        "max_attempts": MAX_ATTEMPTS, "stretch": 2,
+                        "target_latency_ms": 1000, "timeout_ms": 3000}
+                       for name in routes],
+            "services": [{"name": SERVICE, "enforces_capacity": True}]}
         self.store.configure(document)
         self.note("configuration acknowledged: version", version, "routes",
                   *routes)
@@ -488,6 +525,27 @@
                 for n, step in enumerate(self.steps[ident])
                 for index in range(step["count"])]
 
+    def members_of(self, task):
+        """The tasks of a task's gang."""
+        ident, round_, step, _ = task.split(".")
+        return [f"{ident}.{round_}.{step}.{index}"
+                for index in range(self.step_of(task)["count"])]
+
+    def runs_of(self, task, number):
+        return [one.runs[task] for one in self.where(task)
+                if one.runs[task].number == number]
+
+    def is_gang_complete(self, task, number):
+        return all(self.runs_of(member, number)
+                   for member in self.members_of(task))
+
+    def break_gang(self, task, number):
+        """A member has ended: the others end as soon as they hear of it."""
+        for member in self.members_of(task):
+            for run in self.runs_of(member, number):
+                run.broken_at = run.broken_at or \
+                    time.monotonic() + BREAKS_AFTER_S
+
     def has_begun(self, ident):
         return any(task in self.begun for task in self.tasks_of(ident))
 
@@ -584,6 +642,8 @@
 
     async def run():
         deployment = None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             deployment = Deployment(folder, **options)
             await deployment.start()
@@ -591,7 +651,7 @@
                 held = await scenario(deployment, trouble)
             deployment.note("the rule", "held" if held else "was BROKEN")
             return HELD if held else BROKEN
-        except (CannotRun, TimeoutError, OSError) as error:
+        except Exception as error:  # pylint: disable=broad-except
             text = f"could not run: {type(error).__name__} {error}"
             print(text)
             if deployment is not None:
