--- a/review/3/case.py
+++ b/review/3/case.py
@@ -51,6 +51,8 @@
     deployment.note("waiting and older than", OLD_S, "s:", due())
     if status != 200 or answer["waiting"] < due():
         raise CannotRun("the leader itself counts too few")
+    if deployment.leader() != leader:
+        raise CannotRun("another entry leads by now")
 
     if trouble:
         deployment.note("DISRUPTION the leader is frozen", f"edge-{leader}")
