Jobs: a submission with too many tasks no longer ends each leader

A restart did not help.

Cause: the number of tasks was computed in 64 bits and wrapped round to -2, below the bound of 10,000.

The bound is compared by division and subtraction now, and each number of a submission has a bound of its own, refused with its place. A job that is stored, forwarded or notified is read by read_job(): numbers that make no task are moved to the nearest bound, so that jobs which an earlier version accepted go on; one with too many tasks is held by itself, shown in its stored state, and can be cancelled. Forwarded and notified jobs were not checked before.

--- a/packages/core/include/springstair/detail/core/object_reader.hpp
+++ b/packages/core/include/springstair/detail/core/object_reader.hpp
@@ -38,6 +38,8 @@
     /// @brief A non-empty string; required if there is no @p fallback.
     std::string text(std::string_view key,
                      const std::optional<std::string>& fallback = {});
+    /// @brief A string, which may be empty; empty if the member is absent.
+    std::string optional_text(std::string_view key);
     /// @brief An integer within @p range; required if there is no @p fallback.
     std::int64_t integer(std::string_view key,
                          std::optional<std::int64_t> fallback,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -96,7 +96,8 @@
     {event_id::configuration_refused, severity::error, "configuration_refused",
      "A configuration cannot be parsed; the previous one stays in use."},
     {event_id::record_unreadable, severity::error, "record_unreadable",
-     "A stored job or its progress cannot be parsed and is skipped."},
+     "A stored job, or its progress, cannot be read or scheduled; the job is "
+     "left out."},
     {event_id::advice_came, severity::info, "advice_came",
      "The advice service reported which workers may run a step, or gave no "
      "answer."},
--- a/packages/core/src/object_reader.cpp
+++ b/packages/core/src/object_reader.cpp
@@ -91,6 +91,17 @@
     return value->get<std::string>();
 }
 
+std::string object_reader::optional_text(std::string_view key)
+{
+    const json* value = member(key);
+    if (value != nullptr && !value->is_string())
+    {
+        report(key, "must be a string");
+    }
+    return value != nullptr && value->is_string() ? value->get<std::string>()
+                                                  : std::string();
+}
+
 std::int64_t object_reader::integer(std::string_view key,
                                     std::optional<std::int64_t> fallback,
                                     number_range range)
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -74,7 +74,7 @@
         rpc_.add("accepted",
                  [this](const json& message)
                  {
-                     job_scheduler_.job_was_accepted(message.get<job>());
+                     job_scheduler_.job_was_accepted(read_job(message));
                      return json::object();
                  });
         rpc_.add("cancelled",
--- a/packages/daemon/src/job_request_forwarding.cpp
+++ b/packages/daemon/src/job_request_forwarding.cpp
@@ -175,7 +175,7 @@
     {
         serve_forwarded(arrival.request, request);
     }
-    catch (const json::exception& error)
+    catch (const std::exception& error) // malformed, or out of bounds
     {
         answer(request,
                json_response(bad_request_status, {{"error", error.what()}}));
@@ -198,7 +198,7 @@
     }
     if (incoming.method == "POST")
     {
-        submit(json::parse(*incoming.body).get<job>(), request);
+        submit(decode_job(*incoming.body), request);
         return;
     }
     incoming.method == "DELETE" ? cancel(id, request) : show(id, request);
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -19,21 +19,6 @@
 // An operator has to restore the record first.
 constexpr duration unreadable_retry_after = std::chrono::seconds(5);
 
-bool is_readable_job(const platform::store_item& item)
-{
-    try
-    {
-        decode_job(item.value);
-        return true;
-    }
-    catch (const document_error& error)
-    {
-        log_event(event_id::record_unreadable,
-                  {{"key", item.key}, {"why", error.what()}});
-        return false;
-    }
-}
-
 // The state in a stored progress record; nothing if it cannot be parsed.
 std::optional<job_state> state_in(const platform::store_item& item)
 {
@@ -226,15 +211,6 @@
         answer(request, platform::no_such_job_answer());
         return;
     }
-    const auto stored = std::ranges::find(result.items, job_key(id),
-                                          &platform::store_item::key);
-    if (stored != result.items.end() && !is_readable_job(*stored))
-    {
-        answer(request,
-               platform::refused_answer(unreadable_retry_after,
-                                        "the stored job cannot be read"));
-        return;
-    }
     const bool cancelled =
         std::any_of(result.items.begin(), result.items.end(),
                     [](const platform::store_item& item)
@@ -242,7 +218,8 @@
     show_progress(id, cancelled, request);
 }
 
-// A job that ended before it was cancelled keeps its final state.
+// A job that ended before it was cancelled keeps its final state. The job's own
+// record is not needed: one that cannot be read is shown and cancelled as well.
 void job_request_handler::show_progress(const std::string& id, bool cancelled,
                                         const request_ptr& request)
 {
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -289,9 +289,9 @@
 
 void job_scheduler::job_was_accepted(const job& definition)
 {
-    if (ready() && !unreadable_jobs_.contains(definition.id))
+    if (ready() && !held_jobs_.contains(definition.id))
     {
-        core_.accept(definition, boot_clock::now());
+        accept(definition, boot_clock::now());
     }
 }
 
--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -76,8 +76,9 @@
     void load_item(const platform::store_item& item);
     void load_progress(const platform::store_item& item);
     std::optional<job> decode_item(const platform::store_item& item);
-    void set_unreadable(const std::string& id, const platform::store_item& item,
-                        const document_error& error);
+    void hold(const std::string& id, const std::string& key,
+              const std::exception& error);
+    void adopt(job definition, time_point now);
     void adopt_all();
 
     // New jobs and cancellations.
@@ -90,6 +91,7 @@
 
     // Commits.
     void write();
+    void accept(const job& definition, time_point now);
     void begin_batch(time_point now);
     void send_write_attempt(time_point now);
     void on_written(const platform::store_result& result, time_point sent);
@@ -120,8 +122,8 @@
     std::set<std::string> loaded_cancellations_;
     std::map<std::string, std::pair<job_progress, std::int64_t>>
         loaded_progress_;
-    /// Jobs that this term leaves out: a stored record of theirs is unreadable.
-    std::set<std::string> unreadable_jobs_;
+    /// Jobs that this term leaves out: they cannot be read or scheduled.
+    std::set<std::string> held_jobs_;
     std::int64_t jobs_revision_ = 0; ///< to watch jobs from; 0: read first
     bool watching_ = false;
     time_point next_watch_{};
--- a/packages/daemon/src/job_scheduler_loading.cpp
+++ b/packages/daemon/src/job_scheduler_loading.cpp
@@ -39,7 +39,7 @@
     loaded_jobs_.clear();
     loaded_cancellations_.clear();
     loaded_progress_.clear();
-    unreadable_jobs_.clear();
+    held_jobs_.clear();
     jobs_revision_ = 0;
 }
 
@@ -157,9 +157,9 @@
     {
         loaded_progress_[id] = {decode_progress(item.value), item.revision};
     }
-    catch (const document_error& error)
+    catch (const std::exception& error)
     {
-        set_unreadable(id, item, error);
+        hold(id, item.key, error);
     }
 }
 
@@ -175,23 +175,41 @@
         }
         return definition;
     }
-    catch (const document_error& error)
+    catch (const std::exception& error)
     {
-        set_unreadable(id, item, error);
+        hold(id, item.key, error);
         return std::nullopt;
     }
 }
 
-// A job of which a record cannot be read is left out of this term. As a new
-// job, its tasks would run again, and the write of their progress would fail on
-// the unreadable record and end the term, with all other jobs in it.
-void job_scheduler::set_unreadable(const std::string& id,
-                                   const store_item& item,
-                                   const document_error& error)
+// A job that cannot be read, or not scheduled, is held: left out of this term.
+// As a new job, its tasks would run again, and the write of their progress
+// would fail on the unreadable record and end the term, with all other jobs in
+// it.
+void job_scheduler::hold(const std::string& id, const std::string& key,
+                         const std::exception& error)
 {
-    unreadable_jobs_.insert(id);
+    held_jobs_.insert(id);
     log_event(event_id::record_unreadable,
-              {{"key", item.key}, {"why", error.what()}});
+              {{"key", key}, {"why", error.what()}});
+}
+
+void job_scheduler::adopt(job definition, time_point now)
+{
+    const std::string id = definition.id;
+    const auto found = loaded_progress_.find(id);
+    const bool has_progress = found != loaded_progress_.end();
+    try
+    {
+        core_.adopt(
+            std::move(definition),
+            has_progress ? std::optional(found->second.first) : std::nullopt,
+            has_progress ? found->second.second : 0, now, unix_milliseconds());
+    }
+    catch (const std::exception& error)
+    {
+        hold(id, job_key(id), error);
+    }
 }
 
 void job_scheduler::adopt_all()
@@ -199,17 +217,10 @@
     const time_point now = boot_clock::now();
     for (auto& [id, definition] : loaded_jobs_)
     {
-        if (unreadable_jobs_.contains(id))
+        if (!held_jobs_.contains(id))
         {
-            continue;
+            adopt(std::move(definition), now);
         }
-        const auto progress = loaded_progress_.find(id);
-        const bool has_progress = progress != loaded_progress_.end();
-        core_.adopt(std::move(definition),
-                    has_progress ? std::optional(progress->second.first)
-                                 : std::nullopt,
-                    has_progress ? progress->second.second : 0, now,
-                    unix_milliseconds());
     }
     core_.begin(now);
     for (const std::string& id : loaded_cancellations_)
@@ -288,13 +299,25 @@
         core_.cancel(key.id, now);
         return;
     }
-    if (core_.find(key.id) != nullptr || unreadable_jobs_.contains(key.id))
+    if (core_.find(key.id) != nullptr || held_jobs_.contains(key.id))
     {
         return;
     }
-    if (auto definition = decode_item(item))
+    if (const auto definition = decode_item(item))
+    {
+        accept(*definition, now);
+    }
+}
+
+void job_scheduler::accept(const job& definition, time_point now)
+{
+    try
+    {
+        core_.accept(definition, now);
+    }
+    catch (const std::exception& error)
     {
-        core_.accept(*std::move(definition), now);
+        hold(definition.id, job_key(definition.id), error);
     }
 }
 
--- a/packages/daemon/src/job_store.cpp
+++ b/packages/daemon/src/job_store.cpp
@@ -42,12 +42,7 @@
 {
     try
     {
-        job definition = json::parse(text).get<job>();
-        if (findings errors = check_job(definition); !errors.empty())
-        {
-            throw document_error(std::move(errors));
-        }
-        return definition;
+        return read_job(json::parse(text));
     }
     catch (const json::exception& error)
     {
--- a/packages/jobs/include/springstair/detail/jobs/job.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/job.hpp
@@ -83,16 +83,32 @@
                                                 schedule, accepted_ms)
 
 /// @brief Bounds of a job; a larger one is refused with findings.
+///
+/// No sum over the tasks of a job, or over the runs of a worker, and no time in
+/// microseconds leaves the range of 64 bits within these bounds.
 struct job_bounds
 {
     std::size_t payload_bytes = 4000; ///< the platform's own bound
     std::size_t steps = 256;          ///< keeps a job's record below 1 MB
     std::int64_t tasks = 10'000; ///< over all steps and rounds; same reason
+    /// Of each resource of a task, in the units of `resources`.
+    std::int64_t demand = 1'000'000'000;
+    std::int64_t estimate_ms = 31'622'400'000;    ///< of a task: 366 days
+    std::int64_t latency_target_ms = 86'400'000;  ///< a day
+    std::int64_t unix_ms = 253'402'300'799'999;   ///< the end of the year 9999
+    std::int64_t interval_ms = 3'162'240'000'000; ///< 100 years
 };
 
 /// @brief All errors in a job; empty if it is valid.
 findings check_job(const job& definition, const job_bounds& bounds = {});
 
+/// @brief Reads a job that is stored or that another process sent.
+///
+/// Earlier versions accepted numbers beyond the bounds. Those that make no task
+/// are moved to the nearest bound, so that a running job goes on.
+/// @throw document_error if it is invalid
+job read_job(const json& document, const job_bounds& bounds = {});
+
 /// @brief Position of a task in its job.
 struct task_position
 {
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
+#include <utility>
 
 namespace springstair
 {
@@ -15,19 +17,61 @@
     return "/steps/" + std::to_string(step) + "/" + std::string(member);
 }
 
-void check_step(const job& definition, std::size_t number, findings& out)
+// Calls visit(member, number, range) for each number of a step that describes
+// its tasks.
+template <class Step, class Visit>
+void visit_numbers(Step& step, const job_bounds& bounds, Visit visit)
+{
+    const number_range demand{.max = bounds.demand};
+    visit("demand/cpu_millis", step.demand.cpu_millis, demand);
+    visit("demand/memory_mb", step.demand.memory_mb, demand);
+    visit("demand/accelerators", step.demand.accelerators, demand);
+    visit("estimate_ms", step.estimate_ms, {.max = bounds.estimate_ms});
+    visit("most_per_worker", step.most_per_worker, number_range{});
+    visit("most_missing", step.most_missing, number_range{});
+    visit("latency_target_ms", step.latency_target_ms,
+          {.max = bounds.latency_target_ms});
+}
+
+// Calls visit(place, number, range) for each time of a job, and for the number
+// of its rounds.
+template <class Job, class Visit>
+void visit_times(Job& definition, const job_bounds& bounds, Visit visit)
+{
+    visit("/accepted_ms", definition.accepted_ms, {.max = bounds.unix_ms});
+    auto& schedule = definition.schedule;
+    visit("/schedule/first_due_ms", schedule.first_due_ms,
+          {.max = bounds.unix_ms});
+    visit("/schedule/interval_ms", schedule.interval_ms,
+          {.max = bounds.interval_ms});
+    // The bound of tasks also limits the rounds.
+    visit("/schedule/count", schedule.count,
+          {.max = std::numeric_limits<std::int64_t>::max()});
+}
+
+void check_number(std::string place, std::int64_t number, number_range range,
+                  findings& out)
+{
+    if (number < range.min || number > range.max)
+    {
+        out.push_back(
+            {std::move(place), "must be from " + std::to_string(range.min) +
+                                   " to " + std::to_string(range.max)});
+    }
+}
+
+void check_step(const job& definition, std::size_t number,
+                const job_bounds& bounds, findings& out)
 {
     const job_step& step = definition.steps[number];
     if (step.count < 1)
     {
         out.push_back({field_path(number, "count"), "must be 1 or more"});
     }
-    const resources& demand = step.demand;
-    if (demand.cpu_millis < 0 || demand.memory_mb < 0 ||
-        demand.accelerators < 0)
-    {
-        out.push_back({field_path(number, "demand"), "must not be negative"});
-    }
+    visit_numbers(
+        step, bounds,
+        [&](const char* member, std::int64_t value, number_range range)
+        { check_number(field_path(number, member), value, range, out); });
     for (const std::size_t dependency : step.after)
     {
         if (dependency >= number)
@@ -39,14 +83,41 @@
     }
 }
 
-std::int64_t task_count(const job& definition)
+void check_times(const job& definition, const job_bounds& bounds, findings& out)
 {
-    std::int64_t tasks = 0;
+    visit_times(definition, bounds,
+                [&](const char* place, std::int64_t value, number_range range)
+                { check_number(place, value, range, out); });
+}
+
+// Whether the tasks of all steps and rounds are at most so many. Compares with
+// quotients and differences, since the number itself may exceed 64 bits.
+bool has_at_most(const job& definition, std::int64_t max_tasks)
+{
+    std::int64_t left = max_tasks / definition.rounds(); // in each round
     for (const job_step& step : definition.steps)
     {
-        tasks += std::max<std::int64_t>(0, step.count);
+        const std::int64_t count = std::max<std::int64_t>(0, step.count);
+        if (count > left)
+        {
+            return false;
+        }
+        left -= count;
+    }
+    return true;
+}
+
+void move_into_bounds(job& definition, const job_bounds& bounds)
+{
+    const auto clamp = [](const char*, std::int64_t& number, number_range range)
+    {
+        number = std::clamp(number, range.min, range.max);
+    };
+    for (job_step& step : definition.steps)
+    {
+        visit_numbers(step, bounds, clamp);
     }
-    return tasks * definition.rounds();
+    visit_times(definition, bounds, clamp);
 }
 
 } // namespace
@@ -71,9 +142,10 @@
     }
     for (std::size_t number = 0; number < definition.steps.size(); ++number)
     {
-        check_step(definition, number, out);
+        check_step(definition, number, bounds, out);
     }
-    if (task_count(definition) > bounds.tasks)
+    check_times(definition, bounds, out);
+    if (!has_at_most(definition, bounds.tasks))
     {
         out.push_back({"/steps", "make more than " +
                                      std::to_string(bounds.tasks) + " tasks"});
@@ -81,6 +153,24 @@
     return out;
 }
 
+job read_job(const json& document, const job_bounds& bounds)
+{
+    try
+    {
+        job definition = document.get<job>();
+        move_into_bounds(definition, bounds);
+        if (findings errors = check_job(definition, bounds); !errors.empty())
+        {
+            throw document_error(std::move(errors));
+        }
+        return definition;
+    }
+    catch (const json::exception& error)
+    {
+        throw document_error(std::string("invalid job: ") + error.what());
+    }
+}
+
 std::int64_t job::critical_path_ms() const
 {
     std::vector<std::int64_t> finish_ms; // finish time of each step
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import json
 import os
 import random
 import shutil
@@ -36,6 +37,8 @@
 WATCH_RETRY_S = 0.08  # the leader's delay of 0.1 s, less the way there
 MAX_TAKEOVERS = 5  # the first one, that after the kill, and moves back
 MAX_ANSWER_S = 1.6  # max time to an error answer during a store outage
+HOUR_MS = 3600 * 1000
+ENDLESS = 2**63 - 1  # rounds of a job; with two tasks each, 64 bits overflow
 
 
 class FirstStart:
@@ -393,6 +396,43 @@
         self.assertEqual(store.text(store.items[progress]), "{no")
         self.assertLess(store.takeovers, MAX_TAKEOVERS)
 
+    def write_stored_job(self, ident, rounds):
+        """Stores a job of two tasks, due in an hour, without the checks of a
+        submission."""
+        document = {"id": ident, "queue": "quick", "payload": "p",
+                    "steps": [{"count": 2}], "schedule": {
+                        "first_due_ms": int(time.time() * 1000) + HOUR_MS,
+                        "interval_ms": 1000, "count": rounds}}
+        self.fleet.store.write([{
+            "tls_key": "springstair/jobs/" + ident,
+            "value": base64.b64encode(json.dumps(document).encode()).decode(),
+        }], [])
+
+    def exits(self):
+        return [process.unexpected_exits for process in self.fleet.processes]
+
+    # Guards against a stored job whose number of tasks exceeds 64 bits: each
+    # leader ended when it loaded the job, and no other job went on.
+    async def test_a_stored_job_with_too_many_tasks_stops_no_other_job(self):
+        entry_0 = self.fleet.processes[0].settings["announced_address"]
+        await self.wait_until("entry-0 is leader",
+                              lambda: self.is_leader(entry_0))
+        stored = self.caller.make_job()
+        stored.queue = "quick"
+        self.write_stored_job(stored.ident, ENDLESS)
+        await asyncio.sleep(2 * WATCH_INTERVAL_S)
+        self.fleet.processes[0].signal(signal.SIGKILL)
+        for _ in range(3):
+            await self.wait_until_done(
+                await self.submit_tasks(2, SHORT_TASK_S))
+        self.assertEqual(set(self.exits()), {0})
+        for entry in range(len(self.fleet.entries)):
+            self.assertEqual(await self.query_state(entry, stored), "pending")
+        self.assertEqual(await self.call(1, "DELETE", stored), 200)
+        for entry in range(len(self.fleet.entries)):
+            self.assertEqual(await self.query_state(entry, stored),
+                             "cancelled")
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.wait_until("entry-0 is leader", lambda: self.is_leader(
