Messages: a request whose handling throws costs only itself

What callers saw: a body that is not UTF-8 was answered 502, and the sixth within ten seconds ended the entry with all its connections.

Cause: the parser's message contains the bytes that it cannot read, and writing it into the 400 answer threw on the control thread. Any exception there restarts the whole part; more than five restarts end the process. Exceptions of completions and timers still restart the part: there its own state may be broken.

The unit test of an error between processes guards the same text in another place.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -19,6 +19,7 @@
     part_restarted = 1005,
     part_given_up = 1006,
     process_bounds = 1007,
+    message_failed = 1008,
     table_in_force = 1101,
     table_refused = 1102,
     store_lost = 1201,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 69> catalogue{{
+constexpr std::array<event_description, 70> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -38,6 +38,8 @@
     {event_id::process_bounds, severity::info, "process_bounds",
      "Resource limits of the process, from its settings, and the connection "
      "limit of each of its servers."},
+    {event_id::message_failed, severity::error, "message_failed",
+     "Handling a request ended with an exception; only that request failed."},
     {event_id::table_in_force, severity::info, "table_in_force",
      "This process now uses a newer revision of the table."},
     {event_id::table_refused, severity::error, "table_refused",
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -60,13 +60,27 @@
                      .deadline = now + platform::timeout_of(arrival.request) -
                                  answer_margin});
     ++open_;
-    const auto decoded = platform::decode_request(arrival.request, table_);
-    std::visit([&](const auto& one) { handle(one, request); }, decoded);
+    try
+    {
+        const auto decoded = platform::decode_request(arrival.request, table_);
+        std::visit([&](const auto& one) { handle(one, request); }, decoded);
+    }
+    catch (const std::exception& error)
+    {
+        log_event(event_id::message_failed,
+                  {{"path", arrival.request.path}, {"why", error.what()}});
+        answer(request,
+               platform::unknown_answer("the request could not be handled"));
+    }
 }
 
 void job_request_handler::answer(const request_ptr& request,
                                  http_response response)
 {
+    if (std::exchange(request->answered, true))
+    {
+        return;
+    }
     --open_;
     request->responder->respond(std::move(response));
 }
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -65,6 +65,7 @@
         std::int64_t tries = 0;
         std::int64_t unanswered_tries = 0; ///< by the store
         bool forwarded = false;            ///< to another entry, or from one
+        bool answered = false;
         std::vector<std::string> tried_peers{}; ///< forwarded to these
     };
     using request_ptr = std::shared_ptr<open_request>;
--- a/packages/daemon/src/process_context.cpp
+++ b/packages/daemon/src/process_context.cpp
@@ -41,6 +41,22 @@
                : 0;
 }
 
+// A request whose handling throws costs no other request anything. Without an
+// answer, its responder tells the caller that the outcome is unknown.
+void handle_request(const std::function<void(http_arrival)>& handler,
+                    const http_arrival& arrival)
+{
+    try
+    {
+        handler(arrival);
+    }
+    catch (const std::exception& error)
+    {
+        log_event(event_id::message_failed,
+                  {{"path", arrival.request.path}, {"why", error.what()}});
+    }
+}
+
 } // namespace
 
 http_handler process_context::on_request(std::function<void(http_arrival)> then)
@@ -51,7 +67,7 @@
         auto shared = std::make_shared<http_responder>(std::move(responder));
         work.post(
             [then, request = std::move(request), shared] {
-                then({request, shared});
+                handle_request(then, {request, shared});
             });
     };
 }
--- a/packages/transport/include/springstair/detail/transport/http_message.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_message.hpp
@@ -45,6 +45,10 @@
 /// @brief A response with a JSON body.
 http_response json_response(int status, const json& document);
 
+/// @brief Serialises a document. Bytes that are not UTF-8, which JSON cannot
+/// represent, are replaced.
+std::string to_text(const json& document);
+
 /// @brief Parses a body as JSON.
 /// @throw document_error 102 if it is not JSON
 json parse_body(const shared_body& body);
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -35,7 +35,12 @@
 {
     return {.status = status,
             .headers = {{"content-type", "application/json"}},
-            .body = make_body(document.dump())};
+            .body = make_body(to_text(document))};
+}
+
+std::string to_text(const json& document)
+{
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 json parse_body(const shared_body& body)
--- a/packages/transport/src/problem.cpp
+++ b/packages/transport/src/problem.cpp
@@ -80,7 +80,7 @@
             (millis + millis_per_second - 1) / millis_per_second;
         response.headers["retry-after"] = std::to_string(seconds);
     }
-    response.body = make_body(body.dump());
+    response.body = make_body(to_text(body));
     return response;
 }
 
--- a/packages/transport/src/rpc.cpp
+++ b/packages/transport/src/rpc.cpp
@@ -22,17 +22,16 @@
 
 std::string error_answer(int code, const std::string& why, const json& id)
 {
-    return json{{"jsonrpc", protocol_version},
-                {"id", id},
-                {"error", {{"code", code}, {"message", why}}}}
-        .dump();
+    return to_text({{"jsonrpc", protocol_version},
+                    {"id", id},
+                    {"error", {{"code", code}, {"message", why}}}});
 }
 
 std::string result_answer(json result, const json& id)
 {
     json answer{{"jsonrpc", protocol_version}, {"id", id}};
     answer["result"] = std::move(result);
-    return answer.dump();
+    return to_text(answer);
 }
 
 bool is_request(const json& request)
@@ -111,7 +110,7 @@
     json request{
         {"jsonrpc", protocol_version}, {"id", constant_id}, {"method", method}};
     request["params"]["message"] = std::move(message);
-    return request.dump();
+    return to_text(request);
 }
 
 json rpc_result(const std::string& text)
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -39,6 +39,7 @@
 MAX_ANSWER_S = 1.6  # max time to an error answer during a store outage
 HOUR_MS = 3600 * 1000
 ENDLESS = 2**63 - 1  # rounds of a job; with two tasks each, 64 bits overflow
+RESTART_LIMIT = 5  # restarts of a part; one more ends the process
 
 
 class FirstStart:
@@ -433,6 +434,21 @@
             self.assertEqual(await self.query_state(entry, stored),
                              "cancelled")
 
+    # Guards against a caller's body that is not UTF-8: the error answer could
+    # not be written, and the sixth such body in 10 s ended the entry.
+    async def test_bodies_that_are_not_utf_8_end_no_entry(self):
+        connection = self.fleet.connection(0)
+        for _ in range(RESTART_LIMIT + 1):
+            job = self.caller.make_job()
+            status, _ = await connection.call(
+                "POST", f"/quick/{job.ident}", b'{"spec": "\xff\xfe"}',
+                {"Host": HOST, "Deadline-Ms": "2500"})
+            self.assertEqual(status, 400)
+        connection.close()
+        with open(self.fleet.processes[0].log, encoding="utf-8") as log:
+            self.assertNotIn("part_restarted", log.read())
+        await self.wait_until_done(await self.submit_tasks(1, SHORT_TASK_S))
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.wait_until("entry-0 is leader", lambda: self.is_leader(
--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -76,7 +76,8 @@
 
     async def call(self, method, path, document=None, headers=None, timeout=3):
         """Returns status and document. The status is None if the outcome is
-        unknown, 0 if nothing was sent."""
+        unknown, 0 if nothing was sent. A document of bytes is sent as it is.
+        """
         sent = False
         try:
             async with asyncio.timeout(timeout):
@@ -84,8 +85,9 @@
                     host, port = self.address.split(":")
                     self.stream = await asyncio.open_connection(host, int(port))
                 reader, writer = self.stream
-                body = b"" if document is None else json.dumps(
-                    document).encode()
+                body = document or b""
+                if not isinstance(body, bytes):
+                    body = json.dumps(document).encode()
                 lines = [f"{method} {path} HTTP/1.1",
                          f"Content-Length: {len(body)}"]
                 lines += [f"{name}: {value}"
--- a/tests/unit/malformed_message_tests.cpp
+++ b/tests/unit/malformed_message_tests.cpp
@@ -102,6 +102,38 @@
     CHECK_THROWS_AS(decode("\xff\xfe{}"), document_error);
 }
 
+// Guards against an exception while the error is written: a parser's message
+// contains the bytes that it cannot read.
+TEST_CASE("a submission that is not UTF-8 is answered with 400")
+{
+    const queue_table table{
+        .version = 1,
+        .queues = {
+            {.name = "q", .host = "h", .path_prefix = "/q/", .service = "s"}}};
+    const auto request =
+        adapter::decode_request({.method = "POST",
+                                 .path = "/q/5c0e7a21d94b36f8",
+                                 .headers = {{"host", "h"}},
+                                 .body = make_body("{\"spec\": \"\xff\xfe\"}")},
+                                table);
+    const auto& refused = std::get<adapter::refused_request>(request);
+    CHECK(refused.answer.status == 400);
+    CHECK(json::accept(*refused.answer.body));
+}
+
+// Guards against the same exception in an error answer between processes.
+TEST_CASE("an error whose text is not UTF-8 is answered")
+{
+    rpc_dispatcher methods;
+    methods.add("fail",
+                [](const json&) -> json
+                { throw std::runtime_error("bytes \xff\xfe"); });
+    const std::string answer =
+        methods.handle(rpc_request("fail", json::object()));
+    CHECK(json::accept(answer));
+    CHECK(answer.find("error") != std::string::npos);
+}
+
 TEST_CASE("a refused heartbeat reports all errors together with their places")
 {
     json body = valid_heartbeat();
