Guard: a heartbeat whose executor id is not UTF-8 is refused

By the review, a guard without an executor ended again and again on one such heartbeat per 1.1 s: its report names the executor, and a report that is not UTF-8 could not be written, on the control thread's timer.

--- a/tests/unit/malformed_message_tests.cpp
+++ b/tests/unit/malformed_message_tests.cpp
@@ -102,6 +102,17 @@
     CHECK_THROWS_AS(decode("\xff\xfe{}"), document_error);
 }
 
+// Guards against a guard that ends at each report with such an id: no message
+// can contain it.
+TEST_CASE("a heartbeat of an executor whose id is not UTF-8 is refused")
+{
+    http_request from;
+    from.method = "POST";
+    from.path = "/springstair/executors/i-\xff/heartbeat";
+    from.body = make_body(valid_heartbeat().dump());
+    CHECK_THROWS_AS(adapter::decode_heartbeat(from), document_error);
+}
+
 // Guards against an exception while the error is written: a parser's message
 // contains the bytes that it cannot read.
 TEST_CASE("a submission that is not UTF-8 is answered with 400")
