Entries: no count of waiting jobs is older than two seconds

Cause: an entry kept the leader's last count without its time and answered it whenever the leader gave none; the leader counted without having verified its leadership, and an entry that was elected and still loads answered the old count.

Counts have a time now: the leader answers only within 2 s (the platform's bound) of its last verification and sends that age; an entry keeps the count with it, and without a recent one asks again until the caller's deadline, then refuses with 503. While the store does not serve it, no leader can be elected, and it refuses at once. An answer without a number is no count; it threw on the control thread.

--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -96,7 +96,7 @@
                      handover_.on_result(message.get<take_over_result>());
                      return json::object();
                  });
-        rpc_.add("count", [this](const json& message)
+        rpc_.add(count_method, [this](const json& message)
                  { return job_request_handler_.count_for_peer(message); });
         rpc_.add(
             entry_heartbeat_method, [this](const json& message)
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -92,13 +92,23 @@
                                 timeout_.value());
 }
 
-void job_request_handler::retry_later(const request_ptr& request,
-                                      std::function<void()> action)
+bool job_request_handler::delay(const request_ptr& request,
+                                std::function<void()> action)
 {
     const time_point retry_at = boot_clock::now() + retry_delay;
-    if (retry_at < request->deadline)
+    const bool is_in_time = retry_at < request->deadline;
+    if (is_in_time)
     {
         delayed_.emplace_back(retry_at, std::move(action));
+    }
+    return is_in_time;
+}
+
+void job_request_handler::retry_later(const request_ptr& request,
+                                      std::function<void()> action)
+{
+    if (delay(request, std::move(action)))
+    {
         return;
     }
     answer(request,
@@ -350,40 +360,57 @@
 void job_request_handler::handle(const platform::count_request& message,
                                  const request_ptr& request)
 {
-    const std::string queue = message.queue;
-    if (job_scheduler_.ready())
+    count(message.queue, request);
+}
+
+void job_request_handler::count(const std::string& queue,
+                                const request_ptr& request)
+{
+    if (const auto own = job_scheduler_.waiting(queue))
     {
-        answer(request,
-               platform::count_answer(job_scheduler_.core().waiting(queue)));
+        answer(request, platform::count_answer(own->waiting));
         return;
     }
-    query_leader(
-        "count", {{"queue", queue}},
-        [this, queue, request](const std::optional<json>& known)
-        {
-            if (known && known->contains("waiting"))
-            {
-                last_counts_[queue] = known->at("waiting");
-            }
-            else if (!last_counts_.contains(queue))
-            {
-                answer(request,
-                       platform::refused_answer(caller_retry_after,
-                                                "the leader is not known"));
-                return;
-            }
-            answer(request, platform::count_answer(last_counts_[queue]));
-        });
+    query_leader(count_method, waiting_count_query{queue},
+                 [this, queue, request,
+                  sent = boot_clock::now()](const std::optional<json>& known)
+                 {
+                     if (const auto counted = message_in<waiting_count>(known))
+                     {
+                         waiting_counts_.record(
+                             queue, counted->waiting,
+                             sent - std::chrono::milliseconds(counted->age_ms));
+                     }
+                     answer_count(queue, request);
+                 });
 }
 
-json job_request_handler::count_for_peer(const json& message) const
+// Without a recent count, asks again until the deadline: the next leader is
+// usually elected by then. That takes the store.
+void job_request_handler::answer_count(const std::string& queue,
+                                       const request_ptr& request)
 {
-    if (!job_scheduler_.ready())
+    const time_point now = boot_clock::now();
+    if (const auto recent = waiting_counts_.recent(queue, now))
     {
-        return json::object();
+        answer(request, platform::count_answer(*recent));
+        return;
+    }
+    const bool is_delayed =
+        !store_.is_unavailable() &&
+        delay(request, [this, queue, request] { count(queue, request); });
+    if (!is_delayed)
+    {
+        answer(request, platform::refused_answer(
+                            retry_after(), "no leader counts the queue now"));
     }
-    return {
-        {"waiting", job_scheduler_.core().waiting(message.value("queue", ""))}};
+}
+
+json job_request_handler::count_for_peer(const json& message) const
+{
+    const auto counted =
+        job_scheduler_.waiting(message.get<waiting_count_query>().queue);
+    return counted ? json(*counted) : json::object();
 }
 
 } // namespace springstair
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -123,8 +123,14 @@
                           std::function<void()> retry_here);
     void probe(time_point now);
 
-    /// Runs @p action after a delay, or answers that the request failed if its
-    /// deadline is before that.
+    void count(const std::string& queue, const request_ptr& request);
+    void answer_count(const std::string& queue, const request_ptr& request);
+
+    /// Runs @p action after a delay; returns false if the request's deadline is
+    /// before that.
+    bool delay(const request_ptr& request, std::function<void()> action);
+    /// The same; answers that the request failed if its deadline is before
+    /// that.
     void retry_later(const request_ptr& request, std::function<void()> action);
     void answer(const request_ptr& request, http_response response);
     void query_leader(const char* method, const json& message,
@@ -154,7 +160,7 @@
     std::map<std::string, time_point> failed_peers_;
     std::int64_t open_ = 0;
     std::deque<std::pair<time_point, std::function<void()>>> delayed_;
-    std::map<std::string, std::int64_t> last_counts_;
+    waiting_counts waiting_counts_; ///< by the leader's newest answers
 };
 
 } // namespace springstair
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -303,6 +303,21 @@
     }
 }
 
+// A leader that was frozen or lost the store may count what it knew in a term
+// that has ended.
+std::optional<waiting_count>
+job_scheduler::waiting(const std::string& queue) const
+{
+    const time_point now = boot_clock::now();
+    const duration age = now - leader_election_.confirmed_at();
+    if (!ready() || age > max_count_age)
+    {
+        return std::nullopt;
+    }
+    return waiting_count{.waiting = core_.waiting(queue),
+                         .age_ms = to_milliseconds(age)};
+}
+
 void job_scheduler::tick(time_point now)
 {
     if (stage_ == stage::idle)
--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -49,6 +49,11 @@
         return core_.shown(id, boot_clock::now(),
                            leader_election_.confirmed_at());
     }
+    /// The number of jobs of a queue of which no task has begun; nothing if
+    /// this entry is not the leader or cannot vouch for a count of
+    /// max_count_age.
+    [[nodiscard]] std::optional<waiting_count>
+    waiting(const std::string& queue) const;
     [[nodiscard]] const scheduler_core& core() const noexcept
     {
         return core_;
@@ -86,12 +91,12 @@
     void on_watch(const platform::store_result& result, time_point sent);
     void reread_after_failed_watch(time_point now, time_point sent);
     void apply_job_item(const platform::store_item& item);
+    void accept(const job& definition, time_point now);
     void reread_jobs();
     void on_jobs_reread(const platform::store_result& result);
 
     // Commits.
     void write();
-    void accept(const job& definition, time_point now);
     void begin_batch(time_point now);
     void send_write_attempt(time_point now);
     void on_written(const platform::store_result& result, time_point sent);
--- a/packages/daemon/src/role_support.hpp
+++ b/packages/daemon/src/role_support.hpp
@@ -42,12 +42,10 @@
 /// The result of a JSON-RPC call; nothing if the call failed.
 std::optional<json> rpc_result_of(const http_result& result);
 
-/// The result of a JSON-RPC call as a message; nothing if the call failed or
-/// the result is not such a message.
+/// A document as a message; nothing if there is none or it is no such message.
 template <class Message>
-std::optional<Message> rpc_answer_of(const http_result& result)
+std::optional<Message> message_in(const std::optional<json>& document)
 {
-    const auto document = rpc_result_of(result);
     try
     {
         return document ? std::optional(document->get<Message>())
@@ -59,6 +57,14 @@
     }
 }
 
+/// The result of a JSON-RPC call as a message; nothing if the call failed or
+/// the result is not such a message.
+template <class Message>
+std::optional<Message> rpc_answer_of(const http_result& result)
+{
+    return message_in<Message>(rpc_result_of(result));
+}
+
 /// Parses a table received from another process; logs its findings and
 /// returns nothing if it is invalid.
 std::optional<table> table_of_peer(const json& document);
--- a/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
@@ -21,6 +21,29 @@
 /// @brief Method by which a previous leader names its successor to its guards.
 inline constexpr const char* leader_changed_method = "holder_changed";
 
+/// @brief Method by which an entry asks the leader for a number of waiting
+/// jobs.
+inline constexpr const char* count_method = "count";
+
+/// @brief Request for the number of waiting jobs of a queue.
+struct waiting_count_query
+{
+    std::string queue;
+
+    bool operator==(const waiting_count_query&) const = default;
+};
+
+/// @brief Number of jobs of a queue of which no task has begun.
+struct waiting_count
+{
+    std::int64_t waiting = 0;
+    /// Time since the leader last verified its leadership: another entry may
+    /// have accepted or started jobs since then. 0 from earlier versions.
+    std::int64_t age_ms = 0;
+
+    bool operator==(const waiting_count&) const = default;
+};
+
 /// @brief Notification that another entry is the leader now.
 struct leader_change
 {
@@ -81,8 +104,11 @@
     bool operator==(const entry_heartbeat_answer&) const = default;
 };
 
+void to_json(json& to, const waiting_count& from);
+void from_json(const json& from, waiting_count& to);
 void to_json(json& to, const entry_heartbeat_answer& from);
 void from_json(const json& from, entry_heartbeat_answer& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(waiting_count_query, queue)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(leader_change, epoch, holder)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_request, epoch, from)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_result, epoch, by)
--- a/packages/jobs/src/entry_messages.cpp
+++ b/packages/jobs/src/entry_messages.cpp
@@ -3,6 +3,18 @@
 namespace springstair
 {
 
+void to_json(json& to, const waiting_count& from)
+{
+    to = {{"waiting", from.waiting}, {"age_ms", from.age_ms}};
+}
+
+// An answer without a count is no count of 0.
+void from_json(const json& from, waiting_count& to)
+{
+    to = {.waiting = from.at("waiting").get<std::int64_t>(),
+          .age_ms = from.value("age_ms", std::int64_t{0})};
+}
+
 void to_json(json& to, const entry_heartbeat_answer& from)
 {
     to = {{"epoch", from.epoch}, {"holder", from.holder}};
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -16,7 +16,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from callers import Caller  # noqa: E402
-from fleet import APPLY_MS, HOST, Fleet  # noqa: E402
+from fleet import APPLY_MS, CAPACITY, HOST, Fleet  # noqa: E402
 from record import Record  # noqa: E402
 from wire import Reset  # noqa: E402
 
@@ -40,6 +40,8 @@
 HOUR_MS = 3600 * 1000
 ENDLESS = 2**63 - 1  # rounds of a job; with two tasks each, 64 bits overflow
 RESTART_LIMIT = 5  # restarts of a part; one more ends the process
+WAITING_JOBS = 8
+COUNTED_AFTER_S = 5.0  # age at which a waiting job must be counted (platform)
 
 
 class FirstStart:
@@ -449,6 +451,61 @@
             self.assertNotIn("part_restarted", log.read())
         await self.wait_until_done(await self.submit_tasks(1, SHORT_TASK_S))
 
+    async def query_count(self, entry):
+        """The status and the count of waiting jobs that an entry answers."""
+        connection = self.fleet.connection(entry)
+        status, answer = await connection.call(
+            "GET", "/quick/", None, {"Host": HOST, "Deadline-Ms": "2500"})
+        connection.close()
+        return status, answer.get("waiting")
+
+    async def submit_waiting_jobs(self, entry):
+        """Submits jobs of which only one fits each executor at a time."""
+        for _ in range(WAITING_JOBS + len(self.fleet.executors)):
+            job = self.caller.make_job()
+            job.queue = "quick"
+            job.steps = [{"count": 1, "cpu": CAPACITY["cpu"], "mem_mb": 100,
+                          "traits": {"fails": False, "seconds": IDLE_S * 5}}]
+            self.assertEqual(await self.call(entry, "POST", job), 200)
+
+    async def check_count(self, entry):
+        """Checks an answer to a query sent when WAITING_JOBS were waiting."""
+        status, waiting = await self.query_count(entry)
+        self.assertIn(status, (200, 503))
+        if status == 200:
+            self.assertGreaterEqual(2 * waiting, WAITING_JOBS)
+        return status
+
+    # Guards against counts of any age: while the leader was frozen, an entry
+    # answered with the leader's last answer, 0 for 21.
+    async def test_an_old_count_of_a_frozen_leader_is_not_answered(self):
+        leader = self.fleet.processes[0]
+        await self.wait_until("entry-0 is leader", lambda: self.is_leader(
+            leader.settings["announced_address"]))
+        self.assertEqual(await self.query_count(1), (200, 0))
+        await self.submit_waiting_jobs(1)
+        await asyncio.sleep(COUNTED_AFTER_S)
+        leader.signal(signal.SIGSTOP)
+        await asyncio.sleep(QUERY_SENT_S)
+        # The next leader is elected within the deadline of the query.
+        self.assertEqual(await self.check_count(1), 200)
+        await self.check_count(2)
+
+    # Guards against the count of a leader that was frozen while another one
+    # was elected: it knew no job accepted since.
+    async def test_a_leader_that_was_frozen_counts_no_past_term(self):
+        leader = self.fleet.processes[0]
+        await self.wait_until("entry-0 is leader", lambda: self.is_leader(
+            leader.settings["announced_address"]))
+        self.assertEqual(await self.query_count(0), (200, 0))
+        leader.signal(signal.SIGSTOP)
+        await self.submit_waiting_jobs(1)
+        await asyncio.sleep(COUNTED_AFTER_S)
+        query = asyncio.create_task(self.check_count(0))
+        await asyncio.sleep(QUERY_SENT_S)
+        leader.signal(signal.SIGCONT)
+        await query
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.wait_until("entry-0 is leader", lambda: self.is_leader(
