Scheduler: a new leader does not count placed jobs as begun

Cause: restore() marked each job as begun that any leader had ever placed. The stored progress shows placements, not whether a run reached its worker. Only a task that is done, failed, crashed its executor or left a checkpoint shows its begin; the guards' reports show all others. Until they have reported, for at most 1.5 s, a new leader gives no count, since it would count running jobs. A run that ends before any report lists it marks its job as begun as well.

--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -310,7 +310,8 @@
 {
     const time_point now = boot_clock::now();
     const duration age = now - leader_election_.confirmed_at();
-    if (!ready() || age > max_count_age)
+    if (!ready() || age > max_count_age ||
+        core_.awaits_first_reports(queue, now))
     {
         return std::nullopt;
     }
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -162,7 +162,7 @@
     std::optional<time_point> first_start; ///< when a task was first placed
     /// By its forecast it could not meet its objective any more; set once.
     bool deferred = false;
-    /// A task was seen running, or was placed in an earlier term.
+    /// A task has certainly begun: it was seen running or has ended.
     bool begun = false;
     /// Longest chain of dependent steps, by the caller's estimates.
     std::int64_t critical_path_ms = 0;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -53,6 +53,9 @@
     double clock_drift = 0.02;
     /// Allowance for delays of messages and timers, added to a lease.
     duration lease_slack = std::chrono::milliseconds(300);
+    /// Time within which the guards usually report to a new leader: two
+    /// reports, and the time to find it.
+    duration first_report_wait = std::chrono::milliseconds(1500);
     /// Minimum time between two writes: bounds the calls to the store.
     duration min_commit_interval = std::chrono::milliseconds(20);
     /// Delay of ends that nothing waits for, to batch them with others of their
@@ -293,6 +296,11 @@
     shown(const std::string& id, time_point now, time_point verified_at) const;
     /// @brief Number of jobs of a queue of which no task has begun.
     [[nodiscard]] std::int64_t waiting(const std::string& queue) const;
+    /// @brief Whether waiting() may count jobs that have begun: a previous
+    /// leader placed tasks of theirs on workers whose guards have not reported
+    /// yet. False once scheduler_options::first_report_wait has passed.
+    [[nodiscard]] bool awaits_first_reports(const std::string& queue,
+                                            time_point now) const;
     /// @brief The epoch of the present term.
     [[nodiscard]] std::int64_t epoch() const noexcept
     {
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -5,6 +5,19 @@
 namespace springstair
 {
 
+namespace
+{
+
+// Whether a task has certainly begun. A placed run may not have reached its
+// worker; the reports of its guard show whether it runs.
+bool shows_begin(const task_progress& saved)
+{
+    return saved.done || saved.failures > 0 || saved.crashes > 0 ||
+           !saved.checkpoint.empty();
+}
+
+} // namespace
+
 job_record::job_record(job definition) : definition_(std::move(definition))
 {
     critical_path_ms = definition_.critical_path_ms();
@@ -149,7 +162,7 @@
         {
             continue;
         }
-        begun = true;
+        begun = begun || shows_begin(saved);
         task->done = saved.done;
         task->runs = saved.runs;
         task->failures = saved.failures;
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -229,6 +229,25 @@
                          });
 }
 
+bool scheduler_core::awaits_first_reports(const std::string& queue,
+                                          time_point now) const
+{
+    if (now - term_started_at_ > options_.first_report_wait)
+    {
+        return false;
+    }
+    const auto may_have_begun = [&](const task_name& name)
+    {
+        const job_record* const record = find(name.job);
+        return record != nullptr && !record->begun &&
+               !is_final(record->state()) &&
+               record->definition().queue == queue;
+    };
+    return std::ranges::any_of(
+        inherited_runs_, [&](const auto& runs_of_guard)
+        { return std::ranges::any_of(runs_of_guard.second, may_have_begun); });
+}
+
 scheduler_figures scheduler_core::figures() const
 {
     scheduler_figures out = counts_;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -49,6 +49,8 @@
         release(found->second, step, {record.definition().id, position});
         update_fault_score(found->second, record, run, outcome, now);
     }
+    record.begun =
+        record.begun || outcome == run_end::done || outcome == run_end::failed;
     if (outcome == run_end::done)
     {
         run_times_.record(record.definition().queue,
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -506,6 +506,27 @@
         leader.signal(signal.SIGCONT)
         await query
 
+    # Guards against a new leader that took each job ever placed for one that
+    # had begun: 12 jobs placed on frozen guards were counted as 0.
+    async def test_a_new_leader_counts_jobs_placed_but_not_begun(self):
+        leader = self.fleet.processes[0]
+        await self.wait_until("entry-0 is leader", lambda: self.is_leader(
+            leader.settings["announced_address"]))
+        await self.wait_until_done(await self.submit_tasks(1, SHORT_TASK_S))
+        for process in self.fleet.processes[len(self.fleet.entries):]:
+            process.signal(signal.SIGSTOP)
+        for _ in range(WAITING_JOBS):
+            await self.submit_tasks(1, SHORT_TASK_S)
+        await asyncio.sleep(COUNTED_AFTER_S)
+        leader.signal(signal.SIGKILL)
+
+        async def is_counted():
+            return await self.check_count(1) == 200
+
+        await asyncio.sleep(QUERY_SENT_S)
+        await self.wait_until("the next leader counts", is_counted)
+        await self.check_count(2)
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.wait_until("entry-0 is leader", lambda: self.is_leader(
