Scheduler: a report extends only the lease of the executor it names

Cause: the restarted guard knew of no executor, and its reports were not evaluated, but each was granted 4 s of lease. That moved the bound after which the leader gives up the worker's runs. A guard that has heard of the next executor and cannot poll it had the same effect. Neither can extend the lease of the runs that the leader has placed, so neither gets a grant now, and the bound of earlier grants passes.

--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -499,6 +499,9 @@
                                         const job_task& task) const;
 
     // Leases (scheduler_leases.cpp).
+    [[nodiscard]] static bool extends_known_lease(const worker_record& worker,
+                                                  const worker_report& report,
+                                                  bool knows_incarnation);
     [[nodiscard]] bool is_end_given_up(const worker_record& worker,
                                        const ended_task& end);
     void check_lease_must_expire(worker_record& worker,
--- a/packages/scheduler/src/scheduler_leases.cpp
+++ b/packages/scheduler/src/scheduler_leases.cpp
@@ -24,6 +24,17 @@
                       options_.lease_grant);
 }
 
+// A guard extends the lease of the executor that it reports. One that knows no
+// executor, or has not polled the one that replaces the executor known here,
+// extends the lease of no run that this leader has placed.
+bool scheduler_core::extends_known_lease(const worker_record& worker,
+                                         const worker_report& report,
+                                         bool knows_incarnation)
+{
+    return knows_incarnation || (!report.worker.executor.empty() &&
+                                 worker.description.executor.empty());
+}
+
 // Whether the end reports success of a run that was given up, so that another
 // run replaces or has replaced it.
 bool scheduler_core::is_end_given_up(const worker_record& worker,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -42,9 +42,11 @@
          report.worker.executor == worker.description.executor);
     const bool has_lapsed = knows_incarnation && report.lapsed;
     check_lease_must_expire(worker, report, knows_incarnation);
-    const duration lease_grant = has_lapsed || worker.lease_must_expire
-                                     ? duration{0}
-                                     : lease_grant_for(report, now, verified);
+    const bool may_extend =
+        !has_lapsed && !worker.lease_must_expire &&
+        extends_known_lease(worker, report, knows_incarnation);
+    const duration lease_grant =
+        may_extend ? lease_grant_for(report, now, verified) : duration{0};
     answer.permit_ms = to_milliseconds(lease_grant);
     extend_lease(worker, report, lease_grant, now);
     if (knows_incarnation)
