Scheduler: its options have a header of their own

Also in this commit: a new test of waiting counts awaits the write of the end that it is about, which is delayed to be batched.

--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -20,6 +20,7 @@
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/run_time_model.hpp>
 #include <springstair/detail/scheduler/scheduler_core.hpp>
+#include <springstair/detail/scheduler/scheduler_options.hpp>
 #include <springstair/detail/scheduler/sibling_headroom.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
--- a/tests/unit/waiting_count_tests.cpp
+++ b/tests/unit/waiting_count_tests.cpp
@@ -86,7 +86,7 @@
     harness.end(fleet.definition.id + ".0.0.0", run_end::done);
     harness.report_from_guard("g1");
     CHECK(harness.core.waiting("q") == 0);
-    harness.advance();
+    harness.advance(milliseconds(100)); // the end is written
     harness.take_over();
     CHECK(harness.core.waiting("q") == 0);
 }
