Entries: a peer's answer with a state of a wrong type is no state

Found by reading, as the same fault that the count of waiting jobs had: an answer whose state is no string, or that is no object, threw on the control thread of the entry that asked. No test: only our own processes answer.

--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -164,10 +164,8 @@
     query_leader("show", {{"id", id}},
                  [this, id, request](const std::optional<json>& known)
                  {
-                     const auto state =
-                         known
-                             ? from_string<job_state>(known->value("state", ""))
-                             : std::nullopt;
+                     const auto state = from_string<job_state>(
+                         text_member(known.value_or(json()), "state"));
                      if (state)
                      {
                          answer(request, platform::state_answer(*state));
