Messages: no time of a caller, an executor or a peer leaves 64 bits

A caller with the largest Deadline-Ms was refused at once, as if its deadline had passed. Deadlines are cut to an hour, heartbeats and answers of executors beyond the bound are refused with the place, ages of counts are cut to a minute.

Failed before: the new checks in four cases of adapter_tests, malformed_message_tests and waiting_count_tests.

--- a/packages/jobs/src/entry_messages.cpp
+++ b/packages/jobs/src/entry_messages.cpp
@@ -1,5 +1,7 @@
 #include <springstair/jobs.hpp>
 
+#include <algorithm>
+
 namespace springstair
 {
 
@@ -8,11 +10,20 @@
     to = {{"waiting", from.waiting}, {"age_ms", from.age_ms}};
 }
 
+namespace
+{
+
+// Counts are used for seconds.
+constexpr std::int64_t max_age_ms = 60'000;
+
+} // namespace
+
 // An answer without a count is no count of 0.
 void from_json(const json& from, waiting_count& to)
 {
     to = {.waiting = from.at("waiting").get<std::int64_t>(),
-          .age_ms = from.value("age_ms", std::int64_t{0})};
+          .age_ms = std::clamp(from.value("age_ms", std::int64_t{0}),
+                               std::int64_t{0}, max_age_ms)};
 }
 
 void to_json(json& to, const entry_heartbeat_answer& from)
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -208,6 +208,9 @@
     CHECK(adapter::timeout_of(bounded) == std::chrono::milliseconds(1500));
     bounded.headers["deadline-ms"] = "x";
     CHECK(adapter::timeout_of(bounded) == std::chrono::seconds(3));
+    // Guards against a deadline in the past, as its microseconds wrap round.
+    bounded.headers["deadline-ms"] = "9223372036854775807";
+    CHECK(adapter::timeout_of(bounded) == std::chrono::hours(1));
 }
 
 TEST_CASE("an executor's heartbeat and leave request are decoded")
--- a/tests/unit/malformed_message_tests.cpp
+++ b/tests/unit/malformed_message_tests.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace springstair; // NOLINT: a test
 namespace adapter = springstair::platform;
 
@@ -88,6 +90,8 @@
         {"capacity", json{{"cpu", -1}, {"mem_mb", 1}}},
         {"clock_ms", "5"},
         {"seq", -1},
+        {"clock_ms", std::numeric_limits<std::int64_t>::max()},
+        {"remaining_ms", std::numeric_limits<std::int64_t>::max()},
         {"remaining_ms", "soon"}};
     for (const auto& one : cases)
     {
@@ -215,8 +219,9 @@
 
 TEST_CASE("a malformed answer of a worker is a refusal or no snapshot")
 {
-    for (const char* body : {"", "no", "[]", "7", "null", R"({"reason": 7})",
-                             R"({"running": 3})", R"({"ended": [[]]})"})
+    for (const char* body :
+         {"", "no", "[]", "7", "null", R"({"reason": 7})", R"({"running": 3})",
+          R"({"ended": [[]]})", R"({"clock_ms": 9223372036854775807})"})
     {
         CAPTURE(body);
         http_result answer;
--- a/tests/unit/waiting_count_tests.cpp
+++ b/tests/unit/waiting_count_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace springstair;        // NOLINT: a test
 using namespace springstair::tests; // NOLINT: a test
 
@@ -55,6 +57,9 @@
         CHECK_THROWS_AS(json::parse(answer).get<waiting_count>(),
                         json::exception);
     }
+    const json too_old{{"waiting", 3},
+                       {"age_ms", std::numeric_limits<std::int64_t>::max()}};
+    CHECK(too_old.get<waiting_count>().age_ms == 60'000);
     const waiting_count counted{.waiting = 3, .age_ms = 40};
     CHECK(json(counted).get<waiting_count>() == counted);
     CHECK(json::parse(R"({"waiting": 3})").get<waiting_count>().age_ms == 0);
