Scheduler: a guard that outlived every lease ends a new leader's wait

What callers saw: an executor was lost for good, its guard killed at the same moment, and the leader changed within three seconds (killed, frozen, or after a second without answers of the store). What had run there was without a run for 11 to 16 s, with room elsewhere; a long-running task may be without one for 9 s.

Cause: a new leader waits 10.5 s from the start of its term for guards that show it none of the runs that its predecessors placed. The restarted guard reported all along, but knew no executor, so its reports were not taken for anything.

The log names the reason: "its guard has never reported to this leader", which had reported for ten seconds.

Fix: reports contain the uptime of the guard process. Only the guard process of a VM extends the lease there, and earlier ones were granted theirs before this one started. So a process without a grant or a requested lease, that has run for longer than a grant lasts, proves that no lease is in force when it reports, and the leader gives up what its predecessors placed there. A guard that has heard of its executor but does not reach it gets no grant from a new leader, which would put this off for as long.

Why it is safe: an admitted report comes from a process that has the leader's epoch and takes no grant of an earlier leader; no later process has started when it is sent.

--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -45,7 +45,7 @@
                         [this](const std::optional<platform::store_item>& item)
                         { on_leader(item); }),
           reconciler_(reconciler_options(process.settings),
-                      random_hex(guard_incarnation_bytes)),
+                      random_hex(guard_incarnation_bytes), boot_clock::now()),
           leader_(process.settings.entries)
     {
         rpc_.add("orders", [this](const json& message)
--- a/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
@@ -161,8 +161,11 @@
 {
 public:
     /// @param incarnation unique id of this guard process
+    /// @param started_at when the process started; without it, its uptime is
+    /// reported as unknown
     explicit run_reconciler(run_reconciler_options options = {},
-                            std::string incarnation = {});
+                            std::string incarnation = {},
+                            std::optional<time_point> started_at = {});
 
     /// @brief Handles a heartbeat of the executor.
     void on_worker(const worker_description& description, std::int64_t clock_ms,
@@ -357,6 +360,7 @@
 
     run_reconciler_options options_;
     std::string incarnation_; ///< of this guard process
+    std::optional<time_point> started_at_;
     worker_description worker_;
     unconfirmed_incarnation unconfirmed_;
     std::set<executor_incarnation> ended_incarnations_; ///< certainly ended
--- a/packages/guard/src/run_reconciler.cpp
+++ b/packages/guard/src/run_reconciler.cpp
@@ -45,9 +45,10 @@
 } // namespace
 
 run_reconciler::run_reconciler(run_reconciler_options options,
-                               std::string incarnation)
+                               std::string incarnation,
+                               std::optional<time_point> started_at)
     : options_(options), incarnation_(std::move(incarnation)),
-      interference_(options.interference)
+      started_at_(started_at), interference_(options.interference)
 {
 }
 
@@ -488,6 +489,7 @@
         .epoch = epoch_,
         .incarnation = incarnation_,
         .sent_ms = vm_clock_ms(now),
+        .uptime_ms = to_milliseconds(now - started_at_.value_or(now)),
         .admission = admission_,
         .worker = worker_,
         .looked = polled_,
--- a/packages/scheduler/include/springstair/detail/scheduler/end_proof.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/end_proof.hpp
@@ -66,10 +66,19 @@
     /// @brief The lease grants of previous leaders have expired, and this
     /// leader has granted nothing beyond them: the guard has not polled its
     /// worker since.
-    static end_proof guard_never_reported()
+    static end_proof guard_never_polled()
     {
-        return {
-            run_end::lost, {}, "its guard has never reported to this leader"};
+        return {run_end::lost,
+                {},
+                "its guard has reported no poll of it to this leader"};
+    }
+    /// @brief The same, earlier: the guard process has no lease, and has run
+    /// for longer than the grants of earlier processes on its VM.
+    static end_proof outlived_leases()
+    {
+        return {run_end::lost,
+                {},
+                "its guard has outlived every lease, without a poll of it"};
     }
 
     [[nodiscard]] run_end how() const noexcept
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -380,6 +380,8 @@
                                         const job_task& task) const;
 
     // Leases (scheduler_leases.cpp).
+    [[nodiscard]] duration longest_lease(duration grant) const;
+    [[nodiscard]] bool has_no_lease(const worker_report& report) const;
     [[nodiscard]] static bool extends_known_lease(const worker_record& worker,
                                                   const worker_report& report,
                                                   bool knows_incarnation);
@@ -447,6 +449,7 @@
                      const worker_report& report);
     void adopt_inherited(worker_record& worker, const worker_report& report,
                          time_point now);
+    void lose_inherited(const std::string& guard, time_point now);
     void adopt_run(worker_record& worker, const task_name& name,
                    time_point now);
     static void register_suspect(worker_record& worker, const job_task& task,
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -296,17 +296,12 @@
                         end_proof::lease_bound_passed(), now);
         }
     }
-    const duration max_inherited_lease =
-        options_.lease_horizon +
-        from_seconds(to_seconds(options_.lease_horizon) *
-                     options_.clock_drift) +
-        options_.lease_slack;
     if (!inherited_runs_.empty() &&
-        now - term_started_at_ > max_inherited_lease)
+        now - term_started_at_ > longest_lease(options_.lease_horizon))
     {
         for (const auto& [guard, tasks] : std::exchange(inherited_runs_, {}))
         {
-            lose_runs(tasks, end_proof::guard_never_reported(), now);
+            lose_runs(tasks, end_proof::guard_never_polled(), now);
         }
     }
     place_if_due(now, unix_ms);
--- a/packages/scheduler/src/scheduler_leases.cpp
+++ b/packages/scheduler/src/scheduler_leases.cpp
@@ -7,16 +7,28 @@
 namespace springstair
 {
 
+// By when a lease has certainly expired that a guard may extend for this long.
+duration scheduler_core::longest_lease(duration grant) const
+{
+    return from_seconds(to_seconds(grant) * (1 + options_.clock_drift)) +
+           options_.lease_slack;
+}
+
 // How far a guard may extend its worker's lease. A guard that has not polled
 // its worker may extend runs that are not visible to this leader. Its grant
 // then ends within the time that a new leader waits for such runs, counted from
-// the start of its term: grants of previous leaders end by then.
+// the start of its term: grants of previous leaders end by then. It gets none
+// while its worker does not answer, so that every lease there expires.
 duration scheduler_core::lease_grant_for(const worker_report& report,
                                          time_point now,
                                          time_point verified_at) const
 {
     const bool may_extend_inherited =
         !report.looked && inherited_runs_.contains(report.guard);
+    if (may_extend_inherited && !report.answering)
+    {
+        return duration{0};
+    }
     const time_point base = may_extend_inherited
                                 ? std::min(verified_at, term_started_at_)
                                 : verified_at;
@@ -24,6 +36,16 @@
                       options_.lease_grant);
 }
 
+// Whether no lease can be in force on the guard's VM when it sends the report.
+// It has no grant, and no lease that it requested is in force. Earlier guard
+// processes there were granted theirs before it started. No later process has
+// started yet, so none has extended them.
+bool scheduler_core::has_no_lease(const worker_report& report) const
+{
+    return report.lease_ms == 0 && std::chrono::milliseconds(report.uptime_ms) >
+                                       longest_lease(options_.lease_grant);
+}
+
 // A guard extends the lease of the executor that it reports. One that knows no
 // executor, or has not polled the one that replaces the executor known here,
 // extends the lease of no run that this leader has placed.
@@ -94,15 +116,13 @@
         worker.starts_until_ms, report.sent_ms + to_milliseconds(lease_grant));
     worker.clock_ahead_ms =
         report.sent_ms - to_milliseconds(now - time_point{});
-    const duration with_drift =
-        from_seconds(to_seconds(lease_grant) * (1 + options_.clock_drift));
     // A grant of a previous leader may still be in force.
     const duration previous_grant = std::chrono::milliseconds(report.lease_ms);
-    const duration max_remaining = std::max(with_drift, previous_grant);
-    if (max_remaining > duration{0})
+    if (std::max(lease_grant, previous_grant) > duration{0})
     {
-        worker.lease_ends = std::max(
-            worker.lease_ends, now + max_remaining + options_.lease_slack);
+        worker.lease_ends =
+            std::max({worker.lease_ends, now + longest_lease(lease_grant),
+                      now + previous_grant + options_.lease_slack});
     }
 }
 
--- a/packages/scheduler/src/scheduler_losses.cpp
+++ b/packages/scheduler/src/scheduler_losses.cpp
@@ -319,6 +319,20 @@
     raise_unwitnessed_suspicion(worker, suspects, now);
 }
 
+// Gives up the runs that a previous leader placed at a worker that its guard
+// has not polled, and where no lease can be in force.
+void scheduler_core::lose_inherited(const std::string& guard, time_point now)
+{
+    const auto found = inherited_runs_.find(guard);
+    if (found == inherited_runs_.end())
+    {
+        return;
+    }
+    const std::set<task_name> tasks = std::move(found->second);
+    inherited_runs_.erase(found);
+    lose_runs(tasks, end_proof::outlived_leases(), now);
+}
+
 // Runs of a previous leader that were, or may have been, lost with their
 // executor and that no guard reports on.
 std::map<task_name, std::int64_t>
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -61,6 +61,10 @@
         adopt_inherited(worker, report, now);
         judge_crashes(worker, report, now);
     }
+    else if (!report.looked && has_no_lease(report))
+    {
+        lose_inherited(report.guard, now);
+    }
     worker.lost_at = now - std::chrono::milliseconds(report.failing_ms);
     worker.answering = report.answering;
     worker.paces = report.paces;
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -42,6 +42,9 @@
 RESTART_LIMIT = 5  # restarts of a part; one more ends the process
 WAITING_JOBS = 8
 COUNTED_AFTER_S = 5.0  # age at which a waiting job must be counted (platform)
+ENDLESS_TASK_S = 60.0  # longer than a drill
+LEADER_KILLED_AFTER_S = 1.5
+MAX_ABSENCE_S = 9.0  # of a long-running task (platform)
 
 
 class FirstStart:
@@ -535,6 +538,41 @@
         await self.wait_until("the next leader counts", is_counted)
         await self.check_count(2)
 
+    async def check_runs_elsewhere(self, guard_returns):
+        """Checks that a task whose executor is lost runs elsewhere in time,
+        although its guard and the leader are killed."""
+        leader = self.fleet.processes[0]
+        await self.wait_until("entry-0 is leader", lambda: self.is_leader(
+            leader.settings["announced_address"]))
+        await self.submit_tasks(1, ENDLESS_TASK_S)
+
+        async def runs_somewhere():
+            return any(executor.runs for executor in self.fleet.executors)
+
+        await self.wait_until("the task runs", runs_somewhere)
+        await asyncio.sleep(1)  # reports show it
+        lost, other = sorted(self.fleet.executors,
+                             key=lambda executor: not executor.runs)
+        guard = self.fleet.processes[
+            len(self.fleet.entries) + self.fleet.executors.index(lost)]
+        lost.crash(back_after_s=ENDLESS_TASK_S)
+        guard.signal(signal.SIGKILL)
+        guard.paused = not guard_returns  # else it is started again
+        await asyncio.sleep(LEADER_KILLED_AFTER_S)
+        leader.signal(signal.SIGKILL)
+        await asyncio.sleep(MAX_ABSENCE_S - LEADER_KILLED_AFTER_S)
+        self.assertTrue(other.runs)
+
+    # Guards against runs that a new leader gave up only 10.5 s after its term
+    # began, as no report showed them.
+    async def test_tasks_of_a_lost_executor_run_elsewhere_after_a_takeover(
+            self):
+        await self.check_runs_elsewhere(guard_returns=True)
+
+    async def known_red_tasks_of_a_lost_vm_run_elsewhere_after_a_takeover(
+            self):
+        await self.check_runs_elsewhere(guard_returns=False)
+
     async def test_a_paused_holder_shows_no_state_that_has_changed(self):
         paused = self.fleet.processes[0]
         await self.wait_until("entry-0 is leader", lambda: self.is_leader(
--- a/tests/unit/job_simulation.hpp
+++ b/tests/unit/job_simulation.hpp
@@ -21,11 +21,16 @@
 class job_simulation
 {
 public:
-    job_simulation(std::uint32_t seed, job_faults faults);
+    // job_rate: of a new job per step, unit as for faults
+    job_simulation(std::uint32_t seed, job_faults faults,
+                   int job_rate = usual_job_rate);
     void run(duration length, bool submitting);
     void stop_faults();
     void check_histories() const;
     void check_all_ended() const;
+    // Each task that was lost with its executor runs again within this time.
+    // Only for a load that leaves capacity for all of them.
+    void check_restarts(duration max_absence) const;
 
 private:
     struct leader_process
@@ -49,9 +54,10 @@
         time_point next_report{};
         time_point next_heartbeat{};
         time_point cut_until{};
-        time_point began{};        ///< start of the guard process
-        time_point down_until{};   ///< killed, not restarted before this
-        time_point silent_until{}; ///< its polls get no answer
+        time_point began{};         ///< start of the guard process
+        time_point down_until{};    ///< killed, not restarted before this
+        time_point silent_until{};  ///< its polls get no answer
+        time_point unheard_until{}; ///< it receives no heartbeat
         fake_executor executor;
         std::int64_t incarnations = 0;
         std::string executor_id; ///< incarnations may share it
@@ -263,7 +269,12 @@
     // Faults and time
     void inject_faults();
     duration restart_time();
+    void restart_guard(std::size_t index);
     void kill_guards();
+    [[nodiscard]] bool is_executor_lost() const;
+    void lose_executor(std::size_t index);
+    void lose_heartbeats(std::size_t index);
+    void take_over_soon();
     // Writes in flight when the leader is killed may still be applied.
     void kill_all();
     void crash_if_marked(std::size_t index);
@@ -290,6 +301,7 @@
 
     std::mt19937 random_;
     job_faults faults_;
+    int job_rate_;
     time_point now_{std::chrono::hours(1)};
     std::multimap<time_point, std::function<void()>> events_;
     queue_table table_;
--- a/tests/unit/job_simulation_checks.cpp
+++ b/tests/unit/job_simulation_checks.cpp
@@ -50,6 +50,14 @@
         {
             guard.cut_until = now_ + milliseconds(1000 + draw(14'000));
         }
+        if (faults_.lose_executor > 0 && chance(faults_.lose_executor))
+        {
+            lose_executor(index);
+        }
+        if (faults_.lose_heartbeats > 0 && chance(faults_.lose_heartbeats))
+        {
+            lose_heartbeats(index);
+        }
     }
     if (chance(faults_.close))
     {
@@ -71,17 +79,61 @@
     return milliseconds(100 + draw(300));
 }
 
+void job_simulation::restart_guard(std::size_t index)
+{
+    begin_guard(index);
+    guard_process& guard = guards_[index];
+    guard.down_until = now_ + restart_time();
+    guard.next_heartbeat = guard.down_until + milliseconds(draw(1000));
+}
+
 void job_simulation::kill_guards()
 {
     for (std::size_t index = 0; index < guard_count; ++index)
     {
-        begin_guard(index);
-        guard_process& guard = guards_[index];
-        guard.down_until = now_ + restart_time();
-        guard.next_heartbeat = guard.down_until + milliseconds(draw(1000));
+        restart_guard(index);
     }
 }
 
+bool job_simulation::is_executor_lost() const
+{
+    return std::ranges::any_of(guards_, [&](const guard_process& guard)
+                               { return now_ < guard.executor.born; });
+}
+
+void job_simulation::lose_executor(std::size_t index)
+{
+    if (is_executor_lost())
+    {
+        return;
+    }
+    begin_incarnation(index);
+    guards_[index].executor.born = now_ + long_outage;
+    restart_guard(index);
+    take_over_soon();
+}
+
+void job_simulation::lose_heartbeats(std::size_t index)
+{
+    guards_[index].unheard_until =
+        now_ +
+        milliseconds(draw(static_cast<int>(to_milliseconds(long_outage))));
+    restart_guard(index);
+    take_over_soon();
+}
+
+void job_simulation::take_over_soon()
+{
+    schedule(milliseconds(draw(max_takeover_ms)),
+             [this]
+             {
+                 if (current_->core)
+                 {
+                     take_over();
+                 }
+             });
+}
+
 void job_simulation::kill_all()
 {
     kill_guards();
@@ -261,6 +313,27 @@
                { return one.task.starts_with(prefix) && one.how == "failed"; });
 }
 
+void job_simulation::check_restarts(duration max_absence) const
+{
+    for (const run_interval& lost : runs_)
+    {
+        if (lost.how != "crashed")
+        {
+            continue;
+        }
+        const auto next = std::ranges::find_if(
+            runs_, [&](const run_interval& one)
+            { return one.task == lost.task && one.begin >= lost.end; });
+        const bool is_late =
+            next != runs_.end() && next->begin - lost.end > max_absence;
+        if (is_late)
+        {
+            log_runs(lost.task);
+        }
+        RC_ASSERT(!is_late);
+    }
+}
+
 void job_simulation::check_done(const job& definition) const
 {
     for (std::size_t number = 0; number < definition.steps.size(); ++number)
--- a/tests/unit/job_simulation_guards.cpp
+++ b/tests/unit/job_simulation_guards.cpp
@@ -64,7 +64,7 @@
     guard.incarnation = std::to_string(++revision_);
     guard.reconciler = std::make_shared<run_reconciler>(
         run_reconciler_options{.stop_time = milliseconds(200)},
-        guard.incarnation);
+        guard.incarnation, now_);
     guard.began = now_;
     guard.sequence = 0;
     guard.reporting = false;
@@ -100,9 +100,10 @@
 
 void job_simulation::send_heartbeat(std::size_t index)
 {
-    if (now_ < guards_[index].executor.born)
+    if (now_ < guards_[index].executor.born ||
+        now_ < guards_[index].unheard_until)
     {
-        return; // it is down
+        return; // it is down, or cut off
     }
     const worker_description description{
         .executor = guards_[index].executor.incarnation,
--- a/tests/unit/job_simulation_leaders.cpp
+++ b/tests/unit/job_simulation_leaders.cpp
@@ -9,8 +9,9 @@
 namespace springstair::job_simulations
 {
 
-job_simulation::job_simulation(std::uint32_t seed, job_faults faults)
-    : random_(seed), faults_(faults)
+job_simulation::job_simulation(std::uint32_t seed, job_faults faults,
+                               int job_rate)
+    : random_(seed), faults_(faults), job_rate_(job_rate)
 {
     table_ = {.version = 1,
               .queues = {{.name = "q",
@@ -31,7 +32,7 @@
     const time_point until = now_ + length;
     while (now_ < until)
     {
-        if (submitting && draw(100'000) < 1500)
+        if (submitting && chance(job_rate_))
         {
             submit();
         }
--- a/tests/unit/job_simulation_parts.hpp
+++ b/tests/unit/job_simulation_parts.hpp
@@ -18,6 +18,7 @@
 
 constexpr duration step = milliseconds(10);
 constexpr resources capacity{.cpu_millis = 4000, .memory_mb = 4000};
+constexpr int usual_job_rate = 1500; ///< about half of the capacity
 constexpr std::int64_t most_attempts = 3;
 constexpr std::size_t guard_count = 4;
 constexpr std::int64_t min_crashes_to_fail = 2;
@@ -39,6 +40,8 @@
 constexpr duration max_lease = seconds(6);
 // Max downtime of an executor that restarts under its id.
 constexpr int max_downtime_ms = 3000;
+constexpr duration long_outage = seconds(15);
+constexpr int max_takeover_ms = 3000;
 constexpr std::int64_t base_start_time_ms = 1'776'000'000'000;
 
 // Probabilities of faults, in units of 1/100,000, per step or message.
@@ -69,6 +72,12 @@
     int order_duplicated = 0; ///< orders are duplicated, up to seconds later
     int kill_guards = 0;      ///< all at once
     int kill_all = 0;         ///< guards and leader at once, half of them twice
+    /// An executor is lost for long_outage, its guard is killed, and the leader
+    /// changes within max_takeover_ms. One executor at a time.
+    int lose_executor = 0;
+    /// The same, but the executor only sends no heartbeat for so long: its runs
+    /// go on while they have a lease.
+    int lose_heartbeats = 0;
 };
 
 // One run on a worker, recorded for the checks.
--- a/tests/unit/job_simulation_tests.cpp
+++ b/tests/unit/job_simulation_tests.cpp
@@ -19,6 +19,10 @@
 // A guard is cut off for up to 15 s; only then does it report an executor's
 // next incarnation.
 constexpr seconds calm_after_cuts{40};
+// Leaves capacity for every task while one executor is lost.
+constexpr int light_job_rate = 400;
+// Time for which a long-running task may be without a run (platform).
+constexpr seconds max_absence{9};
 // A second kill of all processes can follow 25 s after the first.
 constexpr seconds calm_after_kills{50};
 
@@ -196,6 +200,53 @@
                     }));
 }
 
+// Guards against runs that a new leader gave up only 10.5 s after its term
+// began; users saw tasks without a run for 14 s. Their executor was lost and
+// their guard restarted, so that no report showed them.
+TEST_CASE("an executor and its guard are lost while leaders change")
+{
+    CHECK(rc::check("its tasks run elsewhere in time",
+                    []
+                    {
+                        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+                        job_simulation simulation(
+                            seed, {.call_held = 2000, .lose_executor = 60},
+                            light_job_rate);
+                        run_simulation(simulation, short_length, short_calm);
+                        simulation.check_restarts(max_absence);
+                    }));
+}
+
+// Guards against two runs of one task at once. The executor of a restarted
+// guard cannot be heard, so its runs are given up once their leases have
+// certainly expired. Calls of the guard's earlier processes arrive late, past
+// leaders still grant leases, and executors restart.
+TEST_CASE("executors are not heard by their restarted guards")
+{
+    CHECK(rc::check("calls wait, leaders change",
+                    []
+                    {
+                        run_with_cuts({.order_late = 10'000,
+                                       .report_lost = 3000,
+                                       .report_held = 20'000,
+                                       .takeover = 100,
+                                       .kill_guard = 100,
+                                       .call_held = 20'000,
+                                       .answer_lost = 10'000,
+                                       .lose_heartbeats = 100});
+                    }));
+    CHECK(rc::check("executors restart as well",
+                    []
+                    {
+                        run_with_cuts({.order_late = 10'000,
+                                       .takeover = 100,
+                                       .crash_worker = 100,
+                                       .call_held = 20'000,
+                                       .answer_lost = 10'000,
+                                       .lose_heartbeats = 100});
+                    }));
+}
+
 // Guards against more runs on a worker than fit, if the worker does not enforce
 // its capacity. Its guard refuses a run; the leader places another in the freed
 // capacity and would write that first. All processes are killed before the
--- a/tests/unit/lost_executor_tests.cpp
+++ b/tests/unit/lost_executor_tests.cpp
@@ -1,4 +1,5 @@
-// Runs of an executor that is lost together with its guard's process.
+// Runs of an executor that is lost together with its guard's process, also when
+// the leader changes.
 
 #include "scheduler_harness.hpp"
 
@@ -32,12 +33,27 @@
     void restart_guard(const std::string& executor)
     {
         worker_report& report = harness_.worker("g1");
-        report.incarnation = "restarted";
+        report.incarnation += "+";
         report.sequence = 0;
         report.worker.executor = executor;
         report.looked = false;
         report.answering = false;
         lost_ = std::exchange(report.running, {});
+        restarted_at_ = harness_.now;
+        lease_ends_ = {};
+    }
+
+    // The guard holds a grant of a leader, or may have requested a lease.
+    void hold_lease(duration left)
+    {
+        lease_ends_ = std::max(lease_ends_, harness_.now + left);
+    }
+
+    // No leader answers for a while, then another entry leads.
+    void change_leader(duration without_leader)
+    {
+        harness_.now += without_leader;
+        harness_.take_over();
     }
 
     // The restarted guard finds the executor of before, with its runs.
@@ -54,12 +70,20 @@
     {
         for (duration passed{0}; passed < length; passed += report_interval)
         {
-            harness_.report_from_guard("g1");
+            update_times();
+            const report_answer answer = harness_.report_from_guard("g1");
+            hold_lease(milliseconds(answer.permit_ms));
             harness_.report_from_guard("g2");
             harness_.advance(report_interval);
         }
     }
 
+    // Reports until this long after the guard was restarted.
+    void report_until(duration since_restart)
+    {
+        report_for(restarted_at_ + since_restart - harness_.now);
+    }
+
     [[nodiscard]] std::string started_at() const
     {
         return harness_.guard_of.at(task);
@@ -68,12 +92,24 @@
     std::string task;
 
 private:
+    void update_times()
+    {
+        worker_report& report = harness_.worker("g1");
+        report.uptime_ms = to_milliseconds(harness_.now - restarted_at_);
+        report.lease_ms =
+            to_milliseconds(std::max(duration{0}, lease_ends_ - harness_.now));
+    }
+
     scheduler_harness harness_;
     std::vector<running_task> lost_;
+    time_point restarted_at_ = harness_.now;
+    time_point lease_ends_{};
 };
 
 // A lease grant, its drift and slack, and a report.
 constexpr duration longest_lease = seconds(5);
+// Time for which a long-running task may be without a run (platform).
+constexpr duration max_absence = seconds(9);
 
 } // namespace
 
@@ -106,3 +142,76 @@
     run.report_for(2 * longest_lease);
     CHECK(run.started_at() == "g1");
 }
+
+// Guards against runs that a new leader gave up only 10.5 s after its term
+// began, although their executor was lost and their guard restarted before:
+// users saw long-running tasks without a run for 14 s.
+TEST_CASE("a new leader gives up the runs of a lost executor whose guard "
+          "restarted")
+{
+    // A handover, a leader whose lease expires, and one that was frozen.
+    for (const duration without_leader : {seconds(0), seconds(2), seconds(3)})
+    {
+        for (const duration before : {seconds(0), seconds(1), seconds(3)})
+        {
+            CAPTURE(to_seconds(without_leader));
+            CAPTURE(to_seconds(before));
+            guarded_run run;
+            run.restart_guard("");
+            run.report_for(before);
+            run.change_leader(without_leader);
+            run.report_until(max_absence);
+            CHECK(run.started_at() == "g2");
+        }
+    }
+}
+
+// Guards against the same if the guard received the executor's last heartbeat.
+TEST_CASE("a new leader gives up the runs of an executor that the restarted "
+          "guard never reached")
+{
+    guarded_run run;
+    run.restart_guard("g1-1");
+    run.hold_lease(longest_lease);
+    run.change_leader(seconds(2));
+    run.report_until(max_absence);
+    CHECK(run.started_at() == "g2");
+}
+
+// Guards against two runs of one task at once: a lease that an earlier process
+// of the guard requested may still be in force.
+TEST_CASE("a new leader waits for the leases of earlier guard processes")
+{
+    guarded_run run;
+    run.restart_guard("");
+    run.change_leader(seconds(2));
+    run.report_until(milliseconds(4300));
+    CHECK(run.started_at() == "g1");
+
+    // Each restart could follow another grant.
+    run.restart_guard("");
+    run.report_until(milliseconds(4300));
+    CHECK(run.started_at() == "g1");
+    run.report_until(longest_lease);
+    CHECK(run.started_at() == "g2");
+}
+
+TEST_CASE("a new leader waits for a lease that the restarted guard holds")
+{
+    guarded_run run;
+    run.restart_guard("");
+    run.hold_lease(seconds(8));
+    run.change_leader(seconds(0));
+    run.report_until(milliseconds(7900));
+    CHECK(run.started_at() == "g1");
+}
+
+TEST_CASE("a new leader adopts runs that the restarted guard finds in time")
+{
+    guarded_run run;
+    run.restart_guard("");
+    run.change_leader(seconds(2));
+    run.find_executor();
+    run.report_for(2 * longest_lease);
+    CHECK(run.started_at() == "g1");
+}
