Entries: a job is shown, cancelled and submitted in its own queue only

What callers saw: GET and DELETE with the path of any queue showed and cancelled a job of another one, and a submission to one queue with the id of a job in another was answered 200 and dropped: an accepted job that never runs.

Cause: jobs are looked up by their id alone; a write that found the id taken was taken for a repeat of the same submission.

Fix: requests carry the queue of the caller's path, between entries as well. It is compared with that of the job: 410 for another queue, 409 for a submission there. Tasks are named by the id alone, so two queues cannot share one. A job whose queue is not in the table any more is found as before.

--- a/packages/daemon/src/job_request_forwarding.cpp
+++ b/packages/daemon/src/job_request_forwarding.cpp
@@ -30,6 +30,7 @@
 // No request is forwarded to an entry for this time after it failed.
 constexpr duration failed_peer_backoff = std::chrono::seconds(2);
 constexpr int ok_status = 200;
+constexpr int conflict_status = 409;
 constexpr int gone_status = 410;
 constexpr int bad_request_status = 400;
 constexpr int unavailable_status = 503;
@@ -38,6 +39,7 @@
 {
     return result.how == delivery::answered &&
            (result.response.status == ok_status ||
+            result.response.status == conflict_status ||
             result.response.status == gone_status);
 }
 
@@ -48,10 +50,12 @@
             result.response.status == unavailable_status);
 }
 
-std::string path_of(const std::string& method, const std::string& job)
+std::string path_of(const std::string& method, const job_reference& job)
 {
     const std::string path(forward_path);
-    return method == "POST" ? path : path + "/" + job;
+    return method == "POST"
+               ? path
+               : path + "/" + job.id + "?queue=" + percent_encoded(job.queue);
 }
 
 } // namespace
@@ -118,7 +122,7 @@
     const http_result& result, std::function<void()> on_forward_failed)
 {
     log_event(event_id::job_passed_on,
-              {{"job", forwarded.job},
+              {{"job", forwarded.job.id},
                {"request", forwarded.method},
                {"to", request->tried_peers.back()},
                {"answer", result.how == delivery::answered
@@ -144,7 +148,7 @@
 // Forwards a request to another entry. If none can serve it, retries here after
 // a delay.
 void job_request_handler::forward_or_retry(const char* method,
-                                           const std::string& id,
+                                           const job_reference& asked,
                                            const request_ptr& request,
                                            std::function<void()> retry_here)
 {
@@ -153,7 +157,7 @@
         retry_later(request, std::move(retry_here));
         return;
     }
-    forward_request({.method = method, .job = id}, request,
+    forward_request({.method = method, .job = asked}, request,
                     [this, request, retry_here = std::move(retry_here)]
                     { retry_later(request, retry_here); });
 }
@@ -185,10 +189,12 @@
 void job_request_handler::serve_forwarded(const http_request& incoming,
                                           const request_ptr& request)
 {
-    const std::string id = incoming.path.size() > forward_path.size()
-                               ? incoming.path.substr(forward_path.size() + 1)
-                               : std::string();
-    const bool is_shown = incoming.method == "GET" && job_scheduler_.shown(id);
+    const job_reference asked{
+        .id = incoming.path.size() > forward_path.size()
+                  ? incoming.path.substr(forward_path.size() + 1)
+                  : std::string(),
+        .queue = incoming.argument("queue")};
+    const bool is_shown = incoming.method == "GET" && shown(asked);
     if (store_unavailable_since_ && !is_shown)
     {
         answer(request, platform::refused_answer(
@@ -201,7 +207,7 @@
         submit(decode_job(*incoming.body), request);
         return;
     }
-    incoming.method == "DELETE" ? cancel(id, request) : show(id, request);
+    incoming.method == "DELETE" ? cancel(asked, request) : show(asked, request);
 }
 
 // ---------------------------------------------------------------------------
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -150,19 +150,52 @@
 void job_request_handler::handle(const platform::show_request& message,
                                  const request_ptr& request)
 {
-    show(message.id, request);
+    show(message.job, request);
 }
 
-void job_request_handler::show(const std::string& id,
+// Whether a caller that names a queue means a job of @p queue. A job whose
+// queue was removed or renamed is found under any name.
+bool job_request_handler::is_in_queue(const std::string& queue,
+                                      const job_reference& asked) const
+{
+    return asked.queue.empty() || queue == asked.queue ||
+           table_.queue(queue) == nullptr;
+}
+
+// Whether a stored job is in another queue than the caller named. One that
+// cannot be read is shown and cancelled under any name.
+bool job_request_handler::is_other_job(const store_result& result,
+                                       const job_reference& asked) const
+{
+    const auto stored = std::ranges::find(result.items, job_key(asked.id),
+                                          &platform::store_item::key);
+    return stored != result.items.end() &&
+           !is_in_queue(
+               text_member(json::parse(stored->value, nullptr, false), "queue"),
+               asked);
+}
+
+// The state known to this entry; nothing if it is not the leader, or if the
+// caller means another job.
+std::optional<job_state>
+job_request_handler::shown(const job_reference& asked) const
+{
+    const job_record* const record = job_scheduler_.core().find(asked.id);
+    return record != nullptr && is_in_queue(record->definition().queue, asked)
+               ? job_scheduler_.shown(asked.id)
+               : std::nullopt;
+}
+
+void job_request_handler::show(const job_reference& asked,
                                const request_ptr& request)
 {
-    if (const auto state = job_scheduler_.shown(id))
+    if (const auto state = shown(asked))
     {
         answer(request, platform::state_answer(*state));
         return;
     }
-    query_leader("show", {{"id", id}},
-                 [this, id, request](const std::optional<json>& known)
+    query_leader("show", asked,
+                 [this, asked, request](const std::optional<json>& known)
                  {
                      const auto state = from_string<job_state>(
                          text_member(known.value_or(json()), "state"));
@@ -171,13 +204,13 @@
                          answer(request, platform::state_answer(*state));
                          return;
                      }
-                     show_from_store(id, request);
+                     show_from_store(asked, request);
                  });
 }
 
 json job_request_handler::show_for_peer(const json& message) const
 {
-    const auto state = job_scheduler_.shown(message.value("id", ""));
+    const auto state = shown(message.get<job_reference>());
     return state ? json{{"state", std::string(to_string(*state))}}
                  : json::object();
 }
@@ -202,33 +235,35 @@
                              { done(rpc_result_of(result)); }));
 }
 
-void job_request_handler::show_from_store(const std::string& id,
+void job_request_handler::show_from_store(const job_reference& asked,
                                           const request_ptr& request)
 {
     if (store_unavailable_since_ && !request->forwarded)
     {
-        forward_or_retry("GET", id, request,
-                         [this, id, request] { show_from_store(id, request); });
+        forward_or_retry("GET", asked, request,
+                         [this, asked, request]
+                         { show_from_store(asked, request); });
         return;
     }
-    store_.range(job_key(id), {}, call_timeout(request),
+    store_.range(job_key(asked.id), {}, call_timeout(request),
                  process_.on_control<store_result>(
-                     [this, id, request](const store_result& result)
-                     { on_job_read(id, request, result); }));
+                     [this, asked, request](const store_result& result)
+                     { on_job_read(asked, request, result); }));
 }
 
-void job_request_handler::on_job_read(const std::string& id,
+void job_request_handler::on_job_read(const job_reference& asked,
                                       const request_ptr& request,
                                       const store_result& result)
 {
     record_store_result(result);
     if (result.status != store_status::done)
     {
-        forward_or_retry("GET", id, request,
-                         [this, id, request] { show_from_store(id, request); });
+        forward_or_retry("GET", asked, request,
+                         [this, asked, request]
+                         { show_from_store(asked, request); });
         return;
     }
-    if (result.items.empty())
+    if (result.items.empty() || is_other_job(result, asked))
     {
         answer(request, platform::no_such_job_answer());
         return;
@@ -237,18 +272,19 @@
         std::any_of(result.items.begin(), result.items.end(),
                     [](const platform::store_item& item)
                     { return parse_job_key(item.key).cancellation; });
-    show_progress(id, cancelled, request);
+    show_progress(asked, cancelled, request);
 }
 
 // A job that ended before it was cancelled keeps its final state. The job's own
 // record is not needed: one that cannot be read is shown and cancelled as well.
-void job_request_handler::show_progress(const std::string& id, bool cancelled,
+void job_request_handler::show_progress(const job_reference& asked,
+                                        bool cancelled,
                                         const request_ptr& request)
 {
     store_.read(
-        progress_key(id), call_timeout(request),
+        progress_key(asked.id), call_timeout(request),
         process_.on_control<store_result>(
-            [this, id, cancelled, request](const store_result& result)
+            [this, asked, cancelled, request](const store_result& result)
             {
                 record_store_result(result);
                 const bool absent = result.status == store_status::absent;
@@ -256,10 +292,10 @@
                                   !result.items.empty();
                 if (!absent && !read)
                 {
-                    forward_or_retry("GET", id, request,
-                                     [this, id, cancelled, request] {
-                                         show_progress(id, cancelled, request);
-                                     });
+                    forward_or_retry(
+                        "GET", asked, request,
+                        [this, asked, cancelled, request]
+                        { show_progress(asked, cancelled, request); });
                     return;
                 }
                 const auto stored = absent ? std::optional(job_state::pending)
@@ -284,71 +320,72 @@
 void job_request_handler::handle(const platform::cancel_request& message,
                                  const request_ptr& request)
 {
-    cancel(message.id, request);
+    cancel(message.job, request);
 }
 
-void job_request_handler::cancel(const std::string& id,
+void job_request_handler::cancel(const job_reference& asked,
                                  const request_ptr& request)
 {
     if (store_unavailable_since_ && !request->forwarded)
     {
-        forward_or_retry("DELETE", id, request,
-                         [this, id, request] { cancel(id, request); });
+        forward_or_retry("DELETE", asked, request,
+                         [this, asked, request] { cancel(asked, request); });
         return;
     }
-    if (job_scheduler_.core().find(id) != nullptr)
+    const job_record* const record = job_scheduler_.core().find(asked.id);
+    if (record != nullptr && is_in_queue(record->definition().queue, asked))
     {
-        write_cancellation(id, request);
+        write_cancellation(asked, request);
         return;
     }
-    store_.read(job_key(id), call_timeout(request),
+    store_.read(job_key(asked.id), call_timeout(request),
                 process_.on_control<store_result>(
-                    [this, id, request](const store_result& result)
-                    { on_cancel_read(id, request, result); }));
+                    [this, asked, request](const store_result& result)
+                    { on_cancel_read(asked, request, result); }));
 }
 
-void job_request_handler::on_cancel_read(const std::string& id,
+void job_request_handler::on_cancel_read(const job_reference& asked,
                                          const request_ptr& request,
                                          const store_result& result)
 {
     record_store_result(result);
-    if (result.status == store_status::absent)
+    if (result.status == store_status::absent || is_other_job(result, asked))
     {
         answer(request, platform::no_such_job_answer());
         return;
     }
     if (result.status != store_status::done)
     {
-        forward_or_retry("DELETE", id, request,
-                         [this, id, request] { cancel(id, request); });
+        forward_or_retry("DELETE", asked, request,
+                         [this, asked, request] { cancel(asked, request); });
         return;
     }
-    write_cancellation(id, request);
+    write_cancellation(asked, request);
 }
 
-void job_request_handler::write_cancellation(const std::string& id,
+void job_request_handler::write_cancellation(const job_reference& asked,
                                              const request_ptr& request)
 {
-    store_.transact(cancellation_of(id), call_timeout(request),
-                    process_.on_control<store_result>(
-                        [this, id, request](const store_result& result)
-                        {
-                            record_store_result(result);
-                            if (result.status != store_status::done)
-                            {
-                                request->may_be_written = true;
-                                forward_or_retry(
-                                    "DELETE", id, request,
-                                    [this, id, request]
-                                    { write_cancellation(id, request); });
-                                return;
-                            }
-                            log_event(event_id::job_cancelled, {{"job", id}});
-                            job_scheduler_.job_was_cancelled(id);
-                            query_leader("cancelled", {{"id", id}},
-                                         [](const std::optional<json>&) {});
-                            answer(request, platform::accepted_answer());
-                        }));
+    store_.transact(
+        cancellation_of(asked.id), call_timeout(request),
+        process_.on_control<store_result>(
+            [this, asked, request](const store_result& result)
+            {
+                record_store_result(result);
+                if (result.status != store_status::done)
+                {
+                    request->may_be_written = true;
+                    forward_or_retry("DELETE", asked, request,
+                                     [this, asked, request]
+                                     { write_cancellation(asked, request); });
+                    return;
+                }
+                log_event(event_id::job_cancelled, {{"job", asked.id}});
+                job_scheduler_.job_was_cancelled(asked.id);
+                query_leader("cancelled", asked,
+                             [](const std::optional<json>&) {});
+                answer(request, platform::accepted_answer());
+            }));
 }
 
 // ---------------------------------------------------------------------------
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -13,7 +13,8 @@
 {
 
 /// Path for requests forwarded by other entries: submit a job (POST), and with
-/// the job's id appended, show it (GET) or cancel it (DELETE).
+/// the job's id appended and its queue as an argument, show it (GET) or cancel
+/// it (DELETE).
 inline constexpr std::string_view forward_path = "/internal/jobs";
 
 /// Time between the handler's deadline and the caller's timeout, so that the
@@ -74,7 +75,7 @@
     struct forwarded_request
     {
         std::string method;
-        std::string job; ///< its id
+        job_reference job;
         shared_body body{};
     };
 
@@ -95,16 +96,24 @@
     void on_store_failed(const job& definition, const request_ptr& request);
     void forward_submission(const job& definition, const request_ptr& request);
     void notify_leader(const job& definition);
-    void show(const std::string& id, const request_ptr& request);
-    void show_from_store(const std::string& id, const request_ptr& request);
-    void on_job_read(const std::string& id, const request_ptr& request,
+    void show(const job_reference& asked, const request_ptr& request);
+    void show_from_store(const job_reference& asked,
+                         const request_ptr& request);
+    void on_job_read(const job_reference& asked, const request_ptr& request,
                      const platform::store_result& result);
-    void show_progress(const std::string& id, bool cancelled,
+    void show_progress(const job_reference& asked, bool cancelled,
                        const request_ptr& request);
-    void cancel(const std::string& id, const request_ptr& request);
-    void on_cancel_read(const std::string& id, const request_ptr& request,
+    void cancel(const job_reference& asked, const request_ptr& request);
+    void on_cancel_read(const job_reference& asked, const request_ptr& request,
                         const platform::store_result& result);
-    void write_cancellation(const std::string& id, const request_ptr& request);
+    void write_cancellation(const job_reference& asked,
+                            const request_ptr& request);
+    [[nodiscard]] std::optional<job_state>
+    shown(const job_reference& asked) const;
+    [[nodiscard]] bool is_in_queue(const std::string& queue,
+                                   const job_reference& asked) const;
+    [[nodiscard]] bool is_other_job(const platform::store_result& result,
+                                    const job_reference& asked) const;
 
     // Forwarding while the store is unavailable to this entry.
     void forward_request(const forwarded_request& forwarded,
@@ -118,7 +127,7 @@
     next_forward_target(const open_request& request) const;
     void serve_forwarded(const http_request& incoming,
                          const request_ptr& request);
-    void forward_or_retry(const char* method, const std::string& id,
+    void forward_or_retry(const char* method, const job_reference& asked,
                           const request_ptr& request,
                           std::function<void()> retry_here);
     void probe(time_point now);
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -42,7 +42,7 @@
 {
     forward_request(
         {.method = "POST",
-         .job = definition.id,
+         .job = {.id = definition.id, .queue = definition.queue},
          .body = make_body(json(definition).dump())},
         request,
         [this, definition, request]
@@ -86,12 +86,19 @@
 }
 
 // The write creates the job unless it exists. A conflict means that it exists:
-// this request, or an earlier one for the same job, was committed.
+// this request, or an earlier one for the same job, was committed. Tasks are
+// named by the id of their job alone, so two queues cannot share one.
 void job_request_handler::on_submitted(const job& definition,
                                        const request_ptr& request,
                                        const store_result& result)
 {
     record_store_result(result);
+    if (result.status == store_status::conflict &&
+        is_other_job(result, {.id = definition.id, .queue = definition.queue}))
+    {
+        answer(request, platform::id_taken_answer(definition.id));
+        return;
+    }
     if (result.status == store_status::done ||
         result.status == store_status::conflict)
     {
--- a/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
@@ -25,6 +25,16 @@
 /// jobs.
 inline constexpr const char* count_method = "count";
 
+/// @brief A job as a caller names it.
+struct job_reference
+{
+    std::string id;
+    /// Queue of the caller's path; empty from entries of earlier versions.
+    std::string queue;
+
+    bool operator==(const job_reference&) const = default;
+};
+
 /// @brief Request for the number of waiting jobs of a queue.
 struct waiting_count_query
 {
@@ -108,6 +118,7 @@
 void from_json(const json& from, waiting_count& to);
 void to_json(json& to, const entry_heartbeat_answer& from);
 void from_json(const json& from, entry_heartbeat_answer& to);
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_reference, id, queue)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(waiting_count_query, queue)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(leader_change, epoch, holder)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_request, epoch, from)
--- a/packages/transport/include/springstair/detail/transport/http_message.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_message.hpp
@@ -49,6 +49,9 @@
 /// represent, are replaced.
 std::string to_text(const json& document);
 
+/// @brief Encodes a text as a value in the query of a URL.
+std::string percent_encoded(std::string_view text);
+
 /// @brief Parses a body as JSON.
 /// @throw document_error 102 if it is not JSON
 json parse_body(const shared_body& body);
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -1,5 +1,6 @@
 #include <springstair/transport.hpp>
 
+#include <cctype>
 #include <utility>
 
 namespace springstair
@@ -43,6 +44,26 @@
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string percent_encoded(std::string_view text)
+{
+    static constexpr char digits[] = "0123456789ABCDEF";
+    std::string out;
+    for (const char sign : text)
+    {
+        const auto byte = static_cast<unsigned char>(sign);
+        if (std::isalnum(byte) != 0 || sign == '-' || sign == '.' ||
+            sign == '_' || sign == '/')
+        {
+            out += sign;
+            continue;
+        }
+        out += '%';
+        out += digits[byte >> 4U];
+        out += digits[byte & 15U];
+    }
+    return out;
+}
+
 json parse_body(const shared_body& body)
 {
     json document = json::parse(body ? *body : std::string(), nullptr, false);
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import os
 import random
@@ -292,6 +293,27 @@
         unknown = self.caller.make_job()
         self.assertEqual(await self.call(2, "GET", unknown), 410)
 
+    # Guards against jobs that were shown and cancelled under the path of
+    # another queue, and against a submission there that was accepted and
+    # dropped, as its id was taken.
+    async def test_a_job_is_known_in_its_own_queue_only(self):
+        entry_0 = self.fleet.processes[0].settings["announced_address"]
+        await self.wait_until("entry-0 is leader",
+                              lambda: self.is_leader(entry_0))
+        await asyncio.sleep(LEADER_KNOWN_S)
+        job = await self.submit_tasks(1, LONG_TASK_S)
+        other = copy.copy(job)
+        other.queue = "heavy"
+        self.store_link(2).begin_rejecting()  # it forwards requests
+        for entry in range(len(self.fleet.entries)):
+            self.assertEqual(await self.call(entry, "GET", other), 410)
+            self.assertEqual(await self.call(entry, "DELETE", other), 410)
+            self.assertEqual(await self.call(entry, "POST", other), 409)
+            self.assertEqual(await self.call(entry, "POST", job), 200)
+            self.assertIn(await self.query_state(entry, job),
+                          ("pending", "running"))
+        await self.wait_until_done(job)
+
     async def test_a_holder_that_the_store_turns_away_gives_its_office(self):
         entry_0 = self.fleet.processes[0].settings["announced_address"]
         await self.wait_until("entry-0 is leader",
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -183,10 +183,13 @@
     }
     const auto unknown = adapter::decode_request(request("GET", "/one/"), {});
     CHECK(std::get<adapter::refused_request>(unknown).answer.status == 503);
-    CHECK(std::holds_alternative<adapter::show_request>(
-        adapter::decode_request(request("GET", "/one/" + id), table)));
-    CHECK(std::holds_alternative<adapter::cancel_request>(
-        adapter::decode_request(request("DELETE", "/one/" + id), table)));
+    const job_reference asked{.id = id, .queue = "r1"};
+    CHECK(std::get<adapter::show_request>(
+              adapter::decode_request(request("GET", "/one/" + id), table))
+              .job == asked);
+    CHECK(std::get<adapter::cancel_request>(
+              adapter::decode_request(request("DELETE", "/one/" + id), table))
+              .job == asked);
     CHECK(std::get<adapter::count_request>(
               adapter::decode_request(request("GET", "/one/"), table))
               .queue == "r1");
