Scheduler: the stop of a run that its guard has not started is repeated

What callers saw: a task of a cancelled job could start four seconds after its order, if the order to stop it was lost; three are allowed.

Cause: stops of running runs are repeated in each answer to a report, those of runs that are listed nowhere after a second; a run listed as starting was neither.

Fix: the answer stops each run listed as starting that is to be stopped. Guards ignore the stop of a run that they are stopping.

--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -319,9 +319,10 @@
     log_decision(event_id::run_unwanted, std::move(fields));
 }
 
-// A duplicate of a start order can arrive after its run was refused. The answer
-// stops it in the guard before it is sent to the worker. The run number covers
-// every run that the task has had: none of them may begin there any more.
+// Stops runs that the guard has not started yet. A duplicate of a start order
+// can arrive after its run was refused; the run number covers every run that
+// the task has had: none of them may begin there any more. The stop of a
+// current run is repeated, since its order may have been lost.
 void scheduler_core::stop_unwanted_starts(const worker_record& worker,
                                           const worker_report& report,
                                           guard_orders& out)
@@ -335,7 +336,7 @@
         }
         const bool is_current =
             task->run && is_current_run(task, task->run->number, worker);
-        if (!is_current)
+        if (!is_current || task->run->stopping)
         {
             out.stops.push_back({.task = name, .run = task->runs});
         }
