Scheduler: a failed run of a gang counts once, however many members fail

Cause: all members carry the gang's count of failures, and each member that ended as failed raised it.

Fix: the newest failed run is kept with the count, copied to all members and stored; further ends of that run do not count.

--- a/packages/jobs/include/springstair/detail/jobs/progress.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/progress.hpp
@@ -13,7 +13,9 @@
     bool done = false;
     std::int64_t runs = 0;     ///< number of the newest run; 0: none yet
     std::int64_t failures = 0; ///< number of failed runs
-    std::string guard;         ///< where the newest run may be; empty: nowhere
+    /// Newest failed run of a gang: the other members' ends of it do not count.
+    std::int64_t failed_run = 0;
+    std::string guard; ///< where the newest run may be; empty: nowhere
     executor_incarnation executor; ///< incarnation that it was placed on
     std::string checkpoint;        ///< to resume from; empty: none
     std::int64_t suspicion = 0;    ///< of crashing the executors that start it
--- a/packages/jobs/src/progress.cpp
+++ b/packages/jobs/src/progress.cpp
@@ -14,7 +14,8 @@
                             task.position.index, task.done ? 1 : 0, task.runs,
                             task.failures, task.guard, task.executor.id,
                             task.checkpoint});
-    const bool has_losses = task.losses > 0;
+    const bool has_failed_run = task.failed_run > 0;
+    const bool has_losses = task.losses > 0 || has_failed_run;
     const bool has_start_time = task.executor.born_ms != 0 || has_losses;
     if (task.suspicion > 0 || has_start_time)
     {
@@ -30,6 +31,10 @@
     {
         row.push_back(task.losses);
     }
+    if (has_failed_run)
+    {
+        row.push_back(task.failed_run);
+    }
     return row;
 }
 
@@ -38,11 +43,13 @@
     const bool has_suspicion = row.size() > 11;
     const bool has_start_time = row.size() > 12;
     const bool has_losses = row.size() > 13;
+    const bool has_failed_run = row.size() > 14;
     return {
         .position = {.round = row.at(0), .step = row.at(1), .index = row.at(2)},
         .done = row.at(3).get<int>() != 0,
         .runs = row.at(4),
         .failures = row.at(5),
+        .failed_run = has_failed_run ? row.at(14).get<std::int64_t>() : 0,
         .guard = row.at(6),
         .executor = {row.at(7).get<std::string>(),
                      has_start_time ? row.at(12).get<std::int64_t>() : 0},
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -67,6 +67,7 @@
     bool done = false;
     std::int64_t runs = 0;
     std::int64_t failures = 0;
+    std::int64_t failed_run = 0; ///< newest failed run of a gang
     /// Suspicion of crashing executors; see crash_suspicion.hpp.
     std::int64_t suspicion = 0;
     std::int64_t crashes = 0;    ///< confirmed executor crashes under it
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -140,6 +140,7 @@
              .done = task.done,
              .runs = task.runs,
              .failures = task.failures,
+             .failed_run = task.failed_run,
              .guard = task.run ? task.run->guard : std::string(),
              .executor = task.run ? task.run->executor : executor_incarnation(),
              .checkpoint = task.done ? std::string() : task.checkpoint,
@@ -166,6 +167,7 @@
         task->done = saved.done;
         task->runs = saved.runs;
         task->failures = saved.failures;
+        task->failed_run = saved.failed_run;
         task->checkpoint = saved.checkpoint;
         task->suspicion = saved.suspicion;
         task->crashes = saved.crashes;
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -107,6 +107,7 @@
         if (outcome == run_end::failed)
         {
             member.failures = std::max(member.failures, ended.failures);
+            member.failed_run = std::max(member.failed_run, ended.failed_run);
         }
         if (outcome == run_end::done)
         {
@@ -122,13 +123,19 @@
     }
 }
 
+// A run of a gang fails once, however many of its members fail.
 void scheduler_core::count_failure(job_record& record, job_task& task,
                                    const task_run& run, time_point now)
 {
     ++counts_.failed_runs;
-    ++task.failures;
     task.avoided.insert(run.guard);
     const job_step& step = record.step_at(record.position_of(task));
+    if (step.gang && run.number <= task.failed_run)
+    {
+        return;
+    }
+    ++task.failures;
+    task.failed_run = step.gang ? run.number : 0;
     const queue_row* const queue = table_.queue(record.definition().queue);
     const bool exhausted = !step.lasting && queue != nullptr &&
                            task.failures >= queue->most_attempts;
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -602,7 +602,11 @@
                    .guard = "g",
                    .executor = "l",
                    .checkpoint = "c"},
-                  {.position = {.round = 1}, .done = true, .runs = 1}}};
+                  {.position = {.round = 1}, .done = true, .runs = 1},
+                  {.position = {.index = 3},
+                   .runs = 4,
+                   .failures = 2,
+                   .failed_run = 4}}};
     CHECK(decode_progress(encode(kept)) == kept);
     CHECK_THROWS_AS(decode_progress("{}"), document_error);
 }
