Jobs: an accepted job runs to its end although its queue is removed

Cause: a job is scheduled by the row of its queue in the table, and was passed over without one. A new leader knows only the newest table.

Fix: entries store with a job the row under which they accept it; it applies once the table has none. Jobs of earlier versions wait as before. Starting such tasks keeps to the rule on routes: a configuration sent the queue to that service.

--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -30,6 +30,7 @@
     }
     job accepted = message.definition;
     accepted.accepted_ms = unix_milliseconds();
+    accepted.accepted_under = *queue;
     // The store may be unavailable to this VM only; another entry can then
     // write the job.
     store_unavailable_since_ ? forward_submission(accepted, request)
--- a/packages/jobs/include/springstair/detail/jobs/job.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/job.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <springstair/detail/jobs/queue_row.hpp>
 #include <springstair/membership.hpp>
 
 #include <compare>
@@ -66,6 +67,9 @@
     std::vector<job_step> steps;
     job_schedule schedule;
     std::int64_t accepted_ms = 0; ///< Unix time at which an entry accepted it
+    /// The row of its queue then: it applies once the table has none. Nothing
+    /// if an earlier version accepted the job.
+    std::optional<queue_row> accepted_under;
 
     bool operator==(const job&) const = default;
 
@@ -79,8 +83,8 @@
     [[nodiscard]] std::int64_t critical_path_ms() const;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job, id, queue, payload, steps,
-                                                schedule, accepted_ms)
+void to_json(json& to, const job& from);
+void from_json(const json& from, job& to);
 
 /// @brief Bounds of a job; a larger one is refused with findings.
 ///
--- a/packages/jobs/src/job.cpp
+++ b/packages/jobs/src/job.cpp
@@ -153,6 +153,34 @@
     return out;
 }
 
+void to_json(json& to, const job& from)
+{
+    to = {{"id", from.id},
+          {"queue", from.queue},
+          {"payload", from.payload},
+          {"steps", from.steps},
+          {"schedule", from.schedule},
+          {"accepted_ms", from.accepted_ms}};
+    if (from.accepted_under)
+    {
+        to["accepted_under"] = *from.accepted_under;
+    }
+}
+
+void from_json(const json& from, job& to)
+{
+    to = {.id = from.value("id", ""),
+          .queue = from.value("queue", ""),
+          .payload = from.value("payload", ""),
+          .steps = from.value("steps", std::vector<job_step>{}),
+          .schedule = from.value("schedule", job_schedule{}),
+          .accepted_ms = from.value("accepted_ms", std::int64_t{0})};
+    if (from.contains("accepted_under"))
+    {
+        to.accepted_under = from.at("accepted_under").get<queue_row>();
+    }
+}
+
 job read_job(const json& document, const job_bounds& bounds)
 {
     try
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -502,6 +502,7 @@
     void log_decision(event_id id, std::vector<event_field> fields);
 
     job_record* job_of(const std::string& id);
+    [[nodiscard]] const queue_row* queue_of(const job& definition) const;
     // A task by its name in reports; null pointers if there is none.
     struct known_task
     {
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -128,6 +128,15 @@
     return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+// The row that a job is scheduled by; null if none is known. A job whose queue
+// was removed was accepted and runs to its end.
+const queue_row* scheduler_core::queue_of(const job& definition) const
+{
+    const queue_row* const row = table_.queue(definition.queue);
+    const bool is_kept = row == nullptr && definition.accepted_under;
+    return is_kept ? &*definition.accepted_under : row;
+}
+
 scheduler_core::known_task scheduler_core::find_task(const std::string& name)
 {
     const auto parsed = task_name::parse(name);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -136,7 +136,7 @@
     }
     ++task.failures;
     task.failed_run = step.gang ? run.number : 0;
-    const queue_row* const queue = table_.queue(record.definition().queue);
+    const queue_row* const queue = queue_of(record.definition());
     const bool exhausted = !step.lasting && queue != nullptr &&
                            task.failures >= queue->most_attempts;
     if (!exhausted)
--- a/packages/scheduler/src/scheduler_moves.cpp
+++ b/packages/scheduler/src/scheduler_moves.cpp
@@ -56,7 +56,7 @@
     job_record& record = *job_of(name.job);
     const job_step& step = record.step_at(name.position);
     const task_run& run = *record.find(name.position)->run;
-    const queue_row* const queue = table_.queue(record.definition().queue);
+    const queue_row* const queue = queue_of(record.definition());
     return step.fills && step.checkpoints && step.image == image && run.seen &&
            !run.stopping && queue != nullptr && !queue->advice;
 }
@@ -68,15 +68,15 @@
     const job_record& record = *job_of(name.job);
     const std::string group = step_group(name.job, name.position);
     const std::set<std::string> current_guard{worker.guard};
-    const worker_record* const other = choose_worker(
-        workers_,
-        {.step = record.step_at(name.position),
-         .service = table_.queue(record.definition().queue)->service,
-         .group = group,
-         .avoided = current_guard,
-         .interference = interference_model_,
-         .now = now},
-        options_.placement);
+    const worker_record* const other =
+        choose_worker(workers_,
+                      {.step = record.step_at(name.position),
+                       .service = queue_of(record.definition())->service,
+                       .group = group,
+                       .avoided = current_guard,
+                       .interference = interference_model_,
+                       .now = now},
+                      options_.placement);
     return other != nullptr && other != &worker;
 }
 
@@ -171,7 +171,7 @@
     job_record& record = *job_of(name.job);
     const job_step& step = record.step_at(name.position);
     const task_run& run = *record.find(name.position)->run;
-    const queue_row* const queue = table_.queue(record.definition().queue);
+    const queue_row* const queue = queue_of(record.definition());
     return step.lasting && !step.gang && run.seen && !run.stopping &&
            queue != nullptr && !queue->advice;
 }
--- a/packages/scheduler/src/scheduler_placing.cpp
+++ b/packages/scheduler/src/scheduler_placing.cpp
@@ -89,7 +89,7 @@
 job_rank scheduler_core::rank(job_record& record, time_point now)
 {
     const job& definition = record.definition();
-    const queue_row* const queue = table_.queue(definition.queue);
+    const queue_row* const queue = queue_of(definition);
     const bool is_ordered_by_forecast = options_.overload_order &&
                                         definition.schedule.count == 0 &&
                                         !definition.steps.front().lasting;
@@ -147,7 +147,7 @@
     {
         return false;
     }
-    const queue_row* const queue = table_.queue(record.definition().queue);
+    const queue_row* const queue = queue_of(record.definition());
     if (queue == nullptr)
     {
         return true;
--- a/packages/scheduler/src/scheduler_urgent.cpp
+++ b/packages/scheduler/src/scheduler_urgent.cpp
@@ -110,7 +110,7 @@
     const resources used = reserved_by(step);
     worker.short_runs[name] = {
         .expected_end = now + urgent_room_.run_time(step), .capacity = used};
-    const queue_row* const queue = table_.queue(record.definition().queue);
+    const queue_row* const queue = queue_of(record.definition());
     if (queue != nullptr && urgent_room_.is_urgent(step, queue->priority))
     {
         counts_.urgent_on_reserved +=
@@ -164,7 +164,7 @@
     job_record& record = *job_of(request.first.job);
     const task_position& position = request.first.position;
     const job_step& step = record.step_at(position);
-    const queue_row& queue = *table_.queue(request.first.queue);
+    const queue_row& queue = *queue_of(record.definition());
     const std::string group = step_group(request.first.job, position);
     const ticket_map tickets =
         queue.advice ? tickets_.tickets(group, now) : ticket_map{};
--- a/tests/soak/job_drills.py
+++ b/tests/soak/job_drills.py
@@ -314,6 +314,23 @@
                           ("pending", "running"))
         await self.wait_until_done(job)
 
+    # Guards against accepted jobs that stood still once their route was
+    # removed.
+    async def test_an_accepted_job_outlives_its_route(self):
+        job = self.caller.make_job()
+        job.queue = "quick"
+        task = {"count": 1, "cpu": 500, "mem_mb": 100,
+                "traits": {"fails": False, "seconds": LONG_TASK_S}}
+        job.steps = [task, task | {"depends_on": [0]}]
+        self.assertTrue(await self.caller.submit(job))
+        self.fleet.remove_route("quick")
+
+        async def second_step_runs():
+            return any(f"{job.ident}.0.1.0" in executor.runs
+                       for executor in self.fleet.executors)
+
+        await self.wait_until("the second step runs", second_step_runs)
+
     async def test_a_holder_that_the_store_turns_away_gives_its_office(self):
         entry_0 = self.fleet.processes[0].settings["announced_address"]
         await self.wait_until("entry-0 is leader",
