--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -398,23 +398,6 @@
 
     // Lost runs (scheduler_losses.cpp).
 
-    // Evidence of one crash against a task.
-    struct crash_count
-    {
-        std::int64_t run = 0;
-        std::int64_t added = 0;        ///< to its suspicion
-        bool is_only_unproven = false; ///< everything else there was proven
-        bool is_confirmed = false;     ///< the run had certainly begun
-        bool is_gang = false;          ///< members of a gang are not isolated
-    };
-
-    // Counts of the runs that were not proven when their executor crashed.
-    struct unproven_neighbours
-    {
-        std::int64_t unproven = 0;
-        std::int64_t suspects = 0; ///< those that belong to suspects
-    };
-
     // Runs of a past incarnation of an executor, by a report about the next
     // one.
     struct runs_after_restart
@@ -433,34 +416,37 @@
                         const executor_incarnation& next, time_point now);
     void rebind_run(const task_name& name, const executor_incarnation& executor,
                     time_point now);
-    [[nodiscard]] static bool is_loss_counted(const job_record& record,
-                                              const job_task& task,
-                                              std::int64_t run);
-    std::map<task_name, std::int64_t>
-    likely_causes(const worker_record& worker);
-    std::map<task_name, std::int64_t>
-    unreported_causes(const worker_record& worker, const worker_report& report);
-    void
-    raise_unwitnessed_suspicion(const worker_record& worker,
-                                const std::map<task_name, std::int64_t>& runs,
-                                time_point now);
-    std::map<task_name, std::int64_t>
-    unwitnessed_runs(const runs_after_restart& runs,
-                     const worker_report& report);
     void adopt_inherited(worker_record& worker, const worker_report& report,
                          time_point now);
     void lose_inherited(const std::string& guard, time_point now);
     void adopt_run(worker_record& worker, const task_name& name,
                    time_point now);
-    static void register_suspect(worker_record& worker, const job_task& task,
-                                 const task_name& name);
     void lose_lapsed(worker_record& worker, const worker_report& report,
                      time_point now);
     void lose_worker(worker_record& worker, const std::set<task_name>& runs,
                      const end_proof& proof, time_point now);
     void lose_runs(const std::set<task_name>& lost, const end_proof& proof,
                    time_point now);
-    [[nodiscard]] static duration observed_run_time(const task_run& run);
+
+    // Tasks that crash executors (scheduler_crashes.cpp).
+
+    // Evidence of one crash against a task.
+    struct crash_count
+    {
+        std::int64_t run = 0;
+        std::int64_t added = 0;        ///< to its suspicion
+        bool is_only_unproven = false; ///< everything else there was proven
+        bool is_confirmed = false;     ///< the run had certainly begun
+        bool is_gang = false;          ///< members of a gang are not isolated
+    };
+
+    // Counts of the runs that were not proven when their executor crashed.
+    struct unproven_neighbours
+    {
+        std::int64_t unproven = 0;
+        std::int64_t suspects = 0; ///< those that belong to suspects
+    };
+
     void judge_crashes(worker_record& worker, const worker_report& report,
                        time_point now);
     void judge_crash(worker_record& worker, const past_incarnation& past,
@@ -473,6 +459,23 @@
                                        time_point now) const;
     void suspect(const worker_record& worker, const task_name& name,
                  const crash_count& count, crash_scope scope, time_point now);
+    void
+    raise_unwitnessed_suspicion(const worker_record& worker,
+                                const std::map<task_name, std::int64_t>& runs,
+                                time_point now);
+    std::map<task_name, std::int64_t>
+    unwitnessed_runs(const runs_after_restart& runs,
+                     const worker_report& report);
+    std::map<task_name, std::int64_t>
+    likely_causes(const worker_record& worker);
+    std::map<task_name, std::int64_t>
+    unreported_causes(const worker_record& worker, const worker_report& report);
+    [[nodiscard]] static bool is_loss_counted(const job_record& record,
+                                              const job_task& task,
+                                              std::int64_t run);
+    [[nodiscard]] static duration observed_run_time(const task_run& run);
+    static void register_suspect(worker_record& worker, const job_task& task,
+                                 const task_name& name);
     void clear_suspicion_if_proven(worker_record& worker, job_task& task,
                                    const task_name& name);
 
