Scheduler: a lease is not awaited that its worker shows as expired

Cause: a worker that lists the end as done of a run that was given up gets no grant, and none of its ends is applied, until its lease has expired. The tasks that waited were listed as lapsed meanwhile.

Fix: an end as lapsed shows that the lease expired then. Ends that stand before one are not awaited: the rule counts an end as noted unless the lease lapsed between the two.

--- a/packages/scheduler/src/scheduler_leases.cpp
+++ b/packages/scheduler/src/scheduler_leases.cpp
@@ -7,6 +7,26 @@
 namespace springstair
 {
 
+namespace
+{
+
+// Number of the newest end by which the worker shows that its lease has
+// expired; 0 if it lists none. The worker numbers its ends in order of time.
+std::int64_t last_lapsed_end(const std::vector<ended_task>& ends)
+{
+    std::int64_t newest = 0;
+    for (const ended_task& end : ends)
+    {
+        if (end.how == run_end::lapsed)
+        {
+            newest = std::max(newest, end.number);
+        }
+    }
+    return newest;
+}
+
+} // namespace
+
 // By when a lease has certainly expired that a guard may extend for this long.
 duration scheduler_core::longest_lease(duration grant) const
 {
@@ -78,7 +98,8 @@
 // a longer lease, which a disconnected guard cannot report. If that run's
 // success were acknowledged within that lease, it would count in addition to
 // the replacement run. So the worker gets no lease grant until that lease has
-// expired; this leader has no other run there.
+// expired; this leader has no other run there. The worker itself may show that
+// it has, by a later end as lapsed.
 void scheduler_core::check_lease_must_expire(worker_record& worker,
                                              const worker_report& report,
                                              bool knows_incarnation)
@@ -89,10 +110,12 @@
         worker.description.executor == report.worker.executor
             ? worker.applied_ends
             : 0;
+    const std::int64_t settled =
+        std::max(applied, last_lapsed_end(report.ended));
     const auto end =
         std::ranges::find_if(report.ended,
                              [&](const ended_task& candidate) {
-                                 return candidate.number > applied &&
+                                 return candidate.number > settled &&
                                         is_end_given_up(worker, candidate);
                              });
     worker.lease_must_expire = knows_incarnation && report.looked &&
