--- a/tests/unit/awaited_lease_tests.cpp
+++ b/tests/unit/awaited_lease_tests.cpp
@@ -39,7 +39,7 @@
     report_answer list_ends(const std::vector<ended_task>& ends)
     {
         harness.worker("g1").ended = ends;
-        const report_answer answer = harness.report_from_guard("g1");
+        report_answer answer = harness.report_from_guard("g1");
         harness.advance(milliseconds(200));
         return answer;
     }
