--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,40 +1,102 @@
-"""A heartbeat of another writer, for a service that no configuration names,
-reaches a side machine while the tasks of a submission run there."""
+"""A side machine is suspended for some seconds while tasks run on its
+executor, and wakes again."""
 
 import asyncio
 import os
+import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
 
-from platform2 import (APP, CONTROL, CannotRun, Connection, Executor,  # noqa
-                       Fleet, play)
+from platform2 import CannotRun, Executor, Fleet, play  # noqa: E402
 
 IDENT = "5c0e7a21d94b36f8"
-TASK_S = 8.0
+SUSPENDED_S = 3.5  # as long as the site's node_freeze
+TASK_S = 12.0
 TASKS = 9
 
 
+class SuspendableExecutor(Executor):
+    """An executor whose machine may be suspended: it does nothing then, and
+    its steady clock doesn't count that time."""
+
+    def __init__(self, *arguments, **fields):
+        self.suspended_at = None
+        self.suspended_for = 0.0
+        self.awake = asyncio.Event()
+        self.awake.set()
+        super().__init__(*arguments, **fields)
+
+    def steady(self):
+        """The machine's steady clock."""
+        now = self.suspended_at or time.monotonic()
+        return now - self.suspended_for
+
+    def clock_ms(self):
+        return int((self.steady() - self.clock_zero) * 1000) + self.clock_offset
+
+    def suspend(self):
+        self.suspended_at = time.monotonic()
+        self.awake.clear()
+
+    def wake(self):
+        slept = time.monotonic() - self.suspended_at
+        self.suspended_for += slept
+        self.suspended_at = None
+        for run in self.runs.values():
+            run.began += slept  # no work was done meanwhile
+        self.awake.set()
+
+    async def beat(self):
+        while True:
+            await self.awake.wait()
+            beats = asyncio.create_task(super().beat())
+            while self.awake.is_set():
+                await asyncio.sleep(0.01)
+            beats.cancel()
+            self.control.close()
+
+    async def work(self):
+        while True:
+            await asyncio.sleep(0.01)
+            await self.awake.wait()
+            now = time.monotonic()
+            lapsed = self.clock_ms() >= self.lease_deadline
+            for task, run in list(self.runs.items()):
+                if lapsed:
+                    self.end(task, run, "lapsed")
+                elif run.stops_at and now >= run.stops_at:
+                    self.end(task, run, "stopped")
+                elif now - run.began >= run.seconds:
+                    self.end(task, run, "done")
+
+    async def handle(self, method, path, query, headers, order):
+        await self.awake.wait()
+        status, answer = await super().handle(method, path, query, headers,
+                                              order)
+        await self.awake.wait()
+        return status, answer
+
+
 async def case(record, trouble):
-    fleet = Fleet(record, work_of=lambda task: TASK_S)
-    done = set()
+    fleet = Fleet(record, work_of=lambda task: TASK_S,
+                  executor_type=SuspendableExecutor)
 
     def on_start(executor, task, number, order):
         others = [one.ident for one in fleet.executors
-                  if one is not executor and task in one.runs]
+                  if one is not executor and task in one.runs
+                  and one.awake.is_set()]
         if others:
             record.breach("TWICE", task, "run", number, "starts at",
-                          executor.ident, "and runs at", others)
-
-    def on_end(executor, task, number, how):
-        if how == "done":
-            done.add(task)
+                          executor.ident, "and runs at", others,
+                          "which is awake")
 
     try:
         await fleet.start()
         for executor in fleet.executors:
-            executor.on_start, executor.on_end = on_start, on_end
+            executor.on_start = on_start
         await fleet.ready()
         await asyncio.sleep(3)
         status, _ = await fleet.call(
@@ -50,36 +112,24 @@
                 break
         else:
             raise CannotRun("not all tasks were started")
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(2)
         if trouble:
-            await send_stray_heartbeat(fleet, record)
+            machine, executor = fleet.sides[0], fleet.executors[0]
+            left = executor.lease_deadline - executor.clock_ms()
+            record.note(machine.name, "is suspended; runs there:",
+                        sorted(executor.runs), f"lease left: {left} ms")
+            executor.suspend()
+            machine.signal(signal.SIGSTOP)
+            await asyncio.sleep(SUSPENDED_S)
+            executor.wake()
+            machine.signal(signal.SIGCONT)
+            left = executor.lease_deadline - executor.clock_ms()
+            record.note(machine.name, "wakes; runs there:",
+                        sorted(executor.runs), f"lease left: {left} ms")
         await asyncio.sleep(25)
-        _, answer = await fleet.call(1, "GET", IDENT)
-        record.note("tasks that have ended done:", len(done))
-        for executor in fleet.executors:
-            record.note(executor.ident, "is up; runs there now:",
-                        len(executor.runs))
+        await fleet.call(1, "GET", IDENT)
     finally:
         fleet.end()
 
 
-async def send_stray_heartbeat(fleet, record):
-    """One heartbeat of an executor of a service that isn't named here. That
-    executor is sound and answers what names it."""
-    busiest = max(range(len(fleet.executors)),
-                  key=lambda number: len(fleet.executors[number].runs))
-    stray = Executor(record, "i-0000feed", f"{fleet.network}.70:{APP}", None,
-                     lambda task: TASK_S, service="another-service")
-    await stray.start()
-    control = Connection(f"{fleet.side_ips[busiest]}:{CONTROL}")
-    beat = stray.describe()
-    record.note("another writer's heartbeat to", fleet.sides[busiest].name,
-                "where", len(fleet.executors[busiest].runs), "tasks run:",
-                beat)
-    status, _ = await control.call(
-        "POST", f"/springstair/executors/{stray.ident}/heartbeat", beat,
-        {"Content-Type": "application/json"}, timeout=1)
-    record.note("it is answered", status)
-
-
 play(case, FOLDER)
--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -334,8 +334,10 @@
     an executor."""
 
     def __init__(self, record, edges=2, sides=3, store=None,
-                 work_of=lambda task: 1.0, route_fields=None):
+                 work_of=lambda task: 1.0, route_fields=None,
+                 executor_type=Executor):
         self.record = record
+        self.executor_type = executor_type
         self.folder = tempfile.mkdtemp(prefix="review-2-")
         number = os.getpid()
         self.network = f"127.{60 + number // 250 % 100}.{1 + number % 250}"
@@ -363,7 +365,7 @@
         await self.store.start(host, int(port))
         self.configure()
         for number, machine in enumerate(self.sides):
-            executor = Executor(
+            executor = self.executor_type(
                 self.record, f"i-{number + 1:08x}", f"{machine.ip}:{APP}",
                 f"{machine.ip}:{CONTROL}", self.work_of,
                 rack=f"r1-{number + 1}")
