--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -7,6 +7,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -444,6 +445,8 @@
             self.watcher.cancel()
         for machine in self.edges + self.sides:
             machine.end()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def play(case, folder):
@@ -451,14 +454,19 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note("TROUBLE =", int(trouble))
+
+    async def until_ended():
+        """On SIGTERM, the case ends its processes and exits with 2."""
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
+        await case(record, trouble)
+
     status = 2
     try:
-        asyncio.run(case(record, trouble))
+        asyncio.run(until_ended())
         status = 1 if record.broken else 0
-    except CannotRun as error:
-        record.note("the case could not run:", error)
-    except OSError as error:
-        record.note("the case could not run:", error)
+    except (Exception, asyncio.CancelledError) as error:
+        record.note("the case could not run:", repr(error))
     record.note("exit", status)
     record.write()
     print(f"exit {status}", *sorted(set(record.broken)))
