Guard: a suspension of its VM is not taken for the end of a lease

Cause: the lease of an executor is measured on its steady clock, which stands still during a suspension, but the guard measured it on the boot clock, which goes on. So it reported an expired lease, asked for leases longer than it knew, and counted the suspension as its uptime, by which a new leader concludes that no lease is in force.

Change: a guard notices that it did not run (pause_detector, event 1649) and moves the end of the lease, the reading of the executor's clock and its own start by that time. Reports of a guard that has not polled its executor contain its pauses, and the leader adds them to the lease. A guard with a lease in force that falls silent is awaited for the time of a full grant.

Why it works: every proof of an expired lease rests on time for which the VM was awake, on an answer of the executor, or on the leader's own bound, which is above the platform's longest suspension.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -75,6 +75,7 @@
     guard_unproven = 1646,
     executor_unproven = 1647,
     lease_awaited = 1648,
+    guard_paused = 1649,
     holder_lost = 1651,
     holder_found = 1652,
     commit_uncertain = 1661,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 70> catalogue{{
+constexpr std::array<event_description, 71> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -187,6 +187,9 @@
     {event_id::lease_awaited, severity::warning, "lease_awaited",
      "A worker reports the success of a run that was declared lost, while its "
      "lease is still valid; it receives no work until the lease has expired."},
+    {event_id::guard_paused, severity::info, "guard_paused",
+     "A guard's process did not run for a while; its VM may have been "
+     "suspended. It takes the leases there to last longer by this time."},
     {event_id::holder_lost, severity::warning, "holder_lost",
      "A guard's reports reach no leader."},
     {event_id::holder_found, severity::info, "holder_found",
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -45,8 +45,8 @@
                         [this](const std::optional<platform::store_item>& item)
                         { on_leader(item); }),
           reconciler_(reconciler_options(process.settings),
-                      random_hex(guard_incarnation_bytes), boot_clock::now()),
-          leader_(process.settings.entries)
+                      random_hex(guard_incarnation_bytes), started_),
+          pauses_(started_), leader_(process.settings.entries)
     {
         rpc_.add("orders", [this](const json& message)
                  { return take_orders(message.get<guard_orders>()); });
@@ -76,10 +76,24 @@
                    {"address", process_.settings.executors},
                    {"incarnation", reconciler_.incarnation()}});
         log_process_limits(process_.settings);
-        process_.run_control(timer_step, [this](time_point now) { tick(now); });
+        process_.run_control(timer_step, [this](time_point) { tick(now()); });
     }
 
 private:
+    // The time, after the reconciler has been told of a pause before it.
+    time_point now()
+    {
+        const time_point reading = boot_clock::now();
+        const duration pause = pauses_.observe(reading);
+        if (pause > duration{0})
+        {
+            reconciler_.on_pause(pause);
+            log_event(event_id::guard_paused,
+                      {{"length_ms", std::to_string(to_milliseconds(pause))}});
+        }
+        return reading;
+    }
+
     // Content of the heartbeats of one incarnation of the executor.
     struct executor_contact
     {
@@ -131,8 +145,7 @@
         {
             contact.address = heartbeat.address;
         }
-        reconciler_.on_worker(heartbeat.worker, heartbeat.clock_ms,
-                              boot_clock::now());
+        reconciler_.on_worker(heartbeat.worker, heartbeat.clock_ms, now());
         if (reconciler_.worker().executor != executor)
         {
             log_event(event_id::executor_unproven,
@@ -146,8 +159,7 @@
     {
         const executor_incarnation before = reconciler_.worker().executor;
         reconciler_.on_polled(poll.executor, platform::decode_result(result),
-                              platform::decode_poll(result), sent,
-                              boot_clock::now());
+                              platform::decode_poll(result), sent, now());
         if (reconciler_.worker().executor == before)
         {
             return;
@@ -202,7 +214,7 @@
                           const auto how = platform::decode_result(result);
                           log_failed_order("start", start.order.task,
                                            start.order.run, how);
-                          reconciler_.on_started(start, how, boot_clock::now());
+                          reconciler_.on_started(start, how, now());
                       });
     }
 
@@ -214,7 +226,7 @@
                           const auto how = platform::decode_result(result);
                           log_failed_order("stop", stop.order.task,
                                            stop.order.run, how);
-                          reconciler_.on_stopped(stop, how, boot_clock::now());
+                          reconciler_.on_stopped(stop, how, now());
                       });
     }
 
@@ -229,7 +241,7 @@
 
     void send(const poll_executor& poll)
     {
-        const time_point sent = boot_clock::now();
+        const time_point sent = now();
         call_executor(poll, [this, sent, poll](const http_result& result)
                       { on_polled(poll, result, sent); });
     }
@@ -239,8 +251,7 @@
     void on_leader(const std::optional<platform::store_item>& item)
     {
         const std::string address =
-            item ? text_member(json::parse(item->value, nullptr, false),
-                               "address")
+            item ? text_member(json::parse(item->value, nullptr, false), "address")
                  : std::string();
         if (!address.empty())
         {
@@ -281,7 +292,7 @@
 
     json take_orders(const guard_orders& orders)
     {
-        const bool taken = reconciler_.on_orders(orders, boot_clock::now());
+        const bool taken = reconciler_.on_orders(orders, now());
         return {{"taken", taken}};
     }
 
@@ -322,7 +333,7 @@
                    time_point sent, const http_result& result)
     {
         reporting_ = false;
-        const time_point now = boot_clock::now();
+        const time_point received = now();
         const auto answer = rpc_answer_of<report_answer>(result);
         if (answer && answer->holds)
         {
@@ -330,10 +341,10 @@
             next_report_ = sent + (reconciler_.has_ends() ? ends_report_interval
                                                           : report_interval);
             set_leader(target);
-            reconciler_.on_answer(*answer, report, sent, now);
+            reconciler_.on_answer(*answer, report, sent, received);
             return;
         }
-        next_report_ = now + report_retry;
+        next_report_ = received + report_retry;
         if (leader_.failed())
         {
             log_event(event_id::holder_lost,
@@ -382,7 +393,9 @@
     process_context& process_;
     platform::store_client store_;
     leader_watch leader_watch_;
+    const time_point started_ = boot_clock::now();
     run_reconciler reconciler_;
+    pause_detector pauses_;
     leader_finder leader_;
     rpc_dispatcher rpc_;
     std::map<executor_incarnation, executor_contact> executors_;
--- a/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
@@ -167,6 +167,12 @@
                             std::string incarnation = {},
                             std::optional<time_point> started_at = {});
 
+    /// @brief Handles a time for which the process did not run. Call it before
+    /// anything that happened afterwards.
+    ///
+    /// The VM may have been suspended, and the executor's steady clock with it:
+    /// for all that the guard knows, leases last longer by this time.
+    void on_pause(duration length);
     /// @brief Handles a heartbeat of the executor.
     void on_worker(const worker_description& description, std::int64_t clock_ms,
                    time_point now);
@@ -353,6 +359,7 @@
     void assume_max_lease(time_point since);
     [[nodiscard]] bool can_grant_lease(time_point now) const;
     [[nodiscard]] std::int64_t lease_left(time_point now) const;
+    [[nodiscard]] std::int64_t uptime_ms(time_point now) const;
     [[nodiscard]] bool is_running(const std::string& task,
                                   std::int64_t run) const;
     [[nodiscard]] bool is_ended(const std::string& task,
@@ -361,6 +368,7 @@
     run_reconciler_options options_;
     std::string incarnation_; ///< of this guard process
     std::optional<time_point> started_at_;
+    duration paused_{0}; ///< total time for which the process did not run
     worker_description worker_;
     unconfirmed_incarnation unconfirmed_;
     std::set<executor_incarnation> ended_incarnations_; ///< certainly ended
@@ -370,8 +378,8 @@
     past_incarnation ending_incarnation_;
     guard_admission admission_;
     std::int64_t clock_ms_ = 0; ///< the worker's clock at clock_at_
-    time_point clock_at_{};
-    bool clock_known_ = false; ///< of the current incarnation
+    time_point clock_at_{};     ///< later by the pauses since the reading
+    bool clock_known_ = false;  ///< of the current incarnation
     std::int64_t epoch_ = 0;
     bool closed_ = false; ///< data centre closed, per the newest orders
     time_point lease_granted_until_{};
--- a/packages/guard/src/run_reconciler.cpp
+++ b/packages/guard/src/run_reconciler.cpp
@@ -56,6 +56,14 @@
 // The executor
 // ---------------------------------------------------------------------------
 
+void run_reconciler::on_pause(duration length)
+{
+    paused_ += length;
+    clock_at_ += length;
+    unconfirmed_.received_at += length;
+    max_lease_end_ += length;
+}
+
 std::int64_t run_reconciler::worker_clock(time_point now) const
 {
     return clock_ms_ + to_milliseconds(now - clock_at_);
@@ -489,7 +497,8 @@
         .epoch = epoch_,
         .incarnation = incarnation_,
         .sent_ms = vm_clock_ms(now),
-        .uptime_ms = to_milliseconds(now - started_at_.value_or(now)),
+        .uptime_ms = uptime_ms(now),
+        .paused_ms = to_milliseconds(paused_),
         .admission = admission_,
         .worker = worker_,
         .looked = polled_,
@@ -519,6 +528,12 @@
     return out;
 }
 
+// Without the pauses: a lease at the time of the start may last longer by them.
+std::int64_t run_reconciler::uptime_ms(time_point now) const
+{
+    return started_at_ ? to_milliseconds(now - *started_at_ - paused_) : 0;
+}
+
 void run_reconciler::list_runs(worker_report& out) const
 {
     out.running = running_;
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -154,9 +154,13 @@
     std::string incarnation;   ///< of the guard process
     std::int64_t sequence = 0; ///< increases with each report of an incarnation
     std::int64_t sent_ms = 0;  ///< by the clock of the guard's VM, since boot
-    /// How long the guard process has run; 0: unknown. Earlier processes on its
-    /// VM had ended before, and received no lease grant since.
+    /// How long the guard process has run, without paused_ms; 0: unknown.
+    /// Earlier processes on its VM had ended before, and received no lease
+    /// grant since.
     std::int64_t uptime_ms = 0;
+    /// For how long in all the process did not run since its start. Its VM may
+    /// have been suspended then, and leases there last longer by this time.
+    std::int64_t paused_ms = 0;
     /// The newest admission that a leader gave this incarnation.
     guard_admission admission;
     worker_description worker;
@@ -295,9 +299,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(refused_run, task, run, reason)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     worker_report, guard, address, epoch, incarnation, sequence, sent_ms,
-    uptime_ms, admission, worker, looked, lists_age_ms, failing_ms, whole,
-    answering, lapsed, lease_ms, running, ended, refused, paces, starting,
-    unknown, former)
+    uptime_ms, paused_ms, admission, worker, looked, lists_age_ms, failing_ms,
+    whole, answering, lapsed, lease_ms, running, ended, refused, paces,
+    starting, unknown, former)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(start_order, task, run, payload,
                                                 checkpoint, ticket, fills,
                                                 latency_target_ms, image,
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -390,6 +390,7 @@
     void check_lease_must_expire(worker_record& worker,
                                  const worker_report& report,
                                  bool knows_incarnation);
+    void allow_for_pause(worker_record& worker, const worker_report& report);
     void extend_lease(worker_record& worker, const worker_report& report,
                       duration lease_grant, time_point now) const;
     [[nodiscard]] duration lease_grant_for(const worker_report& report,
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -102,6 +102,7 @@
     /// leader does not declare its runs lost by an expired grant earlier.
     std::int64_t starts_until_ms = 0;
     time_point lease_ends{};       ///< its lease has certainly expired by then
+    std::int64_t paused_ms = 0;    ///< of the guard process, in its last report
     std::int64_t applied_ends = 0; ///< ends up to this number are applied
     std::int64_t acknowledged = 0; ///< ends up to this number are committed
     std::deque<applied_end> uncommitted_ends;
--- a/packages/scheduler/src/scheduler_leases.cpp
+++ b/packages/scheduler/src/scheduler_leases.cpp
@@ -131,6 +131,24 @@
     }
 }
 
+// The clock of an executor on a suspended VM stands still, so its lease lasts
+// longer by that time. A guard that has polled the executor counts this in
+// lease_ms.
+void scheduler_core::allow_for_pause(worker_record& worker,
+                                     const worker_report& report)
+{
+    const std::int64_t before =
+        worker.incarnation == report.incarnation ? worker.paused_ms : 0;
+    worker.paused_ms = std::max<std::int64_t>(report.paused_ms, 0);
+    if (!report.looked)
+    {
+        const duration pause =
+            std::chrono::milliseconds(worker.paused_ms - before);
+        worker.lease_ends +=
+            std::clamp(pause, duration{0}, options_.lease_horizon);
+    }
+}
+
 void scheduler_core::extend_lease(worker_record& worker,
                                   const worker_report& report,
                                   duration lease_grant, time_point now) const
@@ -147,6 +165,14 @@
             std::max({worker.lease_ends, now + longest_lease(lease_grant),
                       now + previous_grant + options_.lease_slack});
     }
+    // If the VM is suspended now, its guard reports again only when it wakes.
+    // Until then its lease is given the time of a full grant, although none
+    // may have been given.
+    if (report.looked && report.lease_ms > 0)
+    {
+        worker.lease_ends = std::max(worker.lease_ends,
+                                     now + longest_lease(options_.lease_grant));
+    }
 }
 
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -30,6 +30,7 @@
         // The VM may have rebooted and its clock restarted.
         worker.starts_until_ms = 0;
     }
+    allow_for_pause(worker, report);
     worker.incarnation = report.incarnation;
     worker.sequence = report.sequence;
     worker.address = report.address;
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -56,6 +56,10 @@
         self.slow_share = 0.0  # answered slowly
         self.fails_all = False
         self.stalled = False
+        self.awake = asyncio.Event()  # cleared while its VM is suspended
+        self.awake.set()
+        self.suspended_at = 0.0
+        self.suspended_for = 0.0  # in all, before that
         self.begin_incarnation()
 
     def begin_incarnation(self, keeps_id=False):
@@ -83,7 +87,21 @@
         self.changed = asyncio.Event()
 
     def clock_ms(self):
-        return int(time.monotonic() * 1000) + self.clock_offset
+        """A steady clock, which stands still while its VM is suspended."""
+        now = time.monotonic() if self.awake.is_set() else self.suspended_at
+        return int((now - self.suspended_for) * 1000) + self.clock_offset
+
+    def suspend(self):
+        """Does nothing until resume(); calls wait."""
+        self.suspended_at = time.monotonic()
+        self.awake.clear()
+
+    def resume(self):
+        length = time.monotonic() - self.suspended_at
+        self.suspended_for += length
+        for run in self.runs.values():
+            run.began += length
+        self.awake.set()
 
     async def start(self, address, port):
         self.address = f"{address}:{port}"
@@ -107,6 +125,7 @@
 
     async def send_heartbeats(self):
         while True:
+            await self.awake.wait()
             if not self.down:
                 await self.send(*self.make_heartbeat())
             await asyncio.sleep(HEARTBEAT_S)
@@ -125,6 +144,7 @@
     async def run_tasks(self):
         while True:
             await asyncio.sleep(TICK_S)
+            await self.awake.wait()
             now = time.monotonic()
             lease_expired = self.clock_ms() >= self.lease_deadline
             if lease_expired:
@@ -158,7 +178,14 @@
 
     # -- orders --------------------------------------------------------------
 
-    async def handle(self, _method, path, _query, headers, document):
+    async def handle(self, method, path, query, headers, document):
+        await self.awake.wait()
+        answer = await self.handle_awake(method, path, query, headers,
+                                         document)
+        await self.awake.wait()
+        return answer
+
+    async def handle_awake(self, _method, path, _query, headers, document):
         if self.down:
             raise Silence
         self.reset_stale_connection(headers["peer-port"])
--- a/tests/unit/job_simulation.hpp
+++ b/tests/unit/job_simulation.hpp
@@ -54,10 +54,11 @@
         time_point next_report{};
         time_point next_heartbeat{};
         time_point cut_until{};
-        time_point began{};         ///< start of the guard process
-        time_point down_until{};    ///< killed, not restarted before this
-        time_point silent_until{};  ///< its polls get no answer
-        time_point unheard_until{}; ///< it receives no heartbeat
+        time_point began{};           ///< start of the guard process
+        time_point down_until{};      ///< killed, not restarted before this
+        time_point silent_until{};    ///< its polls get no answer
+        time_point unheard_until{};   ///< it receives no heartbeat
+        time_point suspended_until{}; ///< while its executor is suspended
         fake_executor executor;
         std::int64_t incarnations = 0;
         std::string executor_id; ///< incarnations may share it
@@ -66,6 +67,13 @@
     int draw(int below);
     bool chance(int probability);
     void schedule(duration after, std::function<void()> event);
+    // The same for an event on a guard's VM: while that is suspended, the event
+    // waits.
+    void schedule_on_vm(std::size_t index, duration after,
+                        std::function<void()> event);
+    [[nodiscard]] bool is_suspended(std::size_t index) const;
+    void suspend(std::size_t index);
+    void resume(std::size_t index);
     duration delay();
     // Delay of a held report or heartbeat.
     duration hold_time();
@@ -124,8 +132,9 @@
         const auto reconciler = guards_[index].reconciler;
         if (!has_connection(index, call))
         {
-            schedule(
-                milliseconds(1), [this, reconciler, call, sent = now_]
+            schedule_on_vm(
+                index, milliseconds(1),
+                [this, reconciler, call, sent = now_]
                 { answer(*reconciler, call, sent, order_result::unanswered); });
             return;
         }
@@ -140,40 +149,44 @@
         {
             if (late)
             {
-                schedule(milliseconds(2000 + draw(4000)),
-                         [this, index, call, target = incarnation_at(index)]
-                         { carry_out_late(index, call, target); });
+                schedule_on_vm(
+                    index, milliseconds(2000 + draw(4000)),
+                    [this, index, call, target = incarnation_at(index)]
+                    { carry_out_late(index, call, target); });
             }
-            schedule(
-                milliseconds(300), [this, reconciler, call, sent = now_]
+            schedule_on_vm(
+                index, milliseconds(300),
+                [this, reconciler, call, sent = now_]
                 { answer(*reconciler, call, sent, order_result::unanswered); });
             return;
         }
         const bool is_unanswered = gets_no_answer(index, call);
         if (is_unanswered)
         {
-            schedule(milliseconds(1), [this, index, call]
-                     { static_cast<void>(carry_out(index, call)); });
-            schedule(
-                call_timeout, [this, reconciler, call, sent = now_]
+            schedule_on_vm(index, milliseconds(1),
+                           [this, index, call]
+                           { static_cast<void>(carry_out(index, call)); });
+            schedule_on_vm(
+                index, call_timeout,
+                [this, reconciler, call, sent = now_]
                 { answer(*reconciler, call, sent, order_result::unanswered); });
             return;
         }
-        schedule(milliseconds(1),
-                 [this, index, call, reconciler, sent = now_]
-                 {
-                     const order_result result = carry_out(index, call);
-                     std::optional<executor_snapshot> snapshot;
-                     if (result == order_result::accepted)
-                     {
-                         snapshot = snapshot_of(guards_[index].executor);
-                     }
-                     schedule(milliseconds(1),
-                              [this, reconciler, call, sent, result, snapshot] {
-                                  answer(*reconciler, call, sent, result,
-                                         snapshot);
-                              });
-                 });
+        schedule_on_vm(
+            index, milliseconds(1),
+            [this, index, call, reconciler, sent = now_]
+            {
+                const order_result result = carry_out(index, call);
+                std::optional<executor_snapshot> snapshot;
+                if (result == order_result::accepted)
+                {
+                    snapshot = snapshot_of(guards_[index].executor);
+                }
+                schedule_on_vm(
+                    index, milliseconds(1),
+                    [this, reconciler, call, sent, result, snapshot]
+                    { answer(*reconciler, call, sent, result, snapshot); });
+            });
     }
 
     // A connection ends with the incarnation that it was opened to.
@@ -194,13 +207,13 @@
     void hold_call(std::size_t index, const Order& call,
                    const std::shared_ptr<run_reconciler>& reconciler)
     {
-        schedule(milliseconds(draw(max_wait_ms)),
-                 [this, index, call, target = incarnation_at(index)]
-                 { carry_out_late(index, call, target); });
-        schedule(call_timeout,
-                 [this, reconciler, call, sent = now_] {
-                     answer(*reconciler, call, sent, order_result::unanswered);
-                 });
+        schedule_on_vm(index, milliseconds(draw(max_wait_ms)),
+                       [this, index, call, target = incarnation_at(index)]
+                       { carry_out_late(index, call, target); });
+        schedule_on_vm(
+            index, call_timeout,
+            [this, reconciler, call, sent = now_]
+            { answer(*reconciler, call, sent, order_result::unanswered); });
     }
 
     [[nodiscard]] const executor_incarnation&
--- a/tests/unit/job_simulation_checks.cpp
+++ b/tests/unit/job_simulation_checks.cpp
@@ -30,6 +30,15 @@
     for (std::size_t index = 0; index < guard_count; ++index)
     {
         guard_process& guard = guards_[index];
+        if (is_suspended(index))
+        {
+            continue;
+        }
+        if (faults_.suspend > 0 && chance(faults_.suspend))
+        {
+            suspend(index);
+            continue;
+        }
         if (chance(faults_.busy))
         {
             guard.executor.busy_until = now_ + milliseconds(draw(max_wait_ms));
@@ -95,6 +104,31 @@
     }
 }
 
+bool job_simulation::is_suspended(std::size_t index) const
+{
+    return guards_[index].executor.suspended_at.has_value();
+}
+
+void job_simulation::suspend(std::size_t index)
+{
+    if (now_ - guards_[index].suspended_until < min_awake)
+    {
+        return;
+    }
+    const duration length = milliseconds(draw(max_suspension_ms));
+    guards_[index].executor.suspended_at = now_;
+    guards_[index].suspended_until = now_ + length;
+    schedule(length, [this, index] { resume(index); });
+}
+
+void job_simulation::resume(std::size_t index)
+{
+    guard_process& guard = guards_[index];
+    const duration length = now_ - *guard.executor.suspended_at;
+    guard.executor.resume(now_);
+    guard.reconciler->on_pause(length);
+}
+
 bool job_simulation::is_executor_lost() const
 {
     return std::ranges::any_of(guards_, [&](const guard_process& guard)
@@ -156,6 +190,10 @@
 
 void job_simulation::crash_if_marked(std::size_t index)
 {
+    if (is_suspended(index))
+    {
+        return;
+    }
     for (const auto& [task, work] : guards_[index].executor.running)
     {
         if (crashing_.contains(task))
--- a/tests/unit/job_simulation_guards.cpp
+++ b/tests/unit/job_simulation_guards.cpp
@@ -75,7 +75,7 @@
 void job_simulation::serve(std::size_t index)
 {
     guard_process& guard = guards_[index];
-    if (now_ < guard.down_until)
+    if (now_ < guard.down_until || is_suspended(index))
     {
         return;
     }
@@ -116,8 +116,8 @@
     {
         return;
     }
-    schedule(
-        hold_time(),
+    schedule_on_vm(
+        index, hold_time(),
         [this, index, description, clock]
         {
             // Sequence numbers order the heartbeats of one incarnation.
@@ -165,8 +165,9 @@
     }
     if (lost)
     {
-        schedule(milliseconds(300), [this, index, reconciler]
-                 { end_report(index, reconciler, milliseconds(120)); });
+        schedule_on_vm(index, milliseconds(300),
+                       [this, index, reconciler]
+                       { end_report(index, reconciler, milliseconds(120)); });
         return;
     }
     schedule(delay(),
@@ -181,12 +182,13 @@
                      leader->core->report(out, now_, leader->verified);
                  record_acknowledged(index, answer.orders.executor,
                                      answer.orders.acknowledged);
-                 schedule(delay(),
-                          [this, index, out, sent, answer, reconciler]
-                          {
-                              reconciler->on_answer(answer, out, sent, now_);
-                              end_report(index, reconciler, milliseconds(400));
-                          });
+                 schedule_on_vm(
+                     index, delay(),
+                     [this, index, out, sent, answer, reconciler]
+                     {
+                         reconciler->on_answer(answer, out, sent, now_);
+                         end_report(index, reconciler, milliseconds(400));
+                     });
              });
 }
 
@@ -424,16 +426,16 @@
     const auto found = executor.running.find(task);
     if (found != executor.running.end() && found->second.run <= call.order.run)
     {
-        schedule(milliseconds(50),
-                 [this, index, task, incarnation = executor.incarnation]
-                 {
-                     fake_executor& current = guards_[index].executor;
-                     if (current.incarnation == incarnation &&
-                         current.running.contains(task))
-                     {
-                         end(current, task, run_end::stopped);
-                     }
-                 });
+        schedule_on_vm(index, milliseconds(50),
+                       [this, index, task, incarnation = executor.incarnation]
+                       {
+                           fake_executor& current = guards_[index].executor;
+                           if (current.incarnation == incarnation &&
+                               current.running.contains(task))
+                           {
+                               end(current, task, run_end::stopped);
+                           }
+                       });
     }
     return order_result::accepted;
 }
@@ -482,6 +484,10 @@
 
 void job_simulation::end_due_runs(fake_executor& executor)
 {
+    if (executor.suspended_at)
+    {
+        return;
+    }
     std::vector<std::pair<std::string, run_end>> ended_now;
     for (const auto& [task, work] : executor.running)
     {
--- a/tests/unit/job_simulation_leaders.cpp
+++ b/tests/unit/job_simulation_leaders.cpp
@@ -109,6 +109,22 @@
     events_.emplace(now_ + after, std::move(event));
 }
 
+void job_simulation::schedule_on_vm(std::size_t index, duration after,
+                                    std::function<void()> event)
+{
+    schedule(after,
+             [this, index, event = std::move(event)]
+             {
+                 if (!is_suspended(index))
+                 {
+                     event();
+                     return;
+                 }
+                 schedule_on_vm(index, guards_[index].suspended_until - now_,
+                                event);
+             });
+}
+
 duration job_simulation::delay()
 {
     return milliseconds(1 + draw(8));
@@ -344,23 +360,24 @@
     const bool is_cut = now_ < guards_[index].cut_until;
     if (chance(faults_.order_duplicated))
     {
-        schedule(milliseconds(draw(max_wait_ms)),
-                 [this, index, orders = one.orders]
-                 { receive_orders(index, orders); });
+        schedule_on_vm(index, milliseconds(draw(max_wait_ms)),
+                       [this, index, orders = one.orders]
+                       { receive_orders(index, orders); });
     }
     if (chance(faults_.report_lost) || is_cut)
     {
         if (is_cut && chance(faults_.report_held))
         {
             // A held message arrives when the partition heals.
-            schedule(guards_[index].cut_until - now_ + delay(),
-                     [this, index, orders = one.orders]
-                     { receive_orders(index, orders); });
+            schedule_on_vm(index, guards_[index].cut_until - now_ + delay(),
+                           [this, index, orders = one.orders]
+                           { receive_orders(index, orders); });
         }
         return;
     }
-    schedule(delay(), [this, index, orders = one.orders]
-             { receive_orders(index, orders); });
+    schedule_on_vm(index, delay(),
+                   [this, index, orders = one.orders]
+                   { receive_orders(index, orders); });
 }
 
 void job_simulation::receive_orders(std::size_t index,
--- a/tests/unit/job_simulation_parts.hpp
+++ b/tests/unit/job_simulation_parts.hpp
@@ -6,6 +6,7 @@
 #include <springstair/scheduler.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,11 @@
 constexpr int max_downtime_ms = 3000;
 constexpr duration long_outage = seconds(15);
 constexpr int max_takeover_ms = 3000;
+// Longest suspension of a VM (platform).
+constexpr int max_suspension_ms = 3500;
+// A guard reports between two suspensions of its VM; without, they would be one
+// that outlasts a lease grant.
+constexpr duration min_awake = seconds(1);
 constexpr std::int64_t base_start_time_ms = 1'776'000'000'000;
 
 // Probabilities of faults, in units of 1/100,000, per step or message.
@@ -78,6 +84,8 @@
     /// The same, but the executor only sends no heartbeat for so long: its runs
     /// go on while they have a lease.
     int lose_heartbeats = 0;
+    /// A VM is suspended with its guard and its executor.
+    int suspend = 0;
 };
 
 // One run on a worker, recorded for the checks.
@@ -120,7 +128,9 @@
     std::map<std::string, std::int64_t> closed; ///< highest closed run per task
     std::vector<std::pair<ended_task, std::size_t>> ended;
     std::int64_t last_end_number = 0;
-    time_point busy_until{}; ///< refuses calls before this
+    time_point busy_until{};                ///< refuses calls before this
+    std::optional<time_point> suspended_at; ///< with its VM, since then
+    duration suspended_for{0};              ///< in all, before that
 
     // Extends the lease, at most to max_lease from now (platform).
     void extend_to(std::int64_t requested, time_point now)
@@ -131,8 +141,22 @@
 
     [[nodiscard]] std::int64_t clock(time_point now) const
     {
+        const duration awake =
+            suspended_at.value_or(now) - born - suspended_for;
         return static_cast<std::int64_t>(
-            static_cast<double>(to_milliseconds(now - born)) * rate);
+            static_cast<double>(to_milliseconds(awake)) * rate);
+    }
+
+    // Neither its clock nor its work goes on while its VM is suspended.
+    void resume(time_point now)
+    {
+        const duration length = now - suspended_at.value_or(now);
+        suspended_at.reset();
+        suspended_for += length;
+        for (auto& [task, work] : running)
+        {
+            work.done_at += length;
+        }
     }
 };
 
--- a/tests/unit/job_simulation_tests.cpp
+++ b/tests/unit/job_simulation_tests.cpp
@@ -269,3 +269,22 @@
                         run_simulation(simulation, short_length, short_calm);
                     }));
 }
+
+// Guards against two runs of one task at once, as seen by users: a guard on a
+// VM that was suspended reported its executor's lease as expired, although the
+// executor's steady clock had stood still.
+TEST_CASE("VMs are suspended with their executors")
+{
+    CHECK(rc::check("nothing else fails", [] { run_short({.suspend = 100}); }));
+    CHECK(rc::check(
+        "guards restart, leaders change", []
+        { run_short({.takeover = 100, .kill_guard = 100, .suspend = 100}); }));
+    CHECK(rc::check("calls wait, answers are lost",
+                    []
+                    {
+                        run_short({.takeover = 60,
+                                   .call_held = 10'000,
+                                   .answer_lost = 10'000,
+                                   .suspend = 100});
+                    }));
+}
