Entries: a job that was cancelled before it existed is not created

Without any lost write too: the submission waited in the socket of an entry that was frozen for 3.2 s.

Cause: the cancellation of an absent job left nothing in the store, so whatever created the job later found no obstacle.

Change: such a cancellation is written as a tombstone, if the job is still absent, and then answered; a job is created only if it has none. A submission that finds one is answered 410. Cancellations move to a file of their own.

Why it works: the store orders the two transactions, and each is conditioned on the absence of what the other writes.

A cancellation of an absent job costs one write more; nothing else does.

--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -1,5 +1,5 @@
-// Requests to show, cancel and count jobs. job_request_submission.cpp has
-// submissions.
+// Requests to show and count jobs. job_request_submission.cpp has submissions,
+// job_request_cancellation.cpp cancellations.
 
 #include "job_request_handler.hpp"
 
@@ -170,9 +170,8 @@
     const auto stored = std::ranges::find(result.items, job_key(asked.id),
                                           &platform::store_item::key);
     return stored != result.items.end() &&
-           !is_in_queue(
-               text_member(json::parse(stored->value, nullptr, false), "queue"),
-               asked);
+           !is_in_queue(text_member(json::parse(stored->value, nullptr, false), "queue"),
+                        asked);
 }
 
 // The state known to this entry; nothing if it is not the leader, or if the
@@ -313,81 +312,6 @@
             }));
 }
 
-// ---------------------------------------------------------------------------
-// Cancelling
-// ---------------------------------------------------------------------------
-
-void job_request_handler::handle(const platform::cancel_request& message,
-                                 const request_ptr& request)
-{
-    cancel(message.job, request);
-}
-
-void job_request_handler::cancel(const job_reference& asked,
-                                 const request_ptr& request)
-{
-    if (store_unavailable_since_ && !request->forwarded)
-    {
-        forward_or_retry("DELETE", asked, request,
-                         [this, asked, request] { cancel(asked, request); });
-        return;
-    }
-    const job_record* const record = job_scheduler_.core().find(asked.id);
-    if (record != nullptr && is_in_queue(record->definition().queue, asked))
-    {
-        write_cancellation(asked, request);
-        return;
-    }
-    store_.read(job_key(asked.id), call_timeout(request),
-                process_.on_control<store_result>(
-                    [this, asked, request](const store_result& result)
-                    { on_cancel_read(asked, request, result); }));
-}
-
-void job_request_handler::on_cancel_read(const job_reference& asked,
-                                         const request_ptr& request,
-                                         const store_result& result)
-{
-    record_store_result(result);
-    if (result.status == store_status::absent || is_other_job(result, asked))
-    {
-        answer(request, platform::no_such_job_answer());
-        return;
-    }
-    if (result.status != store_status::done)
-    {
-        forward_or_retry("DELETE", asked, request,
-                         [this, asked, request] { cancel(asked, request); });
-        return;
-    }
-    write_cancellation(asked, request);
-}
-
-void job_request_handler::write_cancellation(const job_reference& asked,
-                                             const request_ptr& request)
-{
-    store_.transact(
-        cancellation_of(asked.id), call_timeout(request),
-        process_.on_control<store_result>(
-            [this, asked, request](const store_result& result)
-            {
-                record_store_result(result);
-                if (result.status != store_status::done)
-                {
-                    request->may_be_written = true;
-                    forward_or_retry("DELETE", asked, request,
-                                     [this, asked, request]
-                                     { write_cancellation(asked, request); });
-                    return;
-                }
-                log_event(event_id::job_cancelled, {{"job", asked.id}});
-                job_scheduler_.job_was_cancelled(asked.id);
-                query_leader("cancelled", asked,
-                             [](const std::optional<json>&) {});
-                answer(request, platform::accepted_answer());
-            }));
-}
-
 // ---------------------------------------------------------------------------
 // Counting
 // ---------------------------------------------------------------------------
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -3,6 +3,7 @@
 
 #include "job_scheduler.hpp"
 #include "leader_heartbeat.hpp"
+#include "tombstone_lease.hpp"
 
 #include <deque>
 #include <memory>
@@ -108,6 +109,15 @@
                         const platform::store_result& result);
     void write_cancellation(const job_reference& asked,
                             const request_ptr& request);
+    void write_tombstone(const job_reference& asked,
+                         const request_ptr& request);
+    void request_tombstone_lease(const job_reference& asked,
+                                 const request_ptr& request);
+    void on_tombstone_written(const job_reference& asked,
+                              const request_ptr& request,
+                              const platform::store_result& result);
+    void retry_cancellation(const job_reference& asked,
+                            const request_ptr& request);
     [[nodiscard]] std::optional<job_state>
     shown(const job_reference& asked) const;
     [[nodiscard]] bool is_in_queue(const std::string& queue,
@@ -169,6 +179,7 @@
     std::map<std::string, time_point> failed_peers_;
     std::int64_t open_ = 0;
     std::deque<std::pair<time_point, std::function<void()>>> delayed_;
+    tombstone_lease tombstone_lease_;
     waiting_counts waiting_counts_; ///< by the leader's newest answers
 };
 
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -86,14 +86,25 @@
                         { on_submitted(definition, request, result); }));
 }
 
-// The write creates the job unless it exists. A conflict means that it exists:
-// this request, or an earlier one for the same job, was committed. Tasks are
+// The write creates the job unless it exists or was cancelled before. Any other
+// conflict means that it exists: this request, or an earlier one for the same
+// job, was committed. Tasks are
 // named by the id of their job alone, so two queues cannot share one.
 void job_request_handler::on_submitted(const job& definition,
                                        const request_ptr& request,
                                        const store_result& result)
 {
     record_store_result(result);
+    if (result.status == store_status::conflict &&
+        has_tombstone(result.items, definition))
+    {
+        log_event(event_id::job_not_taken,
+                  {{"job", definition.id},
+                   {"why", "it was cancelled before it was stored"},
+                   {"tries", std::to_string(request->tries)}});
+        answer(request, platform::cancelled_job_answer());
+        return;
+    }
     if (result.status == store_status::conflict &&
         is_other_job(result, {.id = definition.id, .queue = definition.queue}))
     {
--- a/packages/daemon/src/job_store.cpp
+++ b/packages/daemon/src/job_store.cpp
@@ -2,6 +2,8 @@
 
 #include "leader_watch.hpp"
 
+#include <algorithm>
+
 namespace springstair
 {
 
@@ -9,6 +11,23 @@
 {
 
 constexpr std::string_view cancellation_suffix = "/cancelled";
+// Distinguishes queues; the names themselves may be too long for a key.
+constexpr std::size_t queue_digits = 16;
+
+bool is_stored(const std::vector<platform::store_item>& items,
+               const std::string& key)
+{
+    return std::ranges::any_of(items,
+                               [&](const platform::store_item& item) {
+                                   return item.key == key && item.revision > 0;
+                               });
+}
+
+kv_compare absence_of(const std::string& key)
+{
+    return {
+        .key = key, .target = kv_compare::number::mod_revision, .equals = 0};
+}
 
 } // namespace
 
@@ -27,6 +46,12 @@
     return progress_prefix + id;
 }
 
+std::string tombstone_key(const job_reference& job)
+{
+    return tombstones_prefix + job.id + "/" +
+           sha256_hex(job.queue).substr(0, queue_digits);
+}
+
 job_key_parts parse_job_key(const std::string& key)
 {
     job_key_parts parts{.id = key.substr(std::string_view(jobs_prefix).size())};
@@ -67,12 +92,28 @@
 kv_transaction acceptance_of(const job& definition)
 {
     const std::string key = job_key(definition.id);
-    return {.compares = {{.key = key,
-                          .target = kv_compare::number::mod_revision,
-                          .equals = 0}},
+    const std::string tombstone =
+        tombstone_key({.id = definition.id, .queue = definition.queue});
+    return {.compares = {absence_of(key), absence_of(tombstone)},
             .puts = {{.key = key, .value = json(definition).dump()}}};
 }
 
+bool has_tombstone(const std::vector<platform::store_item>& conflicting,
+                   const job& definition)
+{
+    const std::string tombstone =
+        tombstone_key({.id = definition.id, .queue = definition.queue});
+    return is_stored(conflicting, tombstone) &&
+           !is_stored(conflicting, job_key(definition.id));
+}
+
+kv_transaction tombstone_of(const job_reference& job, std::int64_t lease)
+{
+    return {
+        .compares = {absence_of(job_key(job.id))},
+        .puts = {{.key = tombstone_key(job), .value = "{}", .lease = lease}}};
+}
+
 kv_transaction cancellation_of(const std::string& id)
 {
     return {.puts = {{.key = cancellation_key(id), .value = "{}"}}};
--- a/packages/daemon/src/job_store.hpp
+++ b/packages/daemon/src/job_store.hpp
@@ -14,6 +14,9 @@
 
 /// Prefix of all jobs and cancellations; their keys are never modified.
 inline constexpr const char* jobs_prefix = "springstair/jobs/";
+/// Prefix of tombstones: cancellations of jobs that were not in the store, each
+/// under a lease of the store.
+inline constexpr const char* tombstones_prefix = "springstair/tombstones/";
 /// Prefix of each job's progress; only the leader writes it.
 inline constexpr const char* progress_prefix = "springstair/progress/";
 
@@ -24,6 +27,9 @@
 std::string job_key(const std::string& id);
 std::string cancellation_key(const std::string& id);
 std::string progress_key(const std::string& id);
+/// The key is that of the job in one queue: a cancellation in another queue
+/// concerns another job.
+std::string tombstone_key(const job_reference& job);
 
 /// The parts of a key below jobs_prefix.
 struct job_key_parts
@@ -39,10 +45,17 @@
 /// invalid
 std::vector<pair_interference> decode_interference(const std::string& text);
 
-/// The transaction that accepts a job: creates it unless it exists.
+/// The transaction that accepts a job: creates it unless it exists or has a
+/// tombstone.
 kv_transaction acceptance_of(const job& definition);
+/// Whether a conflict of acceptance_of() is due to a tombstone: the job was
+/// cancelled before it was created.
+bool has_tombstone(const std::vector<platform::store_item>& conflicting,
+                   const job& definition);
 /// The transaction that stores a cancellation.
 kv_transaction cancellation_of(const std::string& id);
+/// The transaction that stores a tombstone, unless the job exists.
+kv_transaction tombstone_of(const job_reference& job, std::int64_t lease);
 /// The fenced write of a batch in the term @p epoch.
 kv_transaction transaction_of(const commit_batch& batch, std::int64_t epoch);
 
