Messages: a deeply nested document is refused where it is parsed

Cause: the JSON library copies, compares and prints recursively, and a stack overflow is no exception.

Why it works: no value that is nested deeply comes into being.

--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -103,7 +103,7 @@
 
 json read_value(const std::string& text)
 {
-    json value = json::parse(text, nullptr, false);
+    json value = try_parse_json(text);
     return value.is_discarded() ? json(text) : value;
 }
 
@@ -191,7 +191,7 @@
     std::ifstream file(path);
     std::stringstream text;
     text << file.rdbuf();
-    const json document = json::parse(text.str(), nullptr, false);
+    const json document = try_parse_json(text.str());
     if (!file || !document.is_object() || !document.contains("rows"))
     {
         throw usage_error{path + " is not an exported table"};
--- a/packages/cli/explain.cpp
+++ b/packages/cli/explain.cpp
@@ -65,7 +65,7 @@
     {
         return std::nullopt;
     }
-    json event = json::parse(text.substr(brace), nullptr, false);
+    json event = try_parse_json(text.substr(brace));
     if (!event.is_object())
     {
         return std::nullopt;
--- a/packages/cli/session.cpp
+++ b/packages/cli/session.cpp
@@ -46,7 +46,7 @@
         if (result.how == delivery::answered)
         {
             return {.status = result.response.status,
-                    .body = json::parse(*result.response.body, nullptr, false)};
+                    .body = try_parse_json(*result.response.body)};
         }
         const bool reads = method == "GET";
         if (result.how == delivery::unknown && !reads)
--- /dev/null
+++ b/packages/core/include/springstair/detail/core/json_text.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string_view>
+
+namespace springstair
+{
+
+using nlohmann::json;
+
+/// @brief Deepest nesting of arrays and objects in a document from outside.
+///
+/// Copying, comparing and printing a JSON value recurse once a level; beyond
+/// some 100,000 levels they exhaust the stack, which no handler can catch.
+inline constexpr int max_nesting = 100;
+
+/// @brief Parses a document that comes from outside this process.
+/// @throw document_error 102, with the position, if @p text is no JSON
+/// document or nested more deeply than max_nesting
+json parse_json(std::string_view text);
+
+/// @brief The same, but returns a discarded value instead of throwing.
+json try_parse_json(std::string_view text);
+
+} // namespace springstair
--- a/packages/core/include/springstair/detail/core/object_reader.hpp
+++ b/packages/core/include/springstair/detail/core/object_reader.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
 #include <springstair/detail/core/errors.hpp>
-
-#include <nlohmann/json.hpp>
+#include <springstair/detail/core/json_text.hpp>
 
 #include <cstdint>
 #include <limits>
@@ -14,8 +13,6 @@
 namespace springstair
 {
 
-using nlohmann::json;
-
 /// @brief Inclusive bounds of a number in a document.
 struct number_range
 {
--- a/packages/daemon/src/entry_table.cpp
+++ b/packages/daemon/src/entry_table.cpp
@@ -45,7 +45,7 @@
 // A stored row of the history; one that cannot be parsed is shown with its key.
 json history_row(const kv_item& item)
 {
-    json row = json::parse(item.value, nullptr, false);
+    json row = try_parse_json(item.value);
     if (row.is_discarded())
     {
         row = {{"unreadable", item.key}};
--- a/packages/daemon/src/entry_tasks.cpp
+++ b/packages/daemon/src/entry_tasks.cpp
@@ -266,10 +266,9 @@
     }
     task_list& list = found->second;
     --list.outstanding;
-    const json part =
-        ended.result.how == delivery::answered
-            ? json::parse(*ended.result.response.body, nullptr, false)
-            : json();
+    const json part = ended.result.how == delivery::answered
+                          ? try_parse_json(*ended.result.response.body)
+                          : json();
     if (part.is_object() && part.contains("tasks"))
     {
         list.complete = list.complete && part.value("complete", json()) == true;
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -251,7 +251,7 @@
     void on_leader(const std::optional<platform::store_item>& item)
     {
         const std::string address =
-            item ? text_member(json::parse(item->value, nullptr, false), "address")
+            item ? text_member(try_parse_json(item->value), "address")
                  : std::string();
         if (!address.empty())
         {
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -170,7 +170,7 @@
     const auto stored = std::ranges::find(result.items, job_key(asked.id),
                                           &platform::store_item::key);
     return stored != result.items.end() &&
-           !is_in_queue(text_member(json::parse(stored->value, nullptr, false), "queue"),
+           !is_in_queue(text_member(try_parse_json(stored->value), "queue"),
                         asked);
 }
 
--- a/packages/daemon/src/job_store.cpp
+++ b/packages/daemon/src/job_store.cpp
@@ -67,7 +67,7 @@
 {
     try
     {
-        return read_job(json::parse(text));
+        return read_job(parse_json(text));
     }
     catch (const json::exception& error)
     {
@@ -80,7 +80,7 @@
 {
     try
     {
-        return json::parse(text).get<std::vector<pair_interference>>();
+        return parse_json(text).get<std::vector<pair_interference>>();
     }
     catch (const json::exception& error)
     {
--- a/packages/daemon/src/leader_election.cpp
+++ b/packages/daemon/src/leader_election.cpp
@@ -34,7 +34,7 @@
 
 std::string member_of(const platform::store_item& item, const char* member)
 {
-    return text_member(json::parse(item.value, nullptr, false), member);
+    return text_member(try_parse_json(item.value), member);
 }
 
 } // namespace
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -188,7 +188,7 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    json document = json::parse(text.str(), nullptr, false);
+    json document = try_parse_json(text.str());
     if (document.is_discarded())
     {
         throw document_error(path + " is not JSON");
--- a/packages/entry/src/table_synchronizer.cpp
+++ b/packages/entry/src/table_synchronizer.cpp
@@ -101,7 +101,12 @@
     seen_mod_revision_ = item.mod_revision;
     try
     {
-        const json document = json::parse(item.value);
+        const json document = try_parse_json(item.value);
+        if (document.is_discarded())
+        {
+            throw document_error(
+                findings{{.place = "", .message = "is not JSON"}});
+        }
         table rows = table::parse(document);
         if (rows.revision() > seen_revision_)
         {
@@ -242,7 +247,7 @@
     if (!answer.items.empty())
     {
         load_document(answer.items.front(), actions);
-        document = json::parse(answer.items.front().value, nullptr, false);
+        document = try_parse_json(answer.items.front().value);
         mod_revision = answer.items.front().mod_revision;
     }
     if (findings errors = errors_in(document); !errors.empty())
--- a/packages/entry/src/task_journal.cpp
+++ b/packages/entry/src/task_journal.cpp
@@ -30,8 +30,7 @@
     {
         return false;
     }
-    const json segment =
-        json::parse(answer.items.front().value, nullptr, false);
+    const json segment = try_parse_json(answer.items.front().value);
     return segment.is_object() && segment.value("nonce", json()) == nonce;
 }
 
--- a/packages/entry/src/task_journal_reader.cpp
+++ b/packages/entry/src/task_journal_reader.cpp
@@ -32,7 +32,7 @@
 
 void read_snapshot(const kv_item& item, task_journal& journal)
 {
-    const json document = json::parse(item.value);
+    const json document = parse_json(item.value);
     shard_tasks tasks = shard_tasks::parse(document.at("book"));
     const auto next = document.at("next_segment").get<std::int64_t>();
     if (next < 1)
@@ -46,7 +46,7 @@
 
 void apply_segment(const kv_item& item, task_journal& journal)
 {
-    const json segment = json::parse(item.value);
+    const json segment = parse_json(item.value);
     const auto steps = segment.at("steps").get<std::vector<task_transition>>();
     for (const task_transition& step : steps)
     {
--- a/packages/jobs/src/progress.cpp
+++ b/packages/jobs/src/progress.cpp
@@ -88,7 +88,7 @@
 {
     try
     {
-        const json document = json::parse(text);
+        const json document = parse_json(text);
         job_progress progress;
         progress.state = decode_state(document.at("state"));
         for (const json& row : document.at("tasks"))
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -66,7 +66,7 @@
 
 json parse_body(const shared_body& body)
 {
-    json document = json::parse(body ? *body : std::string(), nullptr, false);
+    json document = try_parse_json(body ? *body : std::string());
     if (document.is_discarded())
     {
         throw document_error("the body is not JSON");
--- a/packages/transport/src/problem.cpp
+++ b/packages/transport/src/problem.cpp
@@ -92,7 +92,7 @@
     {
         return std::nullopt;
     }
-    const json body = json::parse(*response.body, nullptr, false);
+    const json body = try_parse_json(*response.body);
     if (!body.is_object())
     {
         return std::nullopt;
--- a/packages/transport/src/rpc.cpp
+++ b/packages/transport/src/rpc.cpp
@@ -72,7 +72,7 @@
 
 std::string rpc_dispatcher::handle(const std::string& text)
 {
-    json request = json::parse(text, nullptr, false);
+    json request = try_parse_json(text);
     if (request.is_discarded())
     {
         return error_answer(parse_error, "this is not JSON", nullptr);
@@ -115,7 +115,7 @@
 
 json rpc_result(const std::string& text)
 {
-    json answer = json::parse(text, nullptr, false);
+    json answer = try_parse_json(text);
     if (!answer.is_object())
     {
         throw rpc_error("the answer is not a JSON object");
