--- a/tests/soak/drill_case.py
+++ b/tests/soak/drill_case.py
@@ -19,11 +19,15 @@
 
 
 class JobDrillCase(unittest.IsolatedAsyncioTestCase):
+    entries = 3
+    limits = {}  # of each process, in place of the fleet's
+
     async def asyncSetUp(self):
         self.directory = tempfile.mkdtemp(prefix="springstair-drill-")
         self.record = Record()
         draw = random.Random(5)
-        self.fleet = Fleet(draw, self.record, self.directory, guards=2)
+        self.fleet = Fleet(draw, self.record, self.directory,
+                           entries=self.entries, guards=2, limits=self.limits)
         await self.fleet.start()
         self.caller = Caller(self.fleet, self.record, draw)
         await self.wait_until("a job is accepted", self.accepts_job)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -127,10 +127,12 @@
 
 class Fleet:
     def __init__(self, draw, record, directory, entries=3, guards=5,
-                 enforces=False):
+                 enforces=False, limits=None):
         self.draw = draw
         self.record = record
         self.directory = directory
+        self.limits = {"memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS}
+        self.limits |= limits or {}
         self.enforces = enforces  # executors refuse runs that don't fit
         number = os.getpid()
         self.network = f"127.{20 + number // 250 % 200}.{1 + number % 250}"
@@ -168,7 +170,7 @@
             "announced_address": announced, "internal_port": INTERNAL,
             "store": f"{announced}:{STORE}", "longest_lease_ms": 6000,
             "stop_ms": 200, "grace_s": GRACE_S, "apply_within_ms": APPLY_MS,
-            "memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS,
+            **self.limits,
             "entries": [f"{self.ip(1, n)}:{INTERNAL}"
                         for n in range(len(self.entries))]}
         if name in self.entries:
