Server: memory for bodies is reserved before it is used

Cause: one body was bounded by 16 MiB, nothing bounded their sum over the connections of a process; the limits in the operators' configuration were read and never used; what a decoded submission needs was not counted; the system received megabytes ahead for each connection; an unread byte turned the close after 413 into a reset.

Change: a budget for each server, an eighth of memory_mb. It is reserved at a header that announces a size, as a body of unknown size grows, and for the decoded request before it is handled. What does not fit is answered 503 with a retry time, and has not run; a quarter is kept for small bodies. The configuration's limit holds for each new request. The rest of a refused body is read and dropped, so that its answer arrives. A caller's connection receives at most 32 KiB ahead. Metrics (body_bytes_of_*) and event 1009 show it.

Why it works: a byte of a body is stored only after it was reserved, so the sum over all connections cannot exceed the budget; a refused body holds nothing, however long its client waits.

--- a/packages/core/include/springstair/core.hpp
+++ b/packages/core/include/springstair/core.hpp
@@ -7,6 +7,7 @@
 #include <springstair/detail/core/json_text.hpp>
 #include <springstair/detail/core/log_rate_limiter.hpp>
 #include <springstair/detail/core/mailbox.hpp>
+#include <springstair/detail/core/memory_budget.hpp>
 #include <springstair/detail/core/metrics.hpp>
 #include <springstair/detail/core/names.hpp>
 #include <springstair/detail/core/object_reader.hpp>
--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -20,6 +20,7 @@
     part_given_up = 1006,
     process_bounds = 1007,
     message_failed = 1008,
+    requests_refused = 1009,
     table_in_force = 1101,
     table_refused = 1102,
     store_lost = 1201,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 71> catalogue{{
+constexpr std::array<event_description, 72> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -40,6 +40,10 @@
      "limit of each of its servers."},
     {event_id::message_failed, severity::error, "message_failed",
      "Handling a request ended with an exception; only that request failed."},
+    {event_id::requests_refused, severity::warning, "requests_refused",
+     "A server refused requests for their size or for lack of memory, or "
+     "closed "
+     "connections; at most one line per server in 5 s."},
     {event_id::table_in_force, severity::info, "table_in_force",
      "This process now uses a newer revision of the table."},
     {event_id::table_refused, severity::error, "table_refused",
--- a/packages/daemon/src/entry_role.cpp
+++ b/packages/daemon/src/entry_role.cpp
@@ -23,7 +23,7 @@
         {.address = common.address,
          .port = common.port,
          .threads = common.threads,
-         .most_body_bytes = common.most_body_bytes},
+         .limits = {.body_bytes = common.most_body_bytes}},
         [&](http_request request, http_responder responder)
         {
             process.events.post(http_arrival{
--- a/packages/daemon/src/guard_role.cpp
+++ b/packages/daemon/src/guard_role.cpp
@@ -22,7 +22,7 @@
         {.address = common.address,
          .port = common.port,
          .threads = common.threads,
-         .most_body_bytes = common.most_body_bytes},
+         .limits = {.body_bytes = common.most_body_bytes}},
         [&](http_request request, http_responder responder)
         {
             if (!has_fleet_key(request, common.fleet_key))
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -105,26 +105,37 @@
 
     void run()
     {
-        const http_server callers(
-            server_options(process_.settings.callers, process_.settings),
+        http_server callers(
+            server_options(process_.settings.callers, process_.settings,
+                           server_clients::callers),
             process_.on_request([this](const http_arrival& arrival)
                                 { job_request_handler_.on_request(arrival); }));
-        const http_server readiness(
-            server_options(process_.settings.readiness, process_.settings),
+        http_server readiness(
+            server_options(process_.settings.readiness, process_.settings,
+                           server_clients::operators),
             process_.on_request([this](const http_arrival& arrival)
                                 { answer_readiness(*arrival.responder); }));
-        const http_server internal(
+        http_server internal(
             server_options(internal_address(process_.settings),
-                           process_.settings),
+                           process_.settings, server_clients::processes),
             process_.on_request([this](http_arrival arrival)
                                 { answer_internal(arrival); }));
+        server_upkeep upkeep({{"callers", &callers},
+                              {"readiness", &readiness},
+                              {"internal", &internal}});
         const auto metrics_server = serve_metrics(
             process_, {{"callers", &callers}, {"internal", &internal}});
         log_event(
             event_id::process_started,
             {{"role", "job_entry"}, {"address", process_.settings.callers}});
         log_process_limits(process_.settings);
-        process_.run_control(timer_step, [this](time_point now) { tick(now); });
+        process_.run_control(timer_step,
+                             [&](time_point now)
+                             {
+                                 tick(now);
+                                 follow_limits(callers);
+                                 upkeep.tick(now);
+                             });
     }
 
 private:
@@ -169,6 +180,16 @@
         }
     }
 
+    void follow_limits(http_server& callers)
+    {
+        const queue_table& table = job_request_handler_.table();
+        if (table.version != limits_version_)
+        {
+            limits_version_ = table.version;
+            callers.set_limits(limits_of(table.bounds));
+        }
+    }
+
     entry_heartbeat_answer answer_heartbeat(const entry_heartbeat& heartbeat)
     {
         entry_heartbeat_answer answer = handover_.answer(heartbeat);
@@ -283,6 +304,7 @@
     rpc_dispatcher rpc_;
     std::optional<time_point> drain_started_at_;
     bool was_ready_ = false;
+    std::int64_t limits_version_ = 0; ///< of the table whose limits are in use
 };
 
 } // namespace
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -60,15 +60,18 @@
 
     void run()
     {
-        const http_server executors(
-            server_options(process_.settings.executors, process_.settings),
+        http_server executors(
+            server_options(process_.settings.executors, process_.settings,
+                           server_clients::executor),
             process_.on_request([this](const http_arrival& arrival)
                                 { on_executor(arrival); }));
-        const http_server internal(
-            server_options(internal_address(process_.settings),
-                           process_.settings),
-            process_.on_request([this](http_arrival arrival)
-                                { on_internal(arrival); }));
+        http_server internal(server_options(internal_address(process_.settings),
+                                            process_.settings,
+                                            server_clients::processes),
+                             process_.on_request([this](http_arrival arrival)
+                                                 { on_internal(arrival); }));
+        server_upkeep upkeep(
+            {{"executors", &executors}, {"internal", &internal}});
         const auto metrics_server = serve_metrics(
             process_, {{"executors", &executors}, {"internal", &internal}});
         log_event(event_id::process_started,
@@ -76,7 +79,12 @@
                    {"address", process_.settings.executors},
                    {"incarnation", reconciler_.incarnation()}});
         log_process_limits(process_.settings);
-        process_.run_control(timer_step, [this](time_point) { tick(now()); });
+        process_.run_control(timer_step,
+                             [&](time_point time)
+                             {
+                                 tick(now());
+                                 upkeep.tick(time);
+                             });
     }
 
 private:
--- a/packages/daemon/src/process_context.cpp
+++ b/packages/daemon/src/process_context.cpp
@@ -8,29 +8,7 @@
 namespace
 {
 
-// A process has up to three servers; the rest of its memory and descriptors is
-// for outgoing calls, files and computation.
-constexpr std::int64_t server_share_divisor = 4;
-constexpr std::int64_t kb_per_connection = 32; // memory of the HTTP library
 constexpr std::int64_t kb_per_mb = 1024;
-constexpr std::int64_t max_connections = 4096;
-
-std::int64_t max_connections_per_server(const job_settings& settings)
-{
-    std::int64_t max_per_server = max_connections;
-    if (settings.memory_mb > 0)
-    {
-        max_per_server = std::min(
-            max_per_server, settings.memory_mb * kb_per_mb /
-                                (server_share_divisor * kb_per_connection));
-    }
-    if (settings.descriptors > 0)
-    {
-        max_per_server = std::min(max_per_server,
-                                  settings.descriptors / server_share_divisor);
-    }
-    return std::max<std::int64_t>(max_per_server, 1);
-}
 
 // Peak resident memory of the process.
 double peak_memory_mb()
@@ -87,7 +65,7 @@
         return nullptr;
     }
     return std::make_unique<http_server>(
-        server_options(endpoint, process.settings),
+        server_options(endpoint, process.settings, server_clients::operators),
         [&process, servers = std::move(servers)](const http_request& request,
                                                  http_responder responder)
         {
@@ -106,36 +84,18 @@
                          static_cast<double>(process.client.connections()));
             for (const named_server& one : servers)
             {
-                registry.set("connections_of_" + std::string(one.name),
+                const std::string name(one.name);
+                registry.set("connections_of_" + name,
                              static_cast<double>(one.server->connections()));
+                registry.set(
+                    "body_bytes_of_" + name,
+                    static_cast<double>(one.server->figures().body_bytes));
             }
             registry.set("peak_memory_mb", peak_memory_mb());
             answer_metrics(responder, registry);
         });
 }
 
-http_server_options server_options(const std::string& endpoint,
-                                   const job_settings& settings)
-{
-    const std::size_t colon = endpoint.find(':');
-    return {.address = endpoint.substr(0, colon),
-            .port = static_cast<std::uint16_t>(
-                std::stoul(endpoint.substr(colon + 1))),
-            .threads = 1,
-            .max_connections = static_cast<unsigned int>(
-                max_connections_per_server(settings))};
-}
-
-void log_process_limits(const job_settings& settings)
-{
-    log_event(event_id::process_bounds,
-              {{"memory_mb", std::to_string(settings.memory_mb)},
-               {"descriptors", std::to_string(settings.descriptors)},
-               {"processors", std::to_string(settings.processors)},
-               {"connections_a_server",
-                std::to_string(max_connections_per_server(settings))}});
-}
-
 std::string internal_address(const job_settings& settings)
 {
     return settings.address + ":" + std::to_string(settings.internal_port);
--- a/packages/daemon/src/process_context.hpp
+++ b/packages/daemon/src/process_context.hpp
@@ -2,6 +2,7 @@
 // State shared by the components of a process of the job system.
 
 #include "role_support.hpp"
+#include "server_limits.hpp"
 
 #include <springstair/daemon.hpp>
 #include <springstair/transport.hpp>
@@ -68,25 +69,11 @@
 /// Wall clock time in milliseconds since 1970. It may jump.
 std::int64_t unix_milliseconds();
 
-/// A server and its name in the connection metrics.
-struct named_server
-{
-    std::string_view name;
-    const http_server* server = nullptr; ///< outlives the metrics
-};
-
 /// Serves the metrics at the endpoint in the settings; returns null if it is
 /// empty.
 std::unique_ptr<http_server> serve_metrics(process_context& process,
                                            std::vector<named_server> servers);
 
-/// Options of a server at an endpoint, within the limits of the process.
-http_server_options server_options(const std::string& endpoint,
-                                   const job_settings& settings);
-
-/// Logs the limits of the process and of its servers.
-void log_process_limits(const job_settings& settings);
-
 /// The address at which this process listens for other processes.
 std::string internal_address(const job_settings& settings);
 
--- a/packages/transport/include/springstair/detail/transport/http_server.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_server.hpp
@@ -36,6 +36,15 @@
 /// @brief Called for each request, on a server thread; must not block.
 using http_handler = std::function<void(http_request, http_responder)>;
 
+/// @brief Limits on requests that may change while a server runs.
+struct request_limits
+{
+    std::size_t body_bytes = 16U << 20U; ///< a larger body is answered 413
+    duration idle_timeout = std::chrono::seconds(30); ///< of a connection
+
+    bool operator==(const request_limits&) const = default;
+};
+
 /// @brief Address and limits of a server.
 struct http_server_options
 {
@@ -43,9 +52,24 @@
     std::uint16_t port = 0; ///< 0: any free port
     unsigned int threads = 2;
     unsigned int max_connections = 4096;
-    std::size_t most_body_bytes = 16U << 20U;
-    duration idle_timeout = std::chrono::seconds(30); ///< of a connection
-    duration max_upload = std::chrono::seconds(20);   ///< to receive one body
+    request_limits limits;
+    duration max_upload = std::chrono::seconds(20); ///< to receive one body
+    /// Bytes that all open requests may hold together; 0: unlimited. A request
+    /// that does not fit is refused, and has not run.
+    std::size_t body_memory_bytes = 0;
+    /// Memory that a request needs once it was received, in sizes of its body.
+    std::size_t decoded_factor = 1;
+    /// Bytes of a connection that the system receives ahead; 0: its default.
+    int receive_buffer_bytes = 0;
+};
+
+/// @brief What a server holds now, and what it has turned away since its start.
+struct http_server_figures
+{
+    std::size_t body_bytes = 0;      ///< reserved for open requests
+    std::int64_t refused_bodies = 0; ///< too large, or no memory was left
+
+    bool operator==(const http_server_figures&) const = default;
 };
 
 /// @brief An HTTP/1.1 server on one address.
@@ -67,6 +91,13 @@
     /// @brief Number of currently open client connections.
     [[nodiscard]] std::int64_t connections() const noexcept;
 
+    /// @brief Changes the limits for requests that begin from now on.
+    /// Thread-safe.
+    void set_limits(const request_limits& limits);
+
+    /// @brief Figures for metrics and the log. Thread-safe.
+    [[nodiscard]] http_server_figures figures() const;
+
     /// @brief Makes each further response close its connection, so that clients
     /// do not send on a connection that is about to close. Thread-safe.
     void close_connections() noexcept;
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include <springstair/transport.hpp>
 
 #include "ack_timeout.hpp"
+#include "request_body.hpp"
 
 #include <absl/synchronization/mutex.h>
 
@@ -27,13 +28,18 @@
     absl::Mutex mutex;
     MHD_Connection* connection = nullptr;
     http_request request;
-    std::string received;
-    time_point since;
+    request_body body;
     std::atomic<bool> handed_over = false;
     bool answered = false;
     bool closed = false;
     http_response response;
 
+    exchange(memory_budget& budget, std::size_t max_bytes,
+             std::size_t decoded_factor)
+        : body(budget, max_bytes, decoded_factor)
+    {
+    }
+
     void answer(http_response reply)
     {
         const absl::MutexLock lock(&mutex);
@@ -64,7 +70,8 @@
 // A client that vanished without a reset holds 32 KB and a descriptor. The
 // value exceeds the queueing delay of a congested slow link.
 constexpr duration ack_timeout = std::chrono::seconds(5);
-constexpr int payload_too_large = 413;
+// An ordinary request is smaller; see memory_budget.
+constexpr std::size_t small_body_bytes = 16U << 10U;
 
 std::string lower_case(std::string_view text)
 {
@@ -105,11 +112,16 @@
     return queued;
 }
 
-bool announces_more_than(MHD_Connection* connection, std::size_t most)
+const char* header_of(MHD_Connection* connection, const char* name)
 {
-    const char* const length = MHD_lookup_connection_value(
-        connection, MHD_HEADER_KIND, "Content-Length");
-    return length != nullptr && std::strtoull(length, nullptr, 10) > most;
+    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+}
+
+// The size of a body that a header announces; 0 if it does not.
+std::size_t announced_bytes(MHD_Connection* connection)
+{
+    const char* const length = header_of(connection, "Content-Length");
+    return length == nullptr ? 0 : std::strtoull(length, nullptr, 10);
 }
 
 } // namespace
@@ -121,46 +133,59 @@
     MHD_Daemon* daemon = nullptr;
     absl::Mutex mutex;
     std::set<std::shared_ptr<exchange>> open;
+    request_limits limits;
     bool stopping = false;
     std::atomic<bool> closing = false;
+    std::atomic<std::int64_t> refused_bodies = 0;
+    memory_budget bodies;
     std::atomic<std::int64_t> connections = 0;
 
+    explicit state(const http_server_options& given)
+        : options(given), limits(given.limits),
+          bodies(given.body_memory_bytes, small_body_bytes)
+    {
+    }
+
+    request_limits current_limits()
+    {
+        const absl::MutexLock lock(&mutex);
+        return limits;
+    }
+
     std::shared_ptr<exchange>* begin(MHD_Connection* connection,
                                      const char* url, const char* method)
     {
-        auto fresh = std::make_shared<exchange>();
+        auto fresh = std::make_shared<exchange>(
+            bodies, current_limits().body_bytes, options.decoded_factor);
         fresh->connection = connection;
-        fresh->since = boot_clock::now();
         fresh->request.method = method;
         fresh->request.path = url;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &collect,
                                   &fresh->request.headers);
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect,
                                   &fresh->request.query);
+        fresh->body.announce(announced_bytes(connection));
         const absl::MutexLock lock(&mutex);
         open.insert(fresh);
         return new std::shared_ptr<exchange>(std::move(fresh));
     }
 
-    MHD_Result receive(exchange& current, const char* data,
-                       std::size_t size) const
+    static MHD_Result receive(exchange& current, const char* data,
+                              std::size_t size)
     {
-        const bool too_large =
-            current.received.size() + size > options.most_body_bytes;
-        const bool too_slow =
-            boot_clock::now() - current.since > options.max_upload;
-        if (too_large || too_slow)
-        {
-            return MHD_NO;
-        }
-        current.received.append(data, size);
-        return MHD_YES;
+        return current.body.append(data, size) ? MHD_YES : MHD_NO;
     }
 
-    void hand_over(const std::shared_ptr<exchange>& current)
+    MHD_Result hand_over(const std::shared_ptr<exchange>& current)
     {
+        std::optional<std::string> received = current->body.take();
+        if (!received)
+        {
+            return queue(current->connection, *current->body.refused_with(),
+                         closing);
+        }
         current->handed_over = true;
-        current->request.body = make_body(std::move(current->received));
+        current->request.body = make_body(*std::move(received));
         MHD_suspend_connection(current->connection);
         bool refuse = false;
         {
@@ -171,13 +196,16 @@
         if (refuse)
         {
             responder.respond(to_response({.reason = refusal::draining}));
-            return;
+            return MHD_YES;
         }
         handler(std::move(current->request), std::move(responder));
+        return MHD_YES;
     }
 
     void end(const std::shared_ptr<exchange>& current)
     {
+        refused_bodies += current->body.refused_with() ? 1 : 0;
+        current->body.release();
         {
             const absl::MutexLock lock(&current->mutex);
             current->closed = true;
@@ -227,12 +255,13 @@
     auto& server = *static_cast<http_server::state*>(context);
     if (*own == nullptr)
     {
-        if (announces_more_than(connection, server.options.most_body_bytes))
-        {
-            return queue(connection, {.status = payload_too_large});
-        }
-        *own = server.begin(connection, url, method);
-        return MHD_YES;
+        auto* const fresh = server.begin(connection, url, method);
+        *own = fresh;
+        const auto& refused_with = (*fresh)->body.refused_with();
+        const bool is_awaited = header_of(connection, "Expect") != nullptr;
+        return refused_with && is_awaited
+                   ? queue(connection, *refused_with, server.closing)
+                   : MHD_YES;
     }
     const auto& current = *static_cast<std::shared_ptr<exchange>*>(*own);
     if (*size > 0)
@@ -243,8 +272,7 @@
     }
     if (!current->handed_over)
     {
-        server.hand_over(current);
-        return MHD_YES;
+        return server.hand_over(current);
     }
     if (!current->is_answered())
     {
@@ -299,6 +327,15 @@
     return address;
 }
 
+// Accepted connections inherit the size. Without it, the system receives
+// megabytes of a connection that is not read.
+void limit_receive_buffer(MHD_Daemon& daemon, int bytes)
+{
+    const MHD_DaemonInfo* const info =
+        MHD_get_daemon_info(&daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 } // namespace
 
 http_responder::http_responder(std::shared_ptr<exchange> current)
@@ -323,9 +360,8 @@
 
 http_server::http_server(const http_server_options& options,
                          http_handler handler)
-    : state_(std::make_unique<state>())
+    : state_(std::make_unique<state>(options))
 {
-    state_->options = options;
     state_->handler = std::move(handler);
     sockaddr_in address = socket_address(options);
     state_->daemon = MHD_start_daemon(
@@ -334,7 +370,7 @@
         &address, MHD_OPTION_THREAD_POOL_SIZE, options.threads,
         MHD_OPTION_CONNECTION_LIMIT, options.max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned int>(to_seconds(options.idle_timeout)),
+        static_cast<unsigned int>(to_seconds(options.limits.idle_timeout)),
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, header_memory,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
         &on_end, state_.get(), MHD_OPTION_NOTIFY_CONNECTION, &on_connection,
@@ -345,6 +381,10 @@
                                                  options.address + ":" +
                                                  std::to_string(options.port));
     }
+    if (options.receive_buffer_bytes > 0)
+    {
+        limit_receive_buffer(*state_->daemon, options.receive_buffer_bytes);
+    }
 }
 
 http_server::~http_server()
@@ -371,6 +411,18 @@
     return state_->connections;
 }
 
+void http_server::set_limits(const request_limits& limits)
+{
+    const absl::MutexLock lock(&state_->mutex);
+    state_->limits = limits;
+}
+
+http_server_figures http_server::figures() const
+{
+    return {.body_bytes = state_->bodies.used(),
+            .refused_bodies = state_->refused_bodies};
+}
+
 std::uint16_t http_server::port() const noexcept
 {
     return MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
--- a/tests/unit/edge_tests.cpp
+++ b/tests/unit/edge_tests.cpp
@@ -103,7 +103,7 @@
 
 TEST_CASE("bodies over the size limit are refused")
 {
-    const http_server server({.most_body_bytes = 1000},
+    const http_server server({.limits = {.body_bytes = 1000}},
                              [](const http_request&, http_responder responder)
                              { responder.respond({.status = 200}); });
     http_client client;
