Server: a full server makes room, and headers have a time limit

Cause: a full server waits, and no connection was closed to let another in. A header had no time limit but the idle timeout, which each byte started anew; the time limit of a body was looked at only when bytes came.

Change: server_connections knows what is awaited on each connection and since when.

Unit tests for room, overdue requests and unanswered ones.

Why it works: a crowd can occupy at most the places that nobody else wants; silence, not age, decides, so an ordinary request, which sends its header at once, is among the last to be closed.

--- a/packages/daemon/src/server_limits.cpp
+++ b/packages/daemon/src/server_limits.cpp
@@ -108,6 +108,7 @@
 {
     const request_limits usual;
     return {.body_bytes = bounds.body_bytes,
+            .header_timeout = std::chrono::milliseconds(bounds.header_ms),
             .idle_timeout = std::max<duration>(
                 usual.idle_timeout, std::chrono::milliseconds(bounds.idle_ms))};
 }
@@ -129,6 +130,7 @@
     next_ = now + upkeep_interval;
     for (watched_server& one : servers_)
     {
+        one.server.server->close_overdue(now);
         log_refusals(one, now);
     }
 }
@@ -138,7 +140,9 @@
     const http_server_figures figures = one.server.server->figures();
     const std::int64_t refused =
         figures.refused_bodies - one.logged.refused_bodies;
-    if (now < one.next_log || refused == 0)
+    const std::int64_t closed =
+        figures.closed_connections - one.logged.closed_connections;
+    if (now < one.next_log || (refused == 0 && closed == 0))
     {
         return;
     }
@@ -147,6 +151,7 @@
     log_event(event_id::requests_refused,
               {{"server", std::string(one.server.name)},
                {"refused", std::to_string(refused)},
+               {"closed", std::to_string(closed)},
                {"body_bytes", std::to_string(figures.body_bytes)}});
 }
 
--- a/packages/daemon/src/server_limits.hpp
+++ b/packages/daemon/src/server_limits.hpp
@@ -36,7 +36,7 @@
     http_server* server = nullptr; ///< outlives its users
 };
 
-/// Logs what servers turn away.
+/// Closes the overdue connections of servers, and logs what they turn away.
 class server_upkeep
 {
 public:
--- a/packages/transport/include/springstair/detail/transport/http_server.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_server.hpp
@@ -40,7 +40,8 @@
 struct request_limits
 {
     std::size_t body_bytes = 16U << 20U; ///< a larger body is answered 413
-    duration idle_timeout = std::chrono::seconds(30); ///< of a connection
+    duration header_timeout = std::chrono::seconds(20); ///< for one header
+    duration idle_timeout = std::chrono::seconds(30);   ///< of a connection
 
     bool operator==(const request_limits&) const = default;
 };
@@ -66,8 +67,9 @@
 /// @brief What a server holds now, and what it has turned away since its start.
 struct http_server_figures
 {
-    std::size_t body_bytes = 0;      ///< reserved for open requests
-    std::int64_t refused_bodies = 0; ///< too large, or no memory was left
+    std::size_t body_bytes = 0;          ///< reserved for open requests
+    std::int64_t refused_bodies = 0;     ///< too large, or no memory was left
+    std::int64_t closed_connections = 0; ///< overdue, or to make room
 
     bool operator==(const http_server_figures&) const = default;
 };
@@ -95,6 +97,10 @@
     /// Thread-safe.
     void set_limits(const request_limits& limits);
 
+    /// @brief Closes connections whose header or body is overdue. To be called
+    /// regularly. Thread-safe.
+    void close_overdue(time_point now);
+
     /// @brief Figures for metrics and the log. Thread-safe.
     [[nodiscard]] http_server_figures figures() const;
 
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "ack_timeout.hpp"
 #include "request_body.hpp"
+#include "server_connections.hpp"
 
 #include <absl/synchronization/mutex.h>
 
@@ -72,6 +73,8 @@
 constexpr duration ack_timeout = std::chrono::seconds(5);
 // An ordinary request is smaller; see memory_budget.
 constexpr std::size_t small_body_bytes = 16U << 10U;
+// A client that just meets a time limit is not cut off by a late timer.
+constexpr duration timeout_margin = std::chrono::seconds(1);
 
 std::string lower_case(std::string_view text)
 {
@@ -138,11 +141,12 @@
     std::atomic<bool> closing = false;
     std::atomic<std::int64_t> refused_bodies = 0;
     memory_budget bodies;
-    std::atomic<std::int64_t> connections = 0;
+    server_connections connections;
 
     explicit state(const http_server_options& given)
         : options(given), limits(given.limits),
-          bodies(given.body_memory_bytes, small_body_bytes)
+          bodies(given.body_memory_bytes, small_body_bytes),
+          connections(given.max_connections)
     {
     }
 
@@ -165,14 +169,16 @@
         MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collect,
                                   &fresh->request.query);
         fresh->body.announce(announced_bytes(connection));
+        connections.enter(connection, connection_phase::body,
+                          boot_clock::now());
         const absl::MutexLock lock(&mutex);
         open.insert(fresh);
         return new std::shared_ptr<exchange>(std::move(fresh));
     }
 
-    static MHD_Result receive(exchange& current, const char* data,
-                              std::size_t size)
+    MHD_Result receive(exchange& current, const char* data, std::size_t size)
     {
+        connections.note_progress(current.connection, boot_clock::now());
         return current.body.append(data, size) ? MHD_YES : MHD_NO;
     }
 
@@ -186,6 +192,8 @@
         }
         current->handed_over = true;
         current->request.body = make_body(*std::move(received));
+        connections.enter(current->connection, connection_phase::answer,
+                          boot_clock::now());
         MHD_suspend_connection(current->connection);
         bool refuse = false;
         {
@@ -206,6 +214,8 @@
     {
         refused_bodies += current->body.refused_with() ? 1 : 0;
         current->body.release();
+        connections.enter(current->connection, connection_phase::idle,
+                          boot_clock::now());
         {
             const absl::MutexLock lock(&current->mutex);
             current->closed = true;
@@ -300,12 +310,15 @@
     auto& server = *static_cast<http_server::state*>(context);
     if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
-        --server.connections;
+        server.connections.remove(connection);
         return;
     }
-    ++server.connections;
     const MHD_ConnectionInfo* const info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr)
+    {
+        server.connections.add(connection, info->connect_fd, boot_clock::now());
+    }
     if (info == nullptr || !set_ack_timeout(info->connect_fd, ack_timeout))
     {
         // The idle timeout of the server still closes the connection.
@@ -314,6 +327,16 @@
     }
 }
 
+// Called with the first line of a request. Its result becomes the request's
+// own pointer in on_access().
+void* on_first_line(void* context, const char* /*line*/,
+                    MHD_Connection* connection)
+{
+    static_cast<http_server::state*>(context)->connections.enter(
+        connection, connection_phase::header, boot_clock::now());
+    return nullptr;
+}
+
 sockaddr_in socket_address(const http_server_options& options)
 {
     sockaddr_in address{};
@@ -374,7 +397,8 @@
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, header_memory,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
         &on_end, state_.get(), MHD_OPTION_NOTIFY_CONNECTION, &on_connection,
-        state_.get(), MHD_OPTION_END);
+        state_.get(), MHD_OPTION_URI_LOG_CALLBACK, &on_first_line, state_.get(),
+        MHD_OPTION_END);
     if (state_->daemon == nullptr)
     {
         throw transport_error(socket_failed, "cannot listen on " +
@@ -408,7 +432,7 @@
 
 std::int64_t http_server::connections() const noexcept
 {
-    return state_->connections;
+    return static_cast<std::int64_t>(state_->connections.size());
 }
 
 void http_server::set_limits(const request_limits& limits)
@@ -420,7 +444,18 @@
 http_server_figures http_server::figures() const
 {
     return {.body_bytes = state_->bodies.used(),
-            .refused_bodies = state_->refused_bodies};
+            .refused_bodies = state_->refused_bodies,
+            .closed_connections = state_->connections.closed()};
+}
+
+void http_server::close_overdue(time_point now)
+{
+    const request_limits limits = state_->current_limits();
+    state_->connections.close_overdue(
+        {.idle = limits.idle_timeout + timeout_margin,
+         .header = limits.header_timeout + timeout_margin,
+         .body = state_->options.max_upload + timeout_margin},
+        now);
 }
 
 std::uint16_t http_server::port() const noexcept
--- a/tests/unit/client_limits_tests.cpp
+++ b/tests/unit/client_limits_tests.cpp
@@ -5,6 +5,8 @@
 #include <springstair/daemon.hpp>
 #include <springstair/transport.hpp>
 
+#include <absl/synchronization/notification.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -16,6 +18,7 @@
 
 using namespace springstair; // NOLINT: a test
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace
 {
@@ -156,3 +159,51 @@
     client.send(post(2000) + std::string(2000, 'x'));
     CHECK(client.receive().find(" 413 ") != std::string::npos);
 }
+
+// Guards against connections that keep everybody else out.
+TEST_CASE("a full server closes the connection that was silent the longest")
+{
+    const http_server server({.threads = 1, .max_connections = 4}, &answer_ok);
+    const raw_client silent(server.port());
+    while (server.connections() < 1)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    for (int number = 0; number < 10; ++number)
+    {
+        const raw_client other(server.port());
+        other.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(other.receive().find(" 200 ") != std::string::npos);
+    }
+    const raw_client one(server.port());
+    const raw_client two(server.port());
+    const raw_client three(server.port());
+    three.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(three.receive().find(" 200 ") != std::string::npos);
+    CHECK(silent.receive().empty());
+}
+
+TEST_CASE("overdue headers and bodies are closed, unanswered requests are not")
+{
+    absl::Notification arrived;
+    std::optional<http_responder> waiting;
+    http_server server({.threads = 1},
+                       [&](const http_request&, http_responder responder)
+                       {
+                           waiting.emplace(std::move(responder));
+                           arrived.Notify();
+                       });
+    const raw_client header(server.port());
+    header.send("GET / HTTP/1.1\r\nHost: h\r\n");
+    const raw_client body(server.port());
+    body.send(post(10) + "x");
+    const raw_client unanswered(server.port());
+    unanswered.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    arrived.WaitForNotification();
+    wait_until_held(server, 10);
+    server.close_overdue(boot_clock::now() + seconds(25));
+    CHECK(header.receive().empty());
+    CHECK(body.receive().empty());
+    waiting->respond({.status = 200});
+    CHECK(unanswered.receive().find(" 200 ") != std::string::npos);
+}
