--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -195,6 +195,39 @@
               .queue == "r1");
 }
 
+// Guards against work and memory for each element of a document that is
+// refused for its first one, or for their number.
+TEST_CASE("the first finding of a submission is told, with its place")
+{
+    const queue_table table = adapter::decode_configuration(configuration);
+    const auto answer_to = [&](const std::string& steps)
+    {
+        const auto what = adapter::decode_request(
+            request("POST", "/one/" + id, R"({"steps": [)" + steps + "]}"),
+            table);
+        return *std::get<adapter::refused_request>(what).answer.body;
+    };
+    CHECK(answer_to("{}, 0, 0").find("/steps/1") != std::string::npos);
+    std::string many = "0";
+    for (std::size_t steps = 0; steps < job_bounds().steps; ++steps)
+    {
+        many += ",0";
+    }
+    CHECK(answer_to(many).find("/steps: must be 1 to 256") !=
+          std::string::npos);
+}
+
+TEST_CASE("a step that is named several times is one dependency")
+{
+    const queue_table table = adapter::decode_configuration(configuration);
+    const auto what = adapter::decode_request(
+        request("POST", "/one/" + id,
+                R"({"steps": [{}, {}, {"depends_on": [1, 0, 1]}]})"),
+        table);
+    CHECK(std::get<adapter::submit_request>(what).definition.steps[2].after ==
+          std::vector<std::size_t>{0, 1});
+}
+
 TEST_CASE("answers to callers: states, statuses and Retry-After")
 {
     CHECK(*adapter::state_answer(job_state::succeeded).body ==
