Jobs: a leader accepts only jobs that every leader can hold

Cause: the memory of jobs had no bound in sum; a task that nobody had begun cost 480 bytes; the records of ended jobs were kept with all tasks for the whole term, and loaded by each next leader.

Change: a job's memory is computed from its definition, and admitted within a quarter of the memory of the smallest entry that may lead; others are refused with 503 before they are written. Other entries accept small jobs within an allotment of the leader's heartbeat answer and forward the rest to the leader. Ended jobs lose their tasks after 20 s and their records after three minutes; a new leader reads progress first and keeps only the ids of ended jobs, which are never accepted again. A task holds a run only while it has one.

Unit tests: the bound, the allotment, the smallest entry, what ended jobs cost and that they are never accepted again.

Why it works: what is written to the store is what a leader must load; it is bounded before the write, for the smallest leader there may be.

--- a/packages/core/include/springstair/core.hpp
+++ b/packages/core/include/springstair/core.hpp
@@ -4,6 +4,7 @@
 
 #include <springstair/detail/core/errors.hpp>
 #include <springstair/detail/core/events.hpp>
+#include <springstair/detail/core/heap_optional.hpp>
 #include <springstair/detail/core/json_text.hpp>
 #include <springstair/detail/core/log_rate_limiter.hpp>
 #include <springstair/detail/core/mailbox.hpp>
--- a/packages/daemon/src/job_entry_role.cpp
+++ b/packages/daemon/src/job_entry_role.cpp
@@ -50,7 +50,7 @@
           leader_heartbeat_(process, store_, leader_election_),
           job_scheduler_(process, store_, leader_election_),
           job_request_handler_(process, store_, leader_election_,
-                               job_scheduler_, leader_heartbeat_),
+                               job_scheduler_, leader_heartbeat_, handover_),
           operator_(process, store_,
                     {.table =
                          [this](const queue_table& table)
@@ -196,6 +196,12 @@
         const bool is_fresh =
             boot_clock::now() - operator_.fresh_at() < leader_info_max_age;
         answer.operator_change = is_fresh ? operator_.newest_change() : 0;
+        if (answer.holds && job_scheduler_.ready())
+        {
+            answer.job_allotment_bytes =
+                job_request_handler_.memory_for_jobs().allotment(
+                    handover_.entry_count());
+        }
         return answer;
     }
 
--- a/packages/daemon/src/job_request_forwarding.cpp
+++ b/packages/daemon/src/job_request_forwarding.cpp
@@ -33,6 +33,7 @@
 constexpr int conflict_status = 409;
 constexpr int gone_status = 410;
 constexpr int bad_request_status = 400;
+constexpr int too_many_status = 429;
 constexpr int unavailable_status = 503;
 
 bool is_served(const http_result& result)
@@ -43,11 +44,15 @@
             result.response.status == gone_status);
 }
 
+bool is_answered_with(const http_result& result, int status)
+{
+    return result.how == delivery::answered && result.response.status == status;
+}
+
 bool is_known_not_done(const http_result& result)
 {
     return result.how == delivery::not_sent ||
-           (result.how == delivery::answered &&
-            result.response.status == unavailable_status);
+           is_answered_with(result, unavailable_status);
 }
 
 std::string path_of(const std::string& method, const job_reference& job)
@@ -135,6 +140,12 @@
                          .body = result.response.body});
         return;
     }
+    if (is_answered_with(result, too_many_status))
+    {
+        answer(request, platform::refused_answer(
+                            retry_after(), "there is no memory for the job"));
+        return;
+    }
     if (is_known_not_done(result))
     {
         failed_peers_[request->tried_peers.back()] = boot_clock::now();
@@ -204,12 +215,25 @@
     }
     if (incoming.method == "POST")
     {
-        submit(decode_job(*incoming.body), request);
+        serve_forwarded_submission(decode_job(*incoming.body), request);
         return;
     }
     incoming.method == "DELETE" ? cancel(asked, request) : show(asked, request);
 }
 
+// The job may be too large for the entry that forwarded it to decide.
+void job_request_handler::serve_forwarded_submission(const job& definition,
+                                                     const request_ptr& request)
+{
+    if (admit(definition, request))
+    {
+        submit(definition, request);
+        return;
+    }
+    answer(request, json_response(too_many_status,
+                                  {{"error", "no memory for the job"}}));
+}
+
 // ---------------------------------------------------------------------------
 // The store
 // ---------------------------------------------------------------------------
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -40,9 +40,11 @@
                                          platform::store_client& store,
                                          leader_election& election,
                                          job_scheduler& scheduler,
-                                         const leader_heartbeat& heartbeat)
+                                         leader_heartbeat& heartbeat,
+                                         const leader_handover& handover)
     : process_(process), store_(store), leader_election_(election),
-      job_scheduler_(scheduler), leader_heartbeat_(heartbeat)
+      job_scheduler_(scheduler), leader_heartbeat_(heartbeat),
+      leader_handover_(handover)
 {
 }
 
@@ -82,6 +84,7 @@
         return;
     }
     --open_;
+    open_job_bytes_ -= request->job_bytes;
     request->responder->respond(std::move(response));
 }
 
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -2,6 +2,7 @@
 // Callers' requests to an entry.
 
 #include "job_scheduler.hpp"
+#include "leader_handover.hpp"
 #include "leader_heartbeat.hpp"
 #include "tombstone_lease.hpp"
 
@@ -34,7 +35,8 @@
 public:
     job_request_handler(process_context& process, platform::store_client& store,
                         leader_election& election, job_scheduler& scheduler,
-                        const leader_heartbeat& heartbeat);
+                        leader_heartbeat& heartbeat,
+                        const leader_handover& handover);
 
     void set_table(const queue_table& table);
     void on_request(const http_arrival& arrival);
@@ -42,6 +44,9 @@
     void on_forwarded(const http_arrival& arrival);
     void tick(time_point now);
 
+    /// The memory for jobs at the leader, which this entry is; submissions
+    /// without an answer count as held.
+    [[nodiscard]] job_memory memory_for_jobs() const;
     /// Number of requests without an answer.
     [[nodiscard]] std::int64_t open() const noexcept
     {
@@ -64,6 +69,7 @@
         time_point arrived;
         time_point deadline;         ///< for the answer
         bool may_be_written = false; ///< a write's outcome is unknown
+        std::int64_t job_bytes = 0;  ///< that a submission was admitted with
         std::int64_t tries = 0;
         std::int64_t unanswered_tries = 0; ///< by the store
         bool forwarded = false;            ///< to another entry, or from one
@@ -91,11 +97,15 @@
     void handle(const platform::refused_request& refused,
                 const request_ptr& request);
 
+    [[nodiscard]] bool admit(const job& definition, const request_ptr& request);
     void submit(const job& definition, const request_ptr& request);
     void on_submitted(const job& definition, const request_ptr& request,
                       const platform::store_result& result);
     void on_store_failed(const job& definition, const request_ptr& request);
-    void forward_submission(const job& definition, const request_ptr& request);
+    void forward_submission(const job& definition, const request_ptr& request,
+                            const char* why);
+    void serve_forwarded_submission(const job& definition,
+                                    const request_ptr& request);
     void notify_leader(const job& definition);
     void show(const job_reference& asked, const request_ptr& request);
     void show_from_store(const job_reference& asked,
@@ -169,7 +179,8 @@
     platform::store_client& store_;
     leader_election& leader_election_;
     job_scheduler& job_scheduler_;
-    const leader_heartbeat& leader_heartbeat_;
+    leader_heartbeat& leader_heartbeat_;
+    const leader_handover& leader_handover_;
     queue_table table_;
     adaptive_timeout timeout_;
     /// Since when the store has been unavailable to this entry, if it is.
@@ -180,6 +191,7 @@
     /// failed.
     std::map<std::string, time_point> failed_peers_;
     std::int64_t open_ = 0;
+    std::int64_t open_job_bytes_ = 0; ///< of submissions without an answer
     std::deque<std::pair<time_point, std::function<void()>>> delayed_;
     tombstone_lease tombstone_lease_;
     waiting_counts waiting_counts_; ///< by the leader's newest answers
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -16,8 +16,35 @@
 // A slow store answers the second try, whose timeout is twice as long. A store
 // that answers neither is unavailable to this entry; another may reach it.
 constexpr std::int64_t max_unanswered = 2;
+constexpr const char* store_away = "the store is away";
+constexpr const char* no_memory = "the leader has no memory for the job";
+
 } // namespace
 
+job_memory job_request_handler::memory_for_jobs() const
+{
+    return leader_handover_.memory_for_jobs(job_scheduler_.core().held_bytes() +
+                                                open_job_bytes_,
+                                            boot_clock::now());
+}
+
+// Whether the leader will have memory for a job. An entry that is not the
+// leader decides that for small jobs only, within its allotment.
+bool job_request_handler::admit(const job& definition,
+                                const request_ptr& request)
+{
+    const std::int64_t bytes = job_record::memory_bytes(definition);
+    const bool is_admitted = job_scheduler_.ready()
+                                 ? memory_for_jobs().admits(bytes)
+                                 : leader_heartbeat_.allotment().take(bytes);
+    if (is_admitted)
+    {
+        request->job_bytes = bytes;
+        open_job_bytes_ += bytes;
+    }
+    return is_admitted;
+}
+
 void job_request_handler::handle(const platform::submit_request& message,
                                  const request_ptr& request)
 {
@@ -31,23 +58,33 @@
     job accepted = message.definition;
     accepted.accepted_ms = unix_milliseconds();
     accepted.accepted_under = *queue;
-    // The store may be unavailable to this VM only; another entry can then
-    // write the job.
-    store_unavailable_since_ ? forward_submission(accepted, request)
-                             : submit(accepted, request);
+    if (store_unavailable_since_)
+    {
+        // It may be unavailable to this VM only; another entry can then write
+        // the job.
+        forward_submission(accepted, request, store_away);
+        return;
+    }
+    if (admit(accepted, request))
+    {
+        submit(accepted, request);
+        return;
+    }
+    job_scheduler_.ready() ? refuse_submission(accepted, request, no_memory)
+                           : forward_submission(accepted, request, no_memory);
 }
 
 // The other entry creates the same job or finds that it exists.
 void job_request_handler::forward_submission(const job& definition,
-                                             const request_ptr& request)
+                                             const request_ptr& request,
+                                             const char* why)
 {
-    forward_request(
-        {.method = "POST",
-         .job = {.id = definition.id, .queue = definition.queue},
-         .body = make_body(json(definition).dump())},
-        request,
-        [this, definition, request]
-        { fail_submission(definition, request, "the store is away"); });
+    forward_request({.method = "POST",
+                     .job = {.id = definition.id, .queue = definition.queue},
+                     .body = make_body(json(definition).dump())},
+                    request,
+                    [this, definition, request, why]
+                    { fail_submission(definition, request, why); });
 }
 
 // A job that may have been written must not be refused: the outcome is unknown.
@@ -156,7 +193,7 @@
 {
     request->forwarded
         ? fail_submission(definition, request, "the store refuses")
-        : forward_submission(definition, request);
+        : forward_submission(definition, request, store_away);
 }
 
 void job_request_handler::answer_unknown(const job& definition,
--- a/packages/daemon/src/job_scheduler_loading.cpp
+++ b/packages/daemon/src/job_scheduler_loading.cpp
@@ -30,7 +30,7 @@
 {
     ++generation_;
     core_.begin_term(epoch, boot_clock::now());
-    stage_ = stage::reading_jobs;
+    stage_ = stage::reading_progress;
     reading_ = false;
     watching_ = false;
     next_read_ = {};
@@ -78,7 +78,7 @@
         return;
     }
     page_timeout_.answered(result.latency);
-    if (jobs_revision_ == 0)
+    if (stage_ == stage::reading_jobs && jobs_revision_ == 0)
     {
         jobs_revision_ = result.revision; // later pages may have a newer one
     }
@@ -91,8 +91,8 @@
     {
         return;
     }
-    stage_ = stage_ == stage::reading_jobs ? stage::reading_progress
-                                           : stage::loading_interference;
+    stage_ = stage_ == stage::reading_progress ? stage::reading_jobs
+                                               : stage::loading_interference;
 }
 
 // Interference data is optional: the term begins whether or not it can be read.
@@ -143,12 +143,27 @@
     {
         loaded_cancellations_.insert(key.id);
     }
+    else if (has_ended(key.id))
+    {
+        core_.adopt_ended(key.id);
+        loaded_progress_.erase(key.id);
+    }
     else if (auto definition = decode_item(item))
     {
         loaded_jobs_[key.id] = *std::move(definition);
     }
 }
 
+// Whether a job has ended, by its progress, which is read before the jobs: no
+// leader but this one can write any.
+bool job_scheduler::has_ended(const std::string& id) const
+{
+    const auto found = loaded_progress_.find(id);
+    return found != loaded_progress_.end() &&
+           is_final(found->second.first.state) &&
+           found->second.first.tasks.empty();
+}
+
 void job_scheduler::load_progress(const store_item& item)
 {
     const std::string id =
@@ -299,7 +314,7 @@
         core_.cancel(key.id, now);
         return;
     }
-    if (core_.find(key.id) != nullptr || held_jobs_.contains(key.id))
+    if (core_.knows(key.id) || held_jobs_.contains(key.id))
     {
         return;
     }
--- a/packages/daemon/src/leader_handover.cpp
+++ b/packages/daemon/src/leader_handover.cpp
@@ -97,6 +97,14 @@
     }
 }
 
+job_memory leader_handover::memory_for_jobs(std::int64_t held_bytes,
+                                            time_point now) const
+{
+    const std::int64_t own = job_capacity_bytes(process_.settings);
+    return {.capacity_bytes = entries_.job_capacity(own, now),
+            .held_bytes = held_bytes};
+}
+
 entry_heartbeat_answer leader_handover::answer(const entry_heartbeat& heartbeat)
 {
     entry_heartbeat_answer answer{.epoch = leader_election_.newest_epoch(),
--- a/packages/daemon/src/leader_handover.hpp
+++ b/packages/daemon/src/leader_handover.hpp
@@ -24,6 +24,15 @@
     /// Records an entry's heartbeat, if this entry is the leader, and returns
     /// the answer to it.
     entry_heartbeat_answer answer(const entry_heartbeat& heartbeat);
+    /// The memory for jobs of the smallest entry, this one included, of which
+    /// the leader holds so many bytes.
+    [[nodiscard]] job_memory memory_for_jobs(std::int64_t held_bytes,
+                                             time_point now) const;
+    /// Number of present entries.
+    [[nodiscard]] std::size_t entry_count() const noexcept
+    {
+        return entries_.size() + 1;
+    }
     /// Begins a term: forgets all entries.
     void begin();
 
--- a/packages/daemon/src/leader_heartbeat.cpp
+++ b/packages/daemon/src/leader_heartbeat.cpp
@@ -32,7 +32,8 @@
 leader_heartbeat::leader_heartbeat(process_context& process,
                                    platform::store_client& store,
                                    leader_election& election)
-    : process_(process), store_(store), leader_election_(election)
+    : process_(process), store_(store), leader_election_(election),
+      job_allotment_(job_capacity_bytes(process.settings))
 {
 }
 
@@ -95,7 +96,8 @@
         .address = announced_address(process_.settings),
         .data_centre = process_.settings.data_centre,
         .processors = process_.settings.processors,
-        .store_away = store_.is_unavailable()};
+        .store_away = store_.is_unavailable(),
+        .job_capacity_bytes = job_capacity_bytes(process_.settings)};
     process_.client.send(
         {.method = "POST",
          .url = "http://" + target + wire::rpc_path,
@@ -121,6 +123,7 @@
         peers_ = answer->peers;
         operator_change_ = answer->operator_change;
         rank_ = answer->rank;
+        job_allotment_.renew(answer->job_allotment_bytes);
         next_heartbeat_at_ = sent + heartbeat_interval;
         return;
     }
--- a/packages/daemon/src/leader_heartbeat.hpp
+++ b/packages/daemon/src/leader_heartbeat.hpp
@@ -35,6 +35,11 @@
     {
         return operator_change_;
     }
+    /// What this entry may accept without the leader.
+    [[nodiscard]] job_allotment& allotment() noexcept
+    {
+        return job_allotment_;
+    }
     /// When this entry claims a free leadership.
     [[nodiscard]] claim_schedule own_claim_schedule() const
     {
@@ -63,6 +68,7 @@
     std::vector<std::string> peers_;
     std::int64_t operator_change_ = 0;
     std::optional<std::int64_t> rank_; ///< among the successors
+    job_allotment job_allotment_;
 };
 
 } // namespace springstair
--- a/packages/daemon/src/server_limits.cpp
+++ b/packages/daemon/src/server_limits.cpp
@@ -19,6 +19,8 @@
 constexpr std::int64_t default_memory_mb = 512;
 // The bodies of a server hold at most this part of the process's memory.
 constexpr std::int64_t body_share_divisor = 8;
+// Jobs hold at most this part of it.
+constexpr std::int64_t job_share_divisor = 4;
 // A quarter of a server's memory for bodies is kept for small ones.
 constexpr std::size_t large_body_numerator = 3;
 constexpr std::size_t large_body_divisor = 4;
@@ -104,6 +106,11 @@
                 is_for_callers ? caller_receive_buffer_bytes : 0};
 }
 
+std::int64_t job_capacity_bytes(const job_settings& settings)
+{
+    return memory_bytes(settings) / job_share_divisor;
+}
+
 request_limits limits_of(const caller_bounds& bounds)
 {
     const request_limits usual;
@@ -113,7 +120,7 @@
                 usual.idle_timeout, std::chrono::milliseconds(bounds.idle_ms))};
 }
 
-server_upkeep::server_upkeep(std::vector<named_server> servers)
+server_upkeep::server_upkeep(const std::vector<named_server>& servers)
 {
     for (const named_server& one : servers)
     {
@@ -164,7 +171,8 @@
          {"processors", std::to_string(settings.processors)},
          {"connections_a_server",
           std::to_string(max_connections_per_server(settings))},
-         {"body_bytes_a_server", std::to_string(body_memory_bytes(settings))}});
+         {"body_bytes_a_server", std::to_string(body_memory_bytes(settings))},
+         {"job_bytes", std::to_string(job_capacity_bytes(settings))}});
 }
 
 } // namespace springstair
--- a/packages/daemon/src/server_limits.hpp
+++ b/packages/daemon/src/server_limits.hpp
@@ -26,6 +26,9 @@
                                    const job_settings& settings,
                                    server_clients clients);
 
+/// Memory for jobs that a process has as the leader.
+std::int64_t job_capacity_bytes(const job_settings& settings);
+
 /// Limits on callers' requests by the operators' configuration.
 request_limits limits_of(const caller_bounds& bounds);
 
@@ -40,7 +43,7 @@
 class server_upkeep
 {
 public:
-    explicit server_upkeep(std::vector<named_server> servers);
+    explicit server_upkeep(const std::vector<named_server>& servers);
 
     /// To be called regularly.
     void tick(time_point now);
--- a/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/entry_messages.hpp
@@ -89,6 +89,8 @@
     double processors = 1; ///< of its VM, in cores
     /// Whether the store did not serve the most recently completed call.
     bool store_away = false;
+    /// Bytes of jobs that it can hold as the leader; 0: unknown.
+    std::int64_t job_capacity_bytes = 0;
 
     bool operator==(const entry_heartbeat&) const = default;
 };
@@ -110,6 +112,9 @@
     /// Store revision of the newest operator's change that the leader knows; 0:
     /// its knowledge is not up to date.
     std::int64_t operator_change = 0;
+    /// Bytes of small jobs that the asking entry may accept until its next
+    /// heartbeat; nothing from earlier versions.
+    std::optional<std::int64_t> job_allotment_bytes;
 
     bool operator==(const entry_heartbeat_answer&) const = default;
 };
@@ -125,6 +130,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_over_result, epoch, by)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(entry_heartbeat, address,
                                                 data_centre, processors,
-                                                store_away)
+                                                store_away, job_capacity_bytes)
 
 } // namespace springstair
--- a/packages/jobs/src/entry_messages.cpp
+++ b/packages/jobs/src/entry_messages.cpp
@@ -39,6 +39,10 @@
     {
         to["rank"] = *from.rank;
     }
+    if (from.job_allotment_bytes)
+    {
+        to["job_allotment_bytes"] = *from.job_allotment_bytes;
+    }
 }
 
 void from_json(const json& from, entry_heartbeat_answer& to)
@@ -52,6 +56,11 @@
     {
         to.rank = from.at("rank").get<std::int64_t>();
     }
+    if (from.contains("job_allotment_bytes"))
+    {
+        to.job_allotment_bytes =
+            from.at("job_allotment_bytes").get<std::int64_t>();
+    }
 }
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/entry_list.hpp
@@ -130,6 +130,15 @@
                                                  time_point now);
     /// @brief Records that an entry could not take over, or did not answer.
     void note_declined(const std::string& address, time_point now);
+    /// @brief The memory for jobs of the smallest present entry.
+    /// @param own_bytes that of the leader
+    [[nodiscard]] std::int64_t job_capacity(std::int64_t own_bytes,
+                                            time_point now) const;
+    /// @brief Number of present entries, besides the leader.
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return entries_.size();
+    }
     /// @brief Entries that the store serves, as peers of the asking one.
     std::vector<std::string> peers_of(const entry_heartbeat& asking,
                                       time_point now);
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -73,12 +73,12 @@
     std::int64_t crashes = 0;    ///< confirmed executor crashes under it
     std::int64_t judged_run = 0; ///< newest run whose loss is counted
     std::int64_t losses = 0; ///< executors lost with a start, confirmed or not
-    std::optional<task_run> run;
+    heap_optional<task_run> run; ///< few of the tasks of a job have one
     std::string checkpoint;
     duration observed_work{0};     ///< run time at full speed; 0: unknown
     std::set<std::string> avoided; ///< guards where it failed or got stuck
     /// By its newest relocation, or its newest crash as a suspect.
-    std::optional<departed_worker> departed;
+    heap_optional<departed_worker> departed;
     /// Earliest next start: backoff after a refusal, or of a strong suspect.
     time_point not_before{};
     /// When its job was accepted, its step opened or its last run (or that of
@@ -100,6 +100,15 @@
     /// @brief A job without any runs yet.
     explicit job_record(job definition);
 
+    /// @brief Bytes that the record of a job may hold until it ends, with a run
+    /// of each task.
+    static std::int64_t memory_bytes(const job& definition);
+    /// @brief Bytes that are counted for this record.
+    [[nodiscard]] std::int64_t memory_bytes() const noexcept
+    {
+        return memory_bytes_;
+    }
+
     [[nodiscard]] const job& definition() const noexcept
     {
         return definition_;
@@ -141,6 +150,10 @@
     /// @brief What is stored of the job. Once a job is final and has no runs,
     /// this is its state alone, so that a successor has little to read.
     [[nodiscard]] job_progress progress() const;
+    /// @brief Whether the job is final and nothing of it may run any more.
+    [[nodiscard]] bool has_ended() const;
+    /// @brief Drops the steps and tasks of a job that has ended.
+    void release();
     /// @brief Restores what a previous leader stored.
     void restore(const job_progress& progress);
 
@@ -174,6 +187,7 @@
     std::vector<std::size_t> first_of_step_; ///< offsets within a round
     std::size_t tasks_per_round_ = 0;
     std::vector<job_task> tasks_;
+    std::int64_t memory_bytes_ = 0;
 };
 
 } // namespace springstair
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -19,11 +19,13 @@
 #include <springstair/detail/scheduler/wait_report.hpp>
 #include <springstair/detail/scheduler/worker_ledger.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace springstair
@@ -192,6 +194,20 @@
         return workers_;
     }
     [[nodiscard]] const job_record* find(const std::string& id) const;
+    /// @brief Records that a job of an earlier term has ended: it is never
+    /// accepted again.
+    void adopt_ended(const std::string& id);
+    /// @brief Whether a job was accepted in this term or an earlier one.
+    [[nodiscard]] bool knows(const std::string& id) const
+    {
+        return jobs_.contains(id) || forgotten_.contains(id);
+    }
+    /// @brief Bytes that are counted for all jobs; see
+    /// job_record::memory_bytes().
+    [[nodiscard]] std::int64_t held_bytes() const noexcept
+    {
+        return held_bytes_;
+    }
     [[nodiscard]] scheduler_figures figures() const;
 
 private:
@@ -505,6 +521,9 @@
     void mark_changed(job_record& record, time_point now);
     void log_decision(event_id id, std::vector<event_field> fields);
 
+    void release_ended(time_point now);
+    void forget_ended(time_point now);
+    void release_record(job_record& record, time_point now);
     job_record* job_of(const std::string& id);
     [[nodiscard]] const queue_row* queue_of(const job& definition) const;
     // A task by its name in reports; null pointers if there is none.
@@ -528,6 +547,12 @@
     bool is_ready_ = false;
     time_point term_started_at_{};
     std::map<std::string, std::unique_ptr<job_record>> jobs_;
+    std::int64_t held_bytes_ = 0; ///< by the records of jobs_
+    /// Jobs that have ended, by the time at which that was committed.
+    std::deque<std::pair<time_point, std::string>> ended_;
+    /// Those without tasks, by the time at which these were dropped.
+    std::deque<std::pair<time_point, std::string>> released_;
+    std::unordered_set<std::string> forgotten_; ///< ended jobs without a record
     /// Jobs that may have tasks to place.
     std::set<std::string> placeable_jobs_;
     std::vector<std::string> dirty_; ///< jobs to write, oldest change first
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
@@ -125,6 +125,12 @@
     /// Interference below this is not reported to guards; unit as in
     /// pair_interference::harm.
     double min_reported_interference = 0.8;
+    /// Steps and tasks of an ended job are kept for this time: an order of one
+    /// of its runs may be carried out late, and is stopped.
+    duration ended_tasks_retention = std::chrono::seconds(20);
+    /// After that, the state of an ended job is kept for this time; later it is
+    /// read from the store. Callers ask for it for two minutes.
+    duration ended_state_retention = std::chrono::seconds(160);
 
     // Optional features; without a value, decisions are made without them.
 
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -15,6 +15,7 @@
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
 #include <springstair/detail/scheduler/job_forecast.hpp>
+#include <springstair/detail/scheduler/job_memory.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
--- a/packages/scheduler/src/entry_list.cpp
+++ b/packages/scheduler/src/entry_list.cpp
@@ -143,6 +143,24 @@
     return std::nullopt;
 }
 
+// Entries of earlier versions state no capacity.
+std::int64_t entry_list::job_capacity(std::int64_t own_bytes,
+                                      time_point now) const
+{
+    std::int64_t smallest = own_bytes;
+    for (const auto& [address, entry] : entries_)
+    {
+        const std::int64_t capacity = entry.heartbeat.job_capacity_bytes;
+        const bool is_present =
+            now - entry.received_at <= options_.heartbeat_timeout;
+        if (is_present && capacity > 0)
+        {
+            smallest = std::min(smallest, capacity);
+        }
+    }
+    return smallest;
+}
+
 void entry_list::note_declined(const std::string& address, time_point now)
 {
     declined_[address] = now;
--- a/packages/scheduler/src/job_record.cpp
+++ b/packages/scheduler/src/job_record.cpp
@@ -16,10 +16,31 @@
            !saved.checkpoint.empty();
 }
 
+// Keys and names of the record, and its nodes in the scheduler's maps.
+constexpr std::size_t bytes_per_record = 512;
+
+std::size_t bytes_of(const job_step& step)
+{
+    return sizeof(step) + step.after.size() * sizeof(step.after[0]) +
+           step.label.size() + step.data_rack.size() + step.image.size();
+}
+
+// Cannot overflow: the number of tasks of a valid job is bounded.
+std::size_t task_count(const job& definition)
+{
+    std::int64_t tasks = 0;
+    for (const job_step& step : definition.steps)
+    {
+        tasks += step.count;
+    }
+    return static_cast<std::size_t>(tasks * definition.rounds());
+}
+
 } // namespace
 
 job_record::job_record(job definition) : definition_(std::move(definition))
 {
+    memory_bytes_ = memory_bytes(definition_);
     critical_path_ms = definition_.critical_path_ms();
     for (const job_step& step : definition_.steps)
     {
@@ -30,6 +51,34 @@
                   static_cast<std::size_t>(definition_.rounds()));
 }
 
+std::int64_t job_record::memory_bytes(const job& definition)
+{
+    std::size_t bytes =
+        sizeof(job_record) + bytes_per_record + definition.payload.size();
+    for (const job_step& step : definition.steps)
+    {
+        bytes += bytes_of(step);
+    }
+    bytes += task_count(definition) * (sizeof(job_task) + sizeof(task_run));
+    return static_cast<std::int64_t>(bytes);
+}
+
+bool job_record::has_ended() const
+{
+    return is_final(state_) && !has_runs();
+}
+
+void job_record::release()
+{
+    definition_.payload = {};
+    definition_.steps = {};
+    definition_.schedule = {};
+    first_of_step_ = {};
+    tasks_per_round_ = 0;
+    tasks_ = {};
+    memory_bytes_ = memory_bytes(definition_);
+}
+
 void job_record::enter(job_state next) noexcept
 {
     if (!is_final(state_) && state_ != next)
@@ -125,7 +174,7 @@
 job_progress job_record::progress() const
 {
     job_progress progress{.state = state_};
-    if (is_final(state_) && !has_runs())
+    if (has_ended())
     {
         return progress; // ended everywhere: its tasks need no record
     }
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -49,6 +49,10 @@
     }
     record.restore(*saved);
     record.revision = revision;
+    if (record.has_ended())
+    {
+        release_record(record, now);
+    }
     for (job_task& task : record.tasks())
     {
         if (task.run)
@@ -83,7 +87,7 @@
 
 void scheduler_core::accept(job definition, time_point now)
 {
-    if (jobs_.contains(definition.id))
+    if (knows(definition.id))
     {
         return;
     }
@@ -95,6 +99,7 @@
         task.ready_since = now;
     }
     job_record& record = *created;
+    held_bytes_ += record.memory_bytes();
     jobs_.emplace(record.definition().id, std::move(created));
     log_decision(event_id::job_known,
                  {{"job", record.definition().id},
@@ -102,7 +107,8 @@
                   {"tasks", std::to_string(record.tasks().size())}});
     may_place_ = true;
     placeable_jobs_.insert(record.definition().id);
-    if (record.definition().steps.front().lasting)
+    const bool has_steps = !record.definition().steps.empty();
+    if (has_steps && record.definition().steps.front().lasting)
     {
         last_lasting_ = std::max(last_lasting_, now);
     }
@@ -122,6 +128,49 @@
     stop_all(*record);
 }
 
+void scheduler_core::adopt_ended(const std::string& id)
+{
+    forgotten_.insert(id);
+}
+
+void scheduler_core::release_ended(time_point now)
+{
+    while (!ended_.empty() &&
+           now - ended_.front().first >= options_.ended_tasks_retention)
+    {
+        job_record* const record = job_of(ended_.front().second);
+        ended_.pop_front();
+        if (record != nullptr && !record->definition().steps.empty())
+        {
+            release_record(*record, now);
+        }
+    }
+}
+
+void scheduler_core::forget_ended(time_point now)
+{
+    while (!released_.empty() &&
+           now - released_.front().first >= options_.ended_state_retention)
+    {
+        const std::string id = std::move(released_.front().second);
+        released_.pop_front();
+        held_bytes_ -= job_of(id)->memory_bytes();
+        availability_.erase(id);
+        jobs_.erase(id);
+        forgotten_.insert(id);
+    }
+}
+
+// An ended job costs little: its state is all that anybody may ask for.
+void scheduler_core::release_record(job_record& record, time_point now)
+{
+    held_bytes_ -= record.memory_bytes();
+    record.release();
+    held_bytes_ += record.memory_bytes();
+    placeable_jobs_.erase(record.definition().id);
+    released_.emplace_back(now, record.definition().id);
+}
+
 job_record* scheduler_core::job_of(const std::string& id)
 {
     const auto found = jobs_.find(id);
@@ -313,6 +362,8 @@
             lose_runs(tasks, end_proof::guard_never_polled(), now);
         }
     }
+    release_ended(now);
+    forget_ended(now);
     place_if_due(now, unix_ms);
     sample_availability_if_due(now);
 }
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -234,6 +234,10 @@
             }
             out.starts.push_back(order_for(record, task));
         }
+        if (record.has_ended() && record.committed_change == record.change)
+        {
+            ended_.emplace_back(now, write.job);
+        }
     }
 }
 
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -315,6 +315,12 @@
         await self.check_processes()
         await self.check_next_leader()
 
+    # Each is answered before the next arrives, so bodies need little memory.
+    async def test_large_submissions_in_turn(self):
+        await self.submit_all(200, large_submission(), at_once=4)
+        await self.check_processes()
+        await self.check_next_leader()
+
     async def test_submissions_of_many_tasks(self):
         await self.submit_all(200, many_tasks())
         await self.check_processes()
--- a/tests/unit/client_limits_tests.cpp
+++ b/tests/unit/client_limits_tests.cpp
@@ -1,4 +1,7 @@
-// Limits that keep clients that don't behave from using up a process.
+// Limits that keep clients that don't behave from using up a process: memory of
+// bodies, connections, and the jobs that a leader holds.
+
+#include "scheduler_harness.hpp"
 
 #include <doctest/doctest.h>
 
@@ -16,9 +19,8 @@
 
 #include <thread>
 
-using namespace springstair; // NOLINT: a test
-using std::chrono::milliseconds;
-using std::chrono::seconds;
+using namespace springstair;        // NOLINT: a test
+using namespace springstair::tests; // NOLINT: a test
 
 namespace
 {
@@ -207,3 +209,68 @@
     waiting->respond({.status = 200});
     CHECK(unanswered.receive().find(" 200 ") != std::string::npos);
 }
+
+// Guards against jobs in the store that no leader has the memory for.
+TEST_CASE("jobs are admitted within the memory of the smallest entry")
+{
+    const job_memory memory{.capacity_bytes = 4'000'000,
+                            .held_bytes = 2'500'000};
+    CHECK(memory.admits(500'000));
+    CHECK_FALSE(memory.admits(500'001)); // a quarter is kept for small jobs
+    CHECK(memory.admits(job_memory::small_job_bytes));
+    CHECK(memory.allotment(3) == 500'000);
+    const job_memory full{.capacity_bytes = 1000, .held_bytes = 1200};
+    CHECK_FALSE(full.admits(1));
+    CHECK(full.allotment(3) == 0);
+}
+
+TEST_CASE("an entry accepts small jobs within its allotment")
+{
+    job_allotment allotment(4'000'000); // a quarter until a leader answers
+    CHECK_FALSE(allotment.take(job_memory::small_job_bytes + 1));
+    int taken = 0;
+    while (allotment.take(100'000))
+    {
+        ++taken;
+    }
+    CHECK(taken == 10);
+    allotment.renew(150'000);
+    CHECK(allotment.take(100'000));
+    CHECK_FALSE(allotment.take(100'000));
+    allotment.renew(std::nullopt); // a leader of an earlier version
+    CHECK(allotment.take(100'000));
+}
+
+TEST_CASE("the smallest entry that is present bounds the memory for jobs")
+{
+    entry_list list;
+    const time_point now = time_point{seconds(100)};
+    CHECK(list.job_capacity(900, now) == 900);
+    list.record_heartbeat({.address = "a", .job_capacity_bytes = 500}, now);
+    list.record_heartbeat({.address = "b"}, now); // an earlier version
+    CHECK(list.job_capacity(900, now) == 500);
+    CHECK(list.job_capacity(900, now + seconds(60)) == 900);
+    CHECK(list.size() == 2);
+}
+
+// Guards against a leader whose memory grows with every job that ever ended.
+TEST_CASE("a job that has ended costs no memory and is never accepted again")
+{
+    scheduler_harness harness;
+    harness.worker("g1");
+    const std::int64_t before = harness.core.held_bytes();
+    const job definition = harness.submit({step_of(200)});
+    const std::int64_t open = harness.core.held_bytes() - before;
+    CHECK(open == job_record::memory_bytes(definition));
+    harness.core.cancel(definition.id, harness.now);
+    harness.advance();
+    harness.advance(seconds(30));
+    CHECK(harness.core.held_bytes() - before < open / 10);
+    CHECK(harness.shown(definition.id) == job_state::cancelled);
+    harness.advance(seconds(200));
+    CHECK(harness.core.held_bytes() == before);
+    CHECK(harness.core.find(definition.id) == nullptr);
+    harness.core.accept(definition, harness.now); // a late notification
+    CHECK(harness.core.find(definition.id) == nullptr);
+    CHECK(harness.core.knows(definition.id));
+}
