--- a/packages/transport/include/springstair/detail/transport/http_client.hpp
+++ b/packages/transport/include/springstair/detail/transport/http_client.hpp
@@ -47,6 +47,8 @@
     /// connections. Further calls are queued in order and end as `not_sent`
     /// after their timeout; the timeout restarts when a call is sent.
     std::size_t max_open_calls = default_max_open_calls;
+    /// A call whose answer has a larger body ends without an answer.
+    std::size_t max_answer_bytes = 64U << 20U;
     /// Whether timeouts indicate dead connections to this peer. False for a
     /// peer that may leave single calls unanswered: there, only unacknowledged
     /// bytes indicate a dead connection.
--- a/packages/transport/src/open_call.cpp
+++ b/packages/transport/src/open_call.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-constexpr std::size_t max_answer_bytes = 64U << 20U;
-
 // The peer of a call: its URL up to the path.
 std::string peer_of(const std::string& url)
 {
@@ -32,7 +30,7 @@
 {
     auto& current = *static_cast<open_call*>(context);
     const std::size_t bytes = size * count;
-    if (current.received.size() + bytes > max_answer_bytes)
+    if (current.received.size() + bytes > current.call.max_answer_bytes)
     {
         return 0;
     }
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -308,6 +308,14 @@
                               port=HEARTBEATS)
         await self.check_processes()
 
+    async def test_large_answers_of_an_executor(self):
+        executor = self.fleet.executors[0]
+        snapshot = executor.snapshot
+        executor.snapshot = lambda: snapshot() | {"other": "x" * (30 << 20)}
+        await asyncio.sleep(HELD_S)
+        executor.snapshot = snapshot
+        await self.check_processes()
+
     # Whole requests.
 
     async def test_large_submissions(self):
