Jobs: a leader holds stored jobs that it has no memory for

Cause: the bound on admission does not cover what is in the store.

Change: when a leader loads or is told of a large job beyond its memory for jobs, it holds it for another term, as it does one that it cannot read. Small jobs may take twice that memory, as entries accept them in parallel.

Why it works: a held job has no record; the memory of all others is counted before they are loaded.

--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -79,6 +79,7 @@
     void on_page(const platform::store_result& result);
     void adopt_interference(const platform::store_result& result);
     void load_item(const platform::store_item& item);
+    void require_memory(const job& definition) const;
     [[nodiscard]] bool has_ended(const std::string& id) const;
     void load_progress(const platform::store_item& item);
     std::optional<job> decode_item(const platform::store_item& item);
@@ -125,6 +126,7 @@
     bool reading_ = false;
     std::string page_after_;
     std::map<std::string, job> loaded_jobs_; ///< those that have not ended
+    std::int64_t loaded_bytes_ = 0;          ///< of their records
     std::set<std::string> loaded_cancellations_;
     std::map<std::string, std::pair<job_progress, std::int64_t>>
         loaded_progress_;
--- a/packages/daemon/src/job_scheduler_loading.cpp
+++ b/packages/daemon/src/job_scheduler_loading.cpp
@@ -37,6 +37,7 @@
     page_after_.clear();
     batch_.reset();
     loaded_jobs_.clear();
+    loaded_bytes_ = 0;
     loaded_cancellations_.clear();
     loaded_progress_.clear();
     held_jobs_.clear();
@@ -150,6 +151,7 @@
     }
     else if (auto definition = decode_item(item))
     {
+        loaded_bytes_ += job_record::memory_bytes(*definition);
         loaded_jobs_[key.id] = *std::move(definition);
     }
 }
@@ -188,6 +190,7 @@
         {
             throw document_error("the stored job has the id " + definition.id);
         }
+        require_memory(definition);
         return definition;
     }
     catch (const std::exception& error)
@@ -197,6 +200,25 @@
     }
 }
 
+// Entries admitted the jobs within the memory of the smallest of them. An
+// earlier version, or entries of more memory, may have accepted more: large
+// jobs beyond the bound wait for another term, so that the process and the
+// other jobs go on. Small jobs may exceed it: entries accept them in parallel.
+void job_scheduler::require_memory(const job& definition) const
+{
+    constexpr std::int64_t small_job_factor = 2;
+    const std::int64_t bytes = job_record::memory_bytes(definition);
+    const bool is_small = bytes <= job_memory::small_job_bytes;
+    const job_memory memory{.capacity_bytes =
+                                job_capacity_bytes(process_.settings) *
+                                (is_small ? small_job_factor : 1),
+                            .held_bytes = core_.held_bytes() + loaded_bytes_};
+    if (!memory.admits(bytes))
+    {
+        throw document_error("there is no memory for the job");
+    }
+}
+
 // A job that cannot be read, or not scheduled, is held: left out of this term.
 // As a new job, its tasks would run again, and the write of their progress
 // would fail on the unreadable record and end the term, with all other jobs in
@@ -247,6 +269,7 @@
                {"jobs", std::to_string(loaded_jobs_.size())},
                {"progress", std::to_string(loaded_progress_.size())}});
     loaded_jobs_.clear();
+    loaded_bytes_ = 0;
     loaded_progress_.clear();
     stage_ = stage::ready;
 }
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -4,6 +4,7 @@
 no times."""
 
 import asyncio
+import base64
 import json
 import os
 import signal
@@ -334,6 +335,23 @@
         await self.check_processes()
         await self.check_next_leader()
 
+    # As an earlier version accepted them.
+    async def test_stored_jobs_of_many_tasks(self):
+        self.assertEqual(await self.submit_all(1, many_tasks()), [200])
+        store = self.fleet.store
+        key = max(name for name in store.items
+                  if name.startswith("springstair/jobs/") and
+                  '"count":10000' in store.text(store.items[name]))
+        ident = key.rsplit("/", 1)[1]
+        text = store.text(store.items[key])
+        for number in range(200):
+            other = f"{number:016x}"
+            value = base64.b64encode(text.replace(ident, other).encode())
+            store.apply({"put": [{"tls_key": key.replace(ident, other),
+                                  "value": value.decode()}]})
+        await self.check_processes()
+        await self.check_next_leader()
+
     async def test_documents_that_are_refused(self):
         statuses = await self.submit_all(100, zeros())
         self.assertNotIn(200, statuses)
