Submissions: a repeated one is never refused for lack of memory

Cause: admission did not look whether the job is known.

Change: a job that the leader knows is admitted without memory; the store then answers that it exists. The drill a_repeated_submission_is_not_refused failed on (503) and passes.

--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -28,11 +28,16 @@
                                             boot_clock::now());
 }
 
-// Whether the leader will have memory for a job. An entry that is not the
-// leader decides that for small jobs only, within its allotment.
+// Whether the leader will have memory for a job: a job that it knows needs no
+// more, and is never refused when its submission is repeated. An entry that is
+// not the leader decides that for small jobs only, within its allotment.
 bool job_request_handler::admit(const job& definition,
                                 const request_ptr& request)
 {
+    if (job_scheduler_.ready() && job_scheduler_.core().knows(definition.id))
+    {
+        return true;
+    }
     const std::int64_t bytes = job_record::memory_bytes(definition);
     const bool is_admitted = job_scheduler_.ready()
                                  ? memory_for_jobs().admits(bytes)
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -171,9 +171,9 @@
         self.crowds.append(crowd)
         return crowd
 
-    def head(self, *headers):
-        """The first lines of a submission with a new id."""
-        ident = f"{self.fleet.draw.getrandbits(64):016x}"
+    def head(self, *headers, ident=None):
+        """The first lines of a submission, with a new id if none is given."""
+        ident = ident or f"{self.fleet.draw.getrandbits(64):016x}"
         lines = [f"POST /quick/{ident} HTTP/1.1", f"Host: {HOST}",
                  "Deadline-Ms: 2500", *headers]
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
@@ -190,19 +190,24 @@
 
         async def submit_one():
             async with limit:
-                reader, writer = await asyncio.open_connection(
-                    self.fleet.ip(0, 0), CALLERS)
-                try:
-                    writer.write(self.announced(len(body)) + body)
-                    await writer.drain()
-                    return int((await reader.readline()).split()[1])
-                except (ConnectionError, IndexError):
-                    return None
-                finally:
-                    writer.transport.abort()
+                return await self.submit_body(body)
 
         return await asyncio.gather(*(submit_one() for _ in range(count)))
 
+    async def submit_body(self, body, ident=None):
+        """Submits a body; returns the answer's status."""
+        head = self.head(f"Content-Length: {len(body)}", ident=ident)
+        reader, writer = await asyncio.open_connection(
+            self.fleet.ip(0, 0), CALLERS)
+        try:
+            writer.write(head + body)
+            await writer.drain()
+            return int((await reader.readline()).split()[1])
+        except (ConnectionError, IndexError):
+            return None
+        finally:
+            writer.transport.abort()
+
     async def check_processes(self):
         await asyncio.sleep(HELD_S)
         await self.check_an_ordinary_job()
@@ -335,6 +340,14 @@
         await self.check_processes()
         await self.check_next_leader()
 
+    # 503 promises that the job never runs.
+    async def test_a_repeated_submission_is_not_refused(self):
+        accepted = "00000000000000aa"
+        self.assertEqual(await self.submit_body(many_tasks(), accepted), 200)
+        statuses = await self.submit_all(20, many_tasks(), at_once=1)
+        self.assertEqual(statuses[-1], 503)
+        self.assertEqual(await self.submit_body(many_tasks(), accepted), 200)
+
     # As an earlier version accepted them.
     async def test_stored_jobs_of_many_tasks(self):
         self.assertEqual(await self.submit_all(1, many_tasks()), [200])
