Submissions: a job that is held is never refused

Cause: admission asked only for the jobs that the leader schedules.

Change: it asks for held jobs as well; the store then answers that the job exists. The drill a_held_job_is_not_refused (new) failed on (503) and passes.

--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -34,7 +34,7 @@
 bool job_request_handler::admit(const job& definition,
                                 const request_ptr& request)
 {
-    if (job_scheduler_.ready() && job_scheduler_.core().knows(definition.id))
+    if (job_scheduler_.knows(definition.id))
     {
         return true;
     }
--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -42,6 +42,12 @@
     {
         return stage_ == stage::ready;
     }
+    /// Whether this entry is the leader and knows that a job was accepted. It
+    /// may hold the job for another term.
+    [[nodiscard]] bool knows(const std::string& id) const
+    {
+        return ready() && (core_.knows(id) || held_jobs_.contains(id));
+    }
     /// The state of a job that callers may be shown; nothing if it must be read
     /// from the store.
     [[nodiscard]] std::optional<job_state> shown(const std::string& id) const
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -350,6 +350,19 @@
 
     # As an earlier version accepted them.
     async def test_stored_jobs_of_many_tasks(self):
+        await self.store_many_tasks()
+        await self.check_processes()
+        await self.check_next_leader()
+
+    # A job that a leader holds for another term was accepted and may run.
+    async def test_a_held_job_is_not_refused(self):
+        idents = await self.store_many_tasks()
+        await asyncio.sleep(HELD_S)
+        status = await self.submit_body(many_tasks(), idents[-1])
+        self.assertEqual(status, 200)
+
+    async def store_many_tasks(self):
+        """Puts 200 jobs into the store; returns their ids."""
         self.assertEqual(await self.submit_all(1, many_tasks()), [200])
         store = self.fleet.store
         key = max(name for name in store.items
@@ -357,13 +370,12 @@
                   '"count":10000' in store.text(store.items[name]))
         ident = key.rsplit("/", 1)[1]
         text = store.text(store.items[key])
-        for number in range(200):
-            other = f"{number:016x}"
+        idents = [f"{number:016x}" for number in range(200)]
+        for other in idents:
             value = base64.b64encode(text.replace(ident, other).encode())
             store.apply({"put": [{"tls_key": key.replace(ident, other),
                                   "value": value.decode()}]})
-        await self.check_processes()
-        await self.check_next_leader()
+        return idents
 
     async def test_documents_that_are_refused(self):
         statuses = await self.submit_all(100, zeros())
