--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -36,8 +36,8 @@
     {event_id::part_given_up, severity::error, "part_given_up",
      "A component failed too often; the process exits."},
     {event_id::process_bounds, severity::info, "process_bounds",
-     "Resource limits of the process, from its settings, and the connection "
-     "limit of each of its servers."},
+     "Resource limits of the process, from its settings, and what each of "
+     "its servers, and its jobs as a leader, may use."},
     {event_id::message_failed, severity::error, "message_failed",
      "Handling a request ended with an exception; only that request failed."},
     {event_id::requests_refused, severity::warning, "requests_refused",
