--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -157,8 +157,10 @@
     """An executor that guards its capacity. `plan` gives, for a task, its
     seconds, whether it fails, and its demand."""
 
-    def __init__(self, name, control, record, plan, checkpoint_bytes=16):
+    def __init__(self, name, control, record, plan, checkpoint_bytes=16,
+                 rack="r1-1"):
         self.name = name
+        self.rack = rack
         self.ident = f"i-{random.getrandbits(32):08x}"
         self.born = int(time.time() * 1000)
         self.control = Connection(control)
@@ -192,7 +194,7 @@
                 {"service": SERVICE, "address": self.address, "zone": "pos-a",
                  "version": "v1", "slots": 8, "state": "ready",
                  "cold_remaining_ms": 0, "capacity": CAPACITY,
-                 "labels": ["a", "r1-1"], "clock_ms": self.clock_ms(),
+                 "labels": ["a", self.rack], "clock_ms": self.clock_ms(),
                  "seq": self.sequence, "born": self.born}, timeout=1)
             await asyncio.sleep(1.1)
 
@@ -487,7 +489,8 @@
             ip = self.guard_ip(number)
             executor = Executor(f"executor-{number + 1}",
                                 f"{ip}:{HEARTBEATS}", self.record, self.plan,
-                                self.checkpoint_bytes)
+                                self.checkpoint_bytes,
+                                f"r1-{1 + number // 3}")
             await executor.start(ip, EXECUTOR)
             self.executors.append(executor)
             settings = self.common(f"side-pos-a-{number + 1}", ip, SIDE_MB,
