Leader: a new one loads every job that was accepted

Cause: admission admits large jobs up to three quarters of the memory for jobs and small ones up to the whole; a new leader applied the same rule in the order of ids, with the small jobs it had read before in the sum. What was accepted within the bound was not loaded within it.

Change: can_load() depends on no order. Large jobs are compared with the large ones alone; the total may have twice the capacity, as entries accept small jobs in parallel.

Why it works: the large jobs among those accepted never have more than the capacity, in whatever order they are read.

--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -23,9 +23,9 @@
 
 job_memory job_request_handler::memory_for_jobs() const
 {
-    return leader_handover_.memory_for_jobs(job_scheduler_.core().held_bytes() +
-                                                open_job_bytes_,
-                                            boot_clock::now());
+    return leader_handover_.memory_for_jobs(
+        job_scheduler_.core().held_bytes().total + open_job_bytes_,
+        boot_clock::now());
 }
 
 // Whether the leader will have memory for a job: a job that it knows needs no
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -392,7 +392,7 @@
                static_cast<double>(figures.urgent_on_reserved));
     gauges.set("jobs_deferred", static_cast<double>(figures.jobs_deferred));
     gauges.set("jobs_open", static_cast<double>(figures.jobs_open));
-    gauges.set("job_bytes", static_cast<double>(core_.held_bytes()));
+    gauges.set("job_bytes", static_cast<double>(core_.held_bytes().total));
     gauges.set("workers", static_cast<double>(figures.workers));
     gauges.set("data_centres_closed",
                static_cast<double>(figures.closed_data_centres));
--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -132,7 +132,7 @@
     bool reading_ = false;
     std::string page_after_;
     std::map<std::string, job> loaded_jobs_; ///< those that have not ended
-    std::int64_t loaded_bytes_ = 0;          ///< of their records
+    job_bytes loaded_bytes_;                 ///< of their records
     std::set<std::string> loaded_cancellations_;
     std::map<std::string, std::pair<job_progress, std::int64_t>>
         loaded_progress_;
--- a/packages/daemon/src/job_scheduler_loading.cpp
+++ b/packages/daemon/src/job_scheduler_loading.cpp
@@ -37,7 +37,7 @@
     page_after_.clear();
     batch_.reset();
     loaded_jobs_.clear();
-    loaded_bytes_ = 0;
+    loaded_bytes_ = {};
     loaded_cancellations_.clear();
     loaded_progress_.clear();
     held_jobs_.clear();
@@ -151,7 +151,7 @@
     }
     else if (auto definition = decode_item(item))
     {
-        loaded_bytes_ += job_record::memory_bytes(*definition);
+        loaded_bytes_.add(job_record::memory_bytes(*definition));
         loaded_jobs_[key.id] = *std::move(definition);
     }
 }
@@ -200,20 +200,15 @@
     }
 }
 
-// Entries admitted the jobs within the memory of the smallest of them. An
-// earlier version, or entries of more memory, may have accepted more: large
-// jobs beyond the bound wait for another term, so that the process and the
-// other jobs go on. Small jobs may exceed it: entries accept them in parallel.
+// Large jobs beyond the bound wait for another term, so that the process and
+// the other jobs go on.
 void job_scheduler::require_memory(const job& definition) const
 {
-    constexpr std::int64_t small_job_factor = 2;
-    const std::int64_t bytes = job_record::memory_bytes(definition);
-    const bool is_small = bytes <= job_memory::small_job_bytes;
-    const job_memory memory{.capacity_bytes =
-                                job_capacity_bytes(process_.settings) *
-                                (is_small ? small_job_factor : 1),
-                            .held_bytes = core_.held_bytes() + loaded_bytes_};
-    if (!memory.admits(bytes))
+    job_bytes loaded = core_.held_bytes();
+    loaded.total += loaded_bytes_.total;
+    loaded.large += loaded_bytes_.large;
+    if (!can_load(loaded, job_record::memory_bytes(definition),
+                  job_capacity_bytes(process_.settings)))
     {
         throw document_error("there is no memory for the job");
     }
@@ -269,7 +264,7 @@
                {"jobs", std::to_string(loaded_jobs_.size())},
                {"progress", std::to_string(loaded_progress_.size())}});
     loaded_jobs_.clear();
-    loaded_bytes_ = 0;
+    loaded_bytes_ = {};
     loaded_progress_.clear();
     stage_ = stage::ready;
 }
--- a/packages/scheduler/include/springstair/detail/scheduler/job_memory.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_memory.hpp
@@ -8,6 +8,22 @@
 namespace springstair
 {
 
+/// @brief The bytes of a set of jobs.
+///
+/// All sizes are those of job_record::memory_bytes().
+struct job_bytes
+{
+    std::int64_t total = 0;
+    std::int64_t large = 0; ///< share of jobs that are not small
+
+    /// @brief Counts a job.
+    void add(std::int64_t bytes) noexcept;
+    /// @brief Counts a job no longer.
+    void remove(std::int64_t bytes) noexcept;
+
+    bool operator==(const job_bytes&) const = default;
+};
+
 /// @brief Whether the jobs of a deployment fit into the memory of each entry
 /// that may become leader.
 ///
@@ -30,6 +46,18 @@
     bool operator==(const job_memory&) const = default;
 };
 
+/// @brief Whether a leader loads a stored job beside others.
+///
+/// Admission depends on the order of the submissions, which a later leader does
+/// not know. So every set of jobs that admission can lead to is loaded, in any
+/// order: large jobs are compared with the large ones alone, and the total may
+/// exceed the capacity, as entries accept small jobs in parallel. Only jobs
+/// that an earlier version or entries of more memory accepted may not fit.
+/// @param loaded the jobs that are loaded already
+/// @param capacity_bytes of the leader
+[[nodiscard]] bool can_load(const job_bytes& loaded, std::int64_t bytes,
+                            std::int64_t capacity_bytes) noexcept;
+
 /// @brief The bytes of small jobs that an entry other than the leader may
 /// accept on its own, between two answers of the leader.
 class job_allotment
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -9,6 +9,7 @@
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
 #include <springstair/detail/scheduler/job_forecast.hpp>
+#include <springstair/detail/scheduler/job_memory.hpp>
 #include <springstair/detail/scheduler/job_order.hpp>
 #include <springstair/detail/scheduler/job_record.hpp>
 #include <springstair/detail/scheduler/placement.hpp>
@@ -204,7 +205,7 @@
     }
     /// @brief Bytes that are counted for all jobs; see
     /// job_record::memory_bytes().
-    [[nodiscard]] std::int64_t held_bytes() const noexcept
+    [[nodiscard]] const job_bytes& held_bytes() const noexcept
     {
         return held_bytes_;
     }
@@ -547,7 +548,7 @@
     bool is_ready_ = false;
     time_point term_started_at_{};
     std::map<std::string, std::unique_ptr<job_record>> jobs_;
-    std::int64_t held_bytes_ = 0; ///< by the records of jobs_
+    job_bytes held_bytes_; ///< by the records of jobs_
     /// Jobs that have ended, by the time at which that was committed.
     std::deque<std::pair<time_point, std::string>> ended_;
     /// Those without tasks, by the time at which these were dropped.
--- a/packages/scheduler/src/job_memory.cpp
+++ b/packages/scheduler/src/job_memory.cpp
@@ -5,6 +5,41 @@
 namespace springstair
 {
 
+namespace
+{
+
+// The total that is loaded, as a multiple of the capacity.
+constexpr std::int64_t load_factor = 2;
+
+std::int64_t large_share(std::int64_t bytes) noexcept
+{
+    return bytes > job_memory::small_job_bytes ? bytes : 0;
+}
+
+} // namespace
+
+void job_bytes::add(std::int64_t bytes) noexcept
+{
+    total += bytes;
+    large += large_share(bytes);
+}
+
+void job_bytes::remove(std::int64_t bytes) noexcept
+{
+    total -= bytes;
+    large -= large_share(bytes);
+}
+
+bool can_load(const job_bytes& loaded, std::int64_t bytes,
+              std::int64_t capacity_bytes) noexcept
+{
+    job_bytes next = loaded;
+    next.add(bytes);
+    const bool is_small = next.large == loaded.large;
+    return (is_small || next.large <= capacity_bytes) &&
+           next.total <= load_factor * capacity_bytes;
+}
+
 bool job_memory::admits(std::int64_t bytes) const noexcept
 {
     const std::int64_t kept =
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -99,7 +99,7 @@
         task.ready_since = now;
     }
     job_record& record = *created;
-    held_bytes_ += record.memory_bytes();
+    held_bytes_.add(record.memory_bytes());
     jobs_.emplace(record.definition().id, std::move(created));
     log_decision(event_id::job_known,
                  {{"job", record.definition().id},
@@ -154,7 +154,7 @@
     {
         const std::string id = std::move(released_.front().second);
         released_.pop_front();
-        held_bytes_ -= job_of(id)->memory_bytes();
+        held_bytes_.remove(job_of(id)->memory_bytes());
         availability_.erase(id);
         jobs_.erase(id);
         forgotten_.insert(id);
@@ -164,9 +164,9 @@
 // An ended job costs little: its state is all that anybody may ask for.
 void scheduler_core::release_record(job_record& record, time_point now)
 {
-    held_bytes_ -= record.memory_bytes();
+    held_bytes_.remove(record.memory_bytes());
     record.release();
-    held_bytes_ += record.memory_bytes();
+    held_bytes_.add(record.memory_bytes());
     placeable_jobs_.erase(record.definition().id);
     released_.emplace_back(now, record.definition().id);
 }
