Leader: ends of held jobs are stored before they are acknowledged

Cause: an end of a job that the leader does not hold as a record was taken as written and acknowledged. The executor forgets it, while the stored progress still says that the run is placed. A job is held for lack of memory, for an unreadable record, or for an error on loading.

Change: the ends of a held job's runs are stored beside its progress, in records of their own below the store's limit of a value, and are acknowledged once they are stored. The leader that loads the job applies them with the same code as listed ends: attempts, gangs and the job's end follow from them. close_run() is split for that: apply_end() is what an end changes in the record.

Why it works: what the executor forgets is in the store, and only the end of a task's newest run has an effect, once.

--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -156,7 +156,7 @@
     std::int64_t revision = 0;
     for (const progress_write& write : *batch_)
     {
-        const auto found = items.find(progress_key(write.job));
+        const auto found = items.find(record_key(write, core_.epoch()));
         if (found == items.end() || found->second->value != write.text ||
             found->second->revision <= write.expected_revision)
         {
--- a/packages/daemon/src/job_scheduler.hpp
+++ b/packages/daemon/src/job_scheduler.hpp
@@ -136,6 +136,7 @@
     std::set<std::string> loaded_cancellations_;
     std::map<std::string, std::pair<job_progress, std::int64_t>>
         loaded_progress_;
+    std::map<std::string, std::vector<ended_task>> loaded_ends_; ///< by job
     /// Jobs that this term leaves out: they cannot be read or scheduled.
     std::set<std::string> held_jobs_;
     std::int64_t jobs_revision_ = 0; ///< to watch jobs from; 0: read first
--- a/packages/daemon/src/job_scheduler_loading.cpp
+++ b/packages/daemon/src/job_scheduler_loading.cpp
@@ -40,6 +40,7 @@
     loaded_bytes_ = {};
     loaded_cancellations_.clear();
     loaded_progress_.clear();
+    loaded_ends_.clear();
     held_jobs_.clear();
     jobs_revision_ = 0;
 }
@@ -148,6 +149,7 @@
     {
         core_.adopt_ended(key.id);
         loaded_progress_.erase(key.id);
+        loaded_ends_.erase(key.id);
     }
     else if (auto definition = decode_item(item))
     {
@@ -168,10 +170,16 @@
 
 void job_scheduler::load_progress(const store_item& item)
 {
-    const std::string id =
-        item.key.substr(std::string_view(progress_prefix).size());
+    const auto [id, kind] = parse_progress_key(item.key);
     try
     {
+        if (kind == record_kind::ends)
+        {
+            const auto ends = decode_ends(item.value);
+            auto& loaded = loaded_ends_[id];
+            loaded.insert(loaded.end(), ends.begin(), ends.end());
+            return;
+        }
         loaded_progress_[id] = {decode_progress(item.value), item.revision};
     }
     catch (const std::exception& error)
@@ -222,6 +230,7 @@
                          const std::exception& error)
 {
     held_jobs_.insert(id);
+    core_.hold(id);
     log_event(event_id::record_unreadable,
               {{"key", key}, {"why", error.what()}});
 }
@@ -233,10 +242,11 @@
     const bool has_progress = found != loaded_progress_.end();
     try
     {
-        core_.adopt(
-            std::move(definition),
-            has_progress ? std::optional(found->second.first) : std::nullopt,
-            has_progress ? found->second.second : 0, now, unix_milliseconds());
+        core_.adopt(std::move(definition),
+                    has_progress ? std::optional(found->second.first)
+                                 : std::nullopt,
+                    has_progress ? found->second.second : 0, now,
+                    unix_milliseconds(), loaded_ends_[id]);
     }
     catch (const std::exception& error)
     {
@@ -266,6 +276,7 @@
     loaded_jobs_.clear();
     loaded_bytes_ = {};
     loaded_progress_.clear();
+    loaded_ends_.clear();
     stage_ = stage::ready;
 }
 
--- a/packages/daemon/src/job_store.cpp
+++ b/packages/daemon/src/job_store.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::string_view cancellation_suffix = "/cancelled";
+constexpr std::string_view ends_part = "/ends/";
 // Distinguishes queues; the names themselves may be too long for a key.
 constexpr std::size_t queue_digits = 16;
 
@@ -46,6 +47,31 @@
     return progress_prefix + id;
 }
 
+// Unlike a job's progress, no two records of ends have the same key.
+std::string record_key(const progress_write& write, std::int64_t epoch)
+{
+    std::string key = progress_key(write.job);
+    if (write.kind == record_kind::ends)
+    {
+        key += ends_part;
+        key += std::to_string(epoch) + "-" + std::to_string(write.number);
+    }
+    return key;
+}
+
+progress_key_parts parse_progress_key(const std::string& key)
+{
+    progress_key_parts parts{
+        .id = key.substr(std::string_view(progress_prefix).size())};
+    const std::size_t end = parts.id.find(ends_part);
+    if (end != std::string::npos)
+    {
+        parts.id.resize(end);
+        parts.kind = record_kind::ends;
+    }
+    return parts;
+}
+
 std::string tombstone_key(const job_reference& job)
 {
     return tombstones_prefix + job.id + "/" +
@@ -127,7 +153,7 @@
                       .equals = epoch}}};
     for (const progress_write& write : batch)
     {
-        const std::string key = progress_key(write.job);
+        const std::string key = record_key(write, epoch);
         transaction.compares.push_back(
             {.key = key,
              .target = kv_compare::number::mod_revision,
--- a/packages/daemon/src/job_store.hpp
+++ b/packages/daemon/src/job_store.hpp
@@ -17,7 +17,8 @@
 /// Prefix of tombstones: cancellations of jobs that were not in the store, each
 /// under a lease of the store.
 inline constexpr const char* tombstones_prefix = "springstair/tombstones/";
-/// Prefix of each job's progress; only the leader writes it.
+/// Prefix of each job's progress, and of the ends of its runs that leaders
+/// stored which held the job; only the leader writes them.
 inline constexpr const char* progress_prefix = "springstair/progress/";
 
 /// The leader's measurements of interference between images, which a successor
@@ -27,6 +28,8 @@
 std::string job_key(const std::string& id);
 std::string cancellation_key(const std::string& id);
 std::string progress_key(const std::string& id);
+/// The key of a record that a leader writes in the term @p epoch.
+std::string record_key(const progress_write& write, std::int64_t epoch);
 /// The key is that of the job in one queue: a cancellation in another queue
 /// concerns another job.
 std::string tombstone_key(const job_reference& job);
@@ -39,6 +42,14 @@
 };
 job_key_parts parse_job_key(const std::string& key);
 
+/// The parts of a key below progress_prefix.
+struct progress_key_parts
+{
+    std::string id;
+    record_kind kind = record_kind::progress;
+};
+progress_key_parts parse_progress_key(const std::string& key);
+
 /// Decodes a stored job. @throw document_error if it is invalid
 job decode_job(const std::string& text);
 /// Decodes the value of interference_key. @throw document_error 102 if it is
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -6,6 +6,7 @@
 #include <springstair/detail/scheduler/disruption_budget.hpp>
 #include <springstair/detail/scheduler/end_proof.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
+#include <springstair/detail/scheduler/held_ends.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
 #include <springstair/detail/scheduler/job_forecast.hpp>
@@ -32,10 +33,20 @@
 namespace springstair
 {
 
+/// @brief What a record to be written contains.
+enum class record_kind : std::uint8_t
+{
+    progress, ///< of a job that the leader has loaded
+    ends      ///< of runs of a job that it holds
+};
+
 /// @brief A job's record to be written.
 struct progress_write
 {
+    record_kind kind = record_kind::progress;
     std::string job;
+    /// Number of a record of ends: unique among those of the term.
+    std::int64_t number = 0;
     std::string text;
     std::int64_t expected_revision = 0; ///< of the stored record; 0: none
     std::int64_t change = 0; ///< newest change of the job that text contains
@@ -112,8 +123,16 @@
     /// @brief Starts a term. @param epoch increases with each term
     void begin_term(std::int64_t epoch, time_point now);
     /// @brief Adds a job stored by a previous leader, before begin().
+    /// @param ends that leaders stored which held the job
     void adopt(job definition, const std::optional<job_progress>& saved,
-               std::int64_t revision, time_point now, std::int64_t unix_ms);
+               std::int64_t revision, time_point now, std::int64_t unix_ms,
+               const std::vector<ended_task>& ends = {});
+    /// @brief Holds a job, which cannot be loaded: its runs are stopped, and
+    /// their ends are stored for the leader that loads it.
+    void hold(const std::string& id)
+    {
+        held_ends_.hold(id);
+    }
     /// @brief Starts from the interference that a previous leader learnt.
     void adopt_interference(const std::vector<pair_interference>& harms)
     {
@@ -223,6 +242,8 @@
 
     [[nodiscard]] bool may_write(time_point now) const noexcept;
     [[nodiscard]] bool is_due(const job_record& record, time_point now) const;
+    std::optional<commit_batch> next_held_ends(time_point now);
+    std::optional<commit_batch> next_progress(time_point now);
     std::set<std::string> jobs_to_write(time_point now);
     [[nodiscard]] bool is_committed(const std::string& job,
                                     std::int64_t change) const;
@@ -339,6 +360,8 @@
                                const refused_run& refusal);
     void apply_ends(worker_record& worker, const worker_report& report,
                     time_point now);
+    void note_uncommitted(worker_record& worker, const ended_task& end,
+                          const job_record* record);
     void apply_refusals(worker_record& worker, const worker_report& report,
                         time_point now);
     void process_running(worker_record& worker, const worker_report& report,
@@ -500,6 +523,10 @@
     // Ends (scheduler_ends.cpp).
     void close_run(job_record& record, job_task& task, const end_proof& proof,
                    time_point now);
+    void apply_end(job_record& record, job_task& task, run_end outcome,
+                   const std::string& checkpoint, time_point now);
+    void apply_stored_ends(job_record& record,
+                           const std::vector<ended_task>& ends, time_point now);
     void close_gang(job_record& record, const task_position& position,
                     run_end outcome, time_point now);
     void count_failure(job_record& record, job_task& task, const task_run& run,
@@ -558,6 +585,10 @@
     std::set<std::string> placeable_jobs_;
     std::vector<std::string> dirty_; ///< jobs to write, oldest change first
     std::set<std::string> dirty_ids_;
+    held_ends held_ends_;
+    std::int64_t ends_records_ = 0;  ///< of held jobs, written in this term
+    bool ends_written_last_ = false; ///< the newest write was one of them
+    time_point next_held_ends_at_{}; ///< earliest, once the store rejected one
     /// By the guard of the worker whose capacity they free, and by job.
     std::map<std::string, std::map<std::string, uncommitted_end>>
         freed_by_guard_;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
@@ -51,6 +51,8 @@
     /// Maximum number of jobs per write: each needs a condition and a put of
     /// the store's 32 entries, and the leader's own condition takes one.
     std::size_t jobs_per_commit = 15;
+    /// Maximum size of a stored record: the store's limit of a value.
+    std::size_t max_record_bytes = std::size_t{1} << 20U;
     /// Minimum time before the start or stop of a run that its worker does not
     /// list is repeated: two reports of a guard. Stops of listed runs are
     /// repeated in each answer to a report.
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <springstair/detail/scheduler/end_proof.hpp>
 #include <springstair/detail/scheduler/entry_list.hpp>
 #include <springstair/detail/scheduler/fault_detector.hpp>
+#include <springstair/detail/scheduler/held_ends.hpp>
 #include <springstair/detail/scheduler/infeasible_queries.hpp>
 #include <springstair/detail/scheduler/interference_model.hpp>
 #include <springstair/detail/scheduler/job_forecast.hpp>
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -36,7 +36,8 @@
 void scheduler_core::adopt(job definition,
                            const std::optional<job_progress>& saved,
                            std::int64_t revision, time_point now,
-                           std::int64_t unix_ms)
+                           std::int64_t unix_ms,
+                           const std::vector<ended_task>& ends)
 {
     const std::string id = definition.id;
     const std::int64_t age = std::clamp<std::int64_t>(
@@ -49,6 +50,7 @@
     }
     record.restore(*saved);
     record.revision = revision;
+    apply_stored_ends(record, ends, now);
     if (record.has_ended())
     {
         release_record(record, now);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -40,35 +40,45 @@
                                const end_proof& proof, time_point now)
 {
     const run_end outcome = proof.how();
-    const task_run run = *task.run;
     const task_position position = record.position_of(task);
     const job_step& step = record.step_at(position);
-    const auto found = workers_.find(run.guard);
+    const auto found = workers_.find(task.run->guard);
     if (found != workers_.end())
     {
         release(found->second, step, {record.definition().id, position});
-        update_fault_score(found->second, record, run, outcome, now);
+        update_fault_score(found->second, record, *task.run, outcome, now);
     }
-    record.begun =
-        record.begun || outcome == run_end::done || outcome == run_end::failed;
     if (outcome == run_end::done)
     {
         run_times_.record(record.definition().queue,
                           std::chrono::milliseconds(step.estimate_ms),
                           observe_done(task, now));
+        urgent_room_.learn_run_time(step, now - task.run->ordered_at);
     }
+    apply_end(record, task, outcome, proof.checkpoint(), now);
+}
+
+// What an end changes in the record of its job.
+void scheduler_core::apply_end(job_record& record, job_task& task,
+                               run_end outcome, const std::string& checkpoint,
+                               time_point now)
+{
+    const task_run run = *task.run;
+    const task_position position = record.position_of(task);
+    const job_step& step = record.step_at(position);
+    record.begun =
+        record.begun || outcome == run_end::done || outcome == run_end::failed;
     task.run.reset();
     task.ready_since = now;
     ++record.change;
     record_freed(run.guard, record, step);
-    if (!proof.checkpoint().empty())
+    if (!checkpoint.empty())
     {
-        task.checkpoint = proof.checkpoint();
+        task.checkpoint = checkpoint;
     }
     if (outcome == run_end::done)
     {
         task.done = true;
-        urgent_room_.learn_run_time(step, now - run.ordered_at);
     }
     else if (outcome == run_end::failed)
     {
@@ -90,6 +100,23 @@
     mark_changed(record, now);
 }
 
+// Ends that leaders stored which held the job. Only the end of a task's newest
+// run has an effect, and only once, so ends may be applied again.
+void scheduler_core::apply_stored_ends(job_record& record,
+                                       const std::vector<ended_task>& ends,
+                                       time_point now)
+{
+    for (const ended_task& end : ends)
+    {
+        const auto name = task_name::parse(end.task);
+        job_task* const task = name ? record.find(name->position) : nullptr;
+        if (task != nullptr && task->run && task->run->number == end.run)
+        {
+            apply_end(record, *task, end.how, end.checkpoint, now);
+        }
+    }
+}
+
 // All members end together: if one is done, all are done; on any other end the
 // remaining members are stopped before the gang may run again.
 void scheduler_core::close_gang(job_record& record,
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -171,17 +171,29 @@
         {
             close_run(*record, *task, end_proof::listed(end), now);
         }
-        if (record != nullptr)
-        {
-            worker.uncommitted_ends.push_back({.number = end.number,
-                                               .job = record->definition().id,
-                                               .change = record->change});
-        }
-        else
-        {
-            worker.uncommitted_ends.push_back({.number = end.number});
-        }
+        note_uncommitted(worker, end, record);
+    }
+}
+
+// An end is acknowledged once it is stored. One of a job that is neither known
+// nor held needs no record: the job has ended, or was never accepted.
+void scheduler_core::note_uncommitted(worker_record& worker,
+                                      const ended_task& end,
+                                      const job_record* record)
+{
+    applied_end applied{.number = end.number};
+    const auto name = task_name::parse(end.task);
+    if (record != nullptr)
+    {
+        applied.job = record->definition().id;
+        applied.change = record->change;
+    }
+    else if (name && held_ends_.contains(name->job))
+    {
+        applied.job = name->job;
+        applied.change = held_ends_.add(name->job, end);
     }
+    worker.uncommitted_ends.push_back(std::move(applied));
 }
 
 bool scheduler_core::lists_running(const worker_report& report,
@@ -463,8 +475,7 @@
     while (!worker.uncommitted_ends.empty())
     {
         const applied_end& oldest = worker.uncommitted_ends.front();
-        const job_record* const record = job_of(oldest.job);
-        if (record != nullptr && record->committed_change < oldest.change)
+        if (!is_committed(oldest.job, oldest.change))
         {
             break;
         }
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -27,7 +27,8 @@
                                   std::int64_t change) const
 {
     const job_record* const record = find(job);
-    return record == nullptr || record->committed_change >= change;
+    return record == nullptr ? held_ends_.is_stored(job, change)
+                             : record->committed_change >= change;
 }
 
 // Ends at a worker, by job, that may not be committed yet.
@@ -164,12 +165,45 @@
     return jobs;
 }
 
+// A record of ends, in a write of its own. Other writes come in between.
+std::optional<commit_batch> scheduler_core::next_held_ends(time_point now)
+{
+    const bool may_follow = !ends_written_last_ && now >= next_held_ends_at_;
+    const auto next =
+        may_follow ? held_ends_.next(options_.max_record_bytes) : std::nullopt;
+    ends_written_last_ = next.has_value();
+    if (!next)
+    {
+        return std::nullopt;
+    }
+    return commit_batch{{.kind = record_kind::ends,
+                         .job = next->job,
+                         .number = ++ends_records_,
+                         .text = next->text,
+                         .change = next->change}};
+}
+
 std::optional<commit_batch> scheduler_core::next_commit(time_point now)
 {
-    if (!is_ready_ || dirty_.empty() || !may_write(now))
+    if (!is_ready_ || !may_write(now))
     {
         return std::nullopt;
     }
+    std::optional<commit_batch> batch = next_held_ends(now);
+    if (!batch)
+    {
+        batch = next_progress(now);
+    }
+    if (batch)
+    {
+        committing_ = true;
+        last_commit_ = now;
+    }
+    return batch;
+}
+
+std::optional<commit_batch> scheduler_core::next_progress(time_point now)
+{
     const std::set<std::string> jobs = jobs_to_write(now);
     if (jobs.empty())
     {
@@ -191,8 +225,6 @@
     }
     std::erase_if(dirty_,
                   [&](const std::string& id) { return jobs.contains(id); });
-    committing_ = true;
-    last_commit_ = now;
     return batch;
 }
 
@@ -202,6 +234,11 @@
     committing_ = false;
     for (const progress_write& write : batch)
     {
+        if (write.kind == record_kind::ends)
+        {
+            held_ends_.stored(write.job, write.change);
+            continue;
+        }
         job_record& record = *job_of(write.job);
         record.committed_change = write.change;
         record.revision = revision;
--- a/tests/unit/scheduler_harness.hpp
+++ b/tests/unit/scheduler_harness.hpp
@@ -102,13 +102,18 @@
         core.set_table(table());
         for (const auto& [id, definition] : accepted)
         {
+            if (held.contains(id))
+            {
+                core.hold(id);
+                continue;
+            }
             const auto stored = records.find(id);
             core.adopt(definition,
                        stored == records.end() ? std::nullopt
                                                : std::optional(decode_progress(
                                                      stored->second.text)),
                        stored == records.end() ? 0 : stored->second.revision,
-                       now, unix_ms);
+                       now, unix_ms, stored_ends[id]);
         }
         core.begin(now);
     }
@@ -161,6 +166,13 @@
             ++revision;
             for (const progress_write& one : *batch)
             {
+                if (one.kind == record_kind::ends)
+                {
+                    const auto ends = decode_ends(one.text);
+                    auto& stored = stored_ends[one.job];
+                    stored.insert(stored.end(), ends.begin(), ends.end());
+                    continue;
+                }
                 records[one.job] = {.text = one.text, .revision = revision};
             }
             core.committed(*batch, revision, now);
@@ -222,6 +234,8 @@
     std::map<std::string, std::int64_t> stops; ///< newest stopped run by task
     std::map<std::string, job> accepted;
     std::map<std::string, stored_record> records; ///< progress by job
+    std::set<std::string> held; ///< jobs that the next leader can't load
+    std::map<std::string, std::vector<ended_task>> stored_ends; ///< by job
 
 private:
     int jobs_ = 0;
