Submissions: one that may be stored is never refused

Cause: after two writes without an answer an entry forwards the job. The other entry has no memory for one of this size and answers 429, and any 429 was turned into a refusal without a look at the state of the write.

Change: all refusals are made by not_served(), which answers 504 if a write may still take effect. A forwarded job says whether the sender has admitted it; the receiver then only finishes the write and asks for no memory, so the caller is told 200. job_not_taken says whether the job may be stored.

Why it works: the state of the write is part of the request, and the only function that refuses looks at it.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -121,7 +121,8 @@
     {event_id::job_accepted, severity::info, "job_accepted",
      "A job is committed to the store and its caller was notified."},
     {event_id::job_not_taken, severity::warning, "job_not_taken",
-     "A job was refused, or its acceptance is unknown; the reason is given."},
+     "A job was refused, or its acceptance is unknown; the reason is given, "
+     "and whether the job may be stored."},
     {event_id::job_known, severity::info, "job_known",
      "The leader received a job and will place its tasks."},
     {event_id::job_ended, severity::info, "job_ended",
--- a/packages/daemon/src/job_request_forwarding.cpp
+++ b/packages/daemon/src/job_request_forwarding.cpp
@@ -55,16 +55,24 @@
            is_answered_with(result, unavailable_status);
 }
 
-std::string path_of(const std::string& method, const job_reference& job)
+// Argument of a forwarded submission that the sender has admitted.
+constexpr const char* admitted_argument = "admitted";
+
+} // namespace
+
+std::string
+job_request_handler::forwarded_path(const forwarded_request& forwarded)
 {
     const std::string path(forward_path);
-    return method == "POST"
-               ? path
-               : path + "/" + job.id + "?queue=" + percent_encoded(job.queue);
+    if (forwarded.method == "POST")
+    {
+        return forwarded.is_admitted ? path + "?" + admitted_argument + "=1"
+                                     : path;
+    }
+    return path + "/" + forwarded.job.id +
+           "?queue=" + percent_encoded(forwarded.job.queue);
 }
 
-} // namespace
-
 // The leader first, since it reaches the store or resigns; then the peers that
 // it reported; then the entries in the settings.
 std::string
@@ -108,7 +116,7 @@
     request->tried_peers.push_back(address);
     process_.client.send(
         {.method = forwarded.method,
-         .url = "http://" + address + path_of(forwarded.method, forwarded.job),
+         .url = "http://" + address + forwarded_path(forwarded),
          .headers = {{"content-type", "application/json"}},
          .body = forwarded.body,
          .timeout = std::min(left, forward_timeout),
@@ -142,8 +150,7 @@
     }
     if (is_answered_with(result, too_many_status))
     {
-        answer(request, platform::refused_answer(
-                            retry_after(), "there is no memory for the job"));
+        answer(request, not_served(*request, "there is no memory for the job"));
         return;
     }
     if (is_known_not_done(result))
@@ -208,24 +215,28 @@
     const bool is_shown = incoming.method == "GET" && shown(asked);
     if (store_unavailable_since_ && !is_shown)
     {
-        answer(request, platform::refused_answer(
-                            caller_retry_after,
-                            "the store is unavailable here as well"));
+        answer(request,
+               not_served(*request, "the store is unavailable here as well"));
         return;
     }
     if (incoming.method == "POST")
     {
-        serve_forwarded_submission(decode_job(*incoming.body), request);
+        serve_forwarded_submission(
+            decode_job(*incoming.body),
+            !incoming.argument(admitted_argument).empty(), request);
         return;
     }
     incoming.method == "DELETE" ? cancel(asked, request) : show(asked, request);
 }
 
-// The job may be too large for the entry that forwarded it to decide.
+// The job may be too large for the entry that forwarded it to decide. If that
+// entry has admitted it, only the write is left to do: it may even be under way
+// already.
 void job_request_handler::serve_forwarded_submission(const job& definition,
+                                                     bool is_admitted,
                                                      const request_ptr& request)
 {
-    if (admit(definition, request))
+    if (is_admitted || admit(definition, request))
     {
         submit(definition, request);
         return;
--- a/packages/daemon/src/job_request_handler.cpp
+++ b/packages/daemon/src/job_request_handler.cpp
@@ -114,10 +114,15 @@
     {
         return;
     }
-    answer(request,
-           request->may_be_written
+    answer(request, not_served(*request, "the store is away"));
+}
+
+http_response job_request_handler::not_served(const open_request& request,
+                                              const char* why) const
+{
+    return request.may_be_written
                ? platform::unknown_answer("the store gave no answer")
-               : platform::refused_answer(retry_after(), "the store is away"));
+               : platform::refused_answer(retry_after(), why);
 }
 
 // The retry time of a caller whose request this entry could not serve.
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -69,6 +69,7 @@
         time_point arrived;
         time_point deadline;         ///< for the answer
         bool may_be_written = false; ///< a write's outcome is unknown
+        bool is_admitted = false;    ///< the leader has memory for the job
         std::int64_t job_bytes = 0;  ///< that a submission was admitted with
         std::int64_t tries = 0;
         std::int64_t unanswered_tries = 0; ///< by the store
@@ -84,6 +85,8 @@
         std::string method;
         job_reference job;
         shared_body body{};
+        /// The leader's memory for a submitted job is reserved already.
+        bool is_admitted = false;
     };
 
     void handle(const platform::submit_request& message,
@@ -104,7 +107,7 @@
     void on_store_failed(const job& definition, const request_ptr& request);
     void forward_submission(const job& definition, const request_ptr& request,
                             const char* why);
-    void serve_forwarded_submission(const job& definition,
+    void serve_forwarded_submission(const job& definition, bool is_admitted,
                                     const request_ptr& request);
     void notify_leader(const job& definition);
     void show(const job_reference& asked, const request_ptr& request);
@@ -138,6 +141,8 @@
                                     const job_reference& asked) const;
 
     // Forwarding while the store is unavailable to this entry.
+    [[nodiscard]] static std::string
+    forwarded_path(const forwarded_request& forwarded);
     void forward_request(const forwarded_request& forwarded,
                          const request_ptr& request,
                          std::function<void()> on_forward_failed);
@@ -164,15 +169,16 @@
     /// that.
     void retry_later(const request_ptr& request, std::function<void()> action);
     void answer(const request_ptr& request, http_response response);
+    /// The only answers that refuse a request: one whose write may still take
+    /// effect is never told that it was not accepted.
+    [[nodiscard]] http_response not_served(const open_request& request,
+                                           const char* why) const;
     void query_leader(const char* method, const json& message,
                       std::function<void(std::optional<json>)> done);
     [[nodiscard]] duration call_timeout(const request_ptr& request) const;
     void record_store_result(const platform::store_result& result);
     void fail_submission(const job& definition, const request_ptr& request,
                          const char* why);
-    void answer_unknown(const job& definition, const request_ptr& request);
-    void refuse_submission(const job& definition, const request_ptr& request,
-                           const char* why);
     [[nodiscard]] duration retry_after() const;
 
     process_context& process_;
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -36,18 +36,19 @@
 {
     if (job_scheduler_.knows(definition.id))
     {
+        request->is_admitted = true;
         return true;
     }
     const std::int64_t bytes = job_record::memory_bytes(definition);
-    const bool is_admitted = job_scheduler_.ready()
-                                 ? memory_for_jobs().admits(bytes)
-                                 : leader_heartbeat_.allotment().take(bytes);
-    if (is_admitted)
+    request->is_admitted = job_scheduler_.ready()
+                               ? memory_for_jobs().admits(bytes)
+                               : leader_heartbeat_.allotment().take(bytes);
+    if (request->is_admitted)
     {
         request->job_bytes = bytes;
         open_job_bytes_ += bytes;
     }
-    return is_admitted;
+    return request->is_admitted;
 }
 
 void job_request_handler::handle(const platform::submit_request& message,
@@ -56,8 +57,8 @@
     const queue_row* const queue = table_.queue(message.definition.queue);
     if (queue->advice && process_.settings.advice.empty())
     {
-        refuse_submission(message.definition, request,
-                          "the settings name no service to ask for advice");
+        fail_submission(message.definition, request,
+                        "the settings name no service to ask for advice");
         return;
     }
     job accepted = message.definition;
@@ -75,7 +76,7 @@
         submit(accepted, request);
         return;
     }
-    job_scheduler_.ready() ? refuse_submission(accepted, request, no_memory)
+    job_scheduler_.ready() ? fail_submission(accepted, request, no_memory)
                            : forward_submission(accepted, request, no_memory);
 }
 
@@ -86,36 +87,30 @@
 {
     forward_request({.method = "POST",
                      .job = {.id = definition.id, .queue = definition.queue},
-                     .body = make_body(json(definition).dump())},
+                     .body = make_body(json(definition).dump()),
+                     .is_admitted = request->is_admitted},
                     request,
                     [this, definition, request, why]
                     { fail_submission(definition, request, why); });
 }
 
-// A job that may have been written must not be refused: the outcome is unknown.
 void job_request_handler::fail_submission(const job& definition,
                                           const request_ptr& request,
                                           const char* why)
 {
-    request->may_be_written ? answer_unknown(definition, request)
-                            : refuse_submission(definition, request, why);
-}
-
-void job_request_handler::refuse_submission(const job& definition,
-                                            const request_ptr& request,
-                                            const char* why)
-{
+    const char* const label = request->may_be_written ? "unknown" : why;
     process_.process_metrics.count("job_not_taken", {definition.queue, "job"},
-                                   why);
+                                   label);
     const duration outage = store_unavailable_since_
                                 ? boot_clock::now() - *store_unavailable_since_
                                 : duration{0};
     log_event(event_id::job_not_taken,
               {{"job", definition.id},
                {"why", why},
+               {"may_be_stored", request->may_be_written ? "yes" : "no"},
                {"tries", std::to_string(request->tries)},
                {"store_away_ms", std::to_string(to_milliseconds(outage))}});
-    answer(request, platform::refused_answer(retry_after(), why));
+    answer(request, not_served(*request, why));
 }
 
 void job_request_handler::submit(const job& definition,
@@ -201,18 +196,6 @@
         : forward_submission(definition, request, store_away);
 }
 
-void job_request_handler::answer_unknown(const job& definition,
-                                         const request_ptr& request)
-{
-    process_.process_metrics.count("job_not_taken", {definition.queue, "job"},
-                                   "unknown");
-    log_event(event_id::job_not_taken,
-              {{"job", definition.id},
-               {"why", "the store gave no answer; the job may be stored"},
-               {"tries", std::to_string(request->tries)}});
-    answer(request, platform::unknown_answer("the store gave no answer"));
-}
-
 // Saves the time until the leader finds the job in the store.
 void job_request_handler::notify_leader(const job& definition)
 {
--- a/tests/soak/large_job_drills.py
+++ b/tests/soak/large_job_drills.py
@@ -1,6 +1,7 @@
 """Drills of jobs that are large within the limits of a request, beside entries
 of little memory."""
 
+import asyncio
 import os
 import signal
 import sys
@@ -10,6 +11,8 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from drill_case import JobDrillCase  # noqa: E402
+from fleet import HOST  # noqa: E402
+from wire import Silence  # noqa: E402
 
 HOUR_MS = 3_600_000
 TASK_S = 2.0
@@ -18,6 +21,8 @@
 SMALL_JOBS = 24
 SMALL_ROUNDS = 400
 DUE_S = 8.0  # time to submit all
+TASKS_OVER_ALLOTMENT = 800  # only the leader accepts such a job
+LATE_S = 2.0
 
 
 class LargeJobDrill(JobDrillCase):
@@ -72,6 +77,39 @@
             return all(len(self.begun(job)) == LARGE_TASKS for job in large)
         await self.wait_until("all due tasks have begun", all_have_begun)
 
+    def lose_answers(self, ident):
+        """The store answers no write of a job and does it later."""
+        store = self.fleet.store
+        transact = store.transact
+
+        async def lose(document):
+            keys = [put["tls_key"] for put in document.get("put", [])]
+            if "springstair/jobs/" + ident not in keys:
+                return await transact(document)
+            asyncio.get_running_loop().call_later(
+                LATE_S, lambda: asyncio.ensure_future(transact(document)))
+            raise Silence
+
+        store.transact = lose
+
+    # Guards against REFUSED: an entry whose writes got no answer forwarded the
+    # job, and refused it when the other entry had no memory for it.
+    async def test_a_job_that_may_be_stored_is_not_refused(self):
+        await asyncio.sleep(LATE_S)  # entries hear of each other
+        job = self.make_job(TASKS_OVER_ALLOTMENT, cpu=10)
+        self.lose_answers(job.ident)
+        connection = self.fleet.connection(self.leader())
+        status, _ = await connection.call(
+            "POST", f"/{job.queue}/{job.ident}", self.document(job),
+            {"Host": HOST, "Content-Type": "application/json",
+             "Deadline-Ms": "2500"})
+        connection.close()
+        self.assertNotIn(status, (429, 503))
+
+        async def has_begun():
+            return len(self.begun(job)) > 0
+        await self.wait_until("the stored job begins", has_begun)
+
 
 if __name__ == "__main__":
     unittest.main()
