Leader: start orders under way are bounded in bytes

Cause: each start order holds a copy of the job's text, and nothing bounded the orders for one worker in a pass, in a message, in repeated orders, or in descriptions for a guard that does not know its runs.

Change: the bytes of orders whose runs no report has shown are bounded, 1 MiB a worker and 1/32 of memory_mb for all workers that report; further starts wait for the next reports, jobs in turn. Silent workers do not count for the others. A guard keeps one copy of the text of neighbouring runs.

Why it works: the bound follows from the memory of the process that holds the message, and what waits is sent as soon as reports confirm.

--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -42,6 +42,7 @@
                              leader_election& election)
     : process_(process), store_(store), leader_election_(election),
       core_({.closing = {.close_within = process.settings.close_within},
+             .max_unconfirmed_bytes = start_order_bytes(process.settings),
              .urgent_room = process.settings.urgent_room,
              .overload_order = process.settings.overload_order,
              .disruption_budget = process.settings.disruption_budget}),
--- a/packages/daemon/src/server_limits.cpp
+++ b/packages/daemon/src/server_limits.cpp
@@ -21,6 +21,9 @@
 constexpr std::int64_t body_share_divisor = 8;
 // Jobs hold at most this part of it.
 constexpr std::int64_t job_share_divisor = 4;
+// Start orders under way take at most this part of it, several times over while
+// they are encoded.
+constexpr std::int64_t start_order_share_divisor = 32;
 // A quarter of a server's memory for bodies is kept for small ones.
 constexpr std::size_t large_body_numerator = 3;
 constexpr std::size_t large_body_divisor = 4;
@@ -111,6 +114,11 @@
     return memory_bytes(settings) / job_share_divisor;
 }
 
+std::int64_t start_order_bytes(const job_settings& settings)
+{
+    return memory_bytes(settings) / start_order_share_divisor;
+}
+
 request_limits limits_of(const caller_bounds& bounds)
 {
     const request_limits usual;
--- a/packages/daemon/src/server_limits.hpp
+++ b/packages/daemon/src/server_limits.hpp
@@ -29,6 +29,9 @@
 /// Memory for jobs that a process has as the leader.
 std::int64_t job_capacity_bytes(const job_settings& settings);
 
+/// Bytes of unconfirmed start orders that a leader may have sent.
+std::int64_t start_order_bytes(const job_settings& settings);
+
 /// Limits on callers' requests by the operators' configuration.
 request_limits limits_of(const caller_bounds& bounds);
 
--- a/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
@@ -283,6 +283,8 @@
         bool pace_in_flight = false;
     };
 
+    using run_map = std::map<std::string, tracked_run>; ///< by task
+
     /// A run that certainly never begins, and when that became certain.
     struct past_refusal
     {
@@ -340,6 +342,7 @@
     [[nodiscard]] bool may_start(const tracked_run& run, time_point now) const;
     void act_on_worker(time_point now, std::vector<executor_action>& out);
     void refuse_unstarted(time_point now);
+    void share_texts(run_map::iterator run);
     void apply_stop(const stop_order& order, time_point now);
     void stop_superseded(std::vector<executor_action>& out);
     void report_refusal(refused_run refused, time_point now);
@@ -386,7 +389,7 @@
     time_point last_answer_at_{};   ///< last answer or heartbeat of the worker
     time_point max_lease_end_{};    ///< no requested lease ends later
     std::int64_t acknowledged_ = 0; ///< number of the newest acknowledged end
-    std::map<std::string, tracked_run> runs_;
+    run_map runs_;
     bool polled_ = false;      ///< the current incarnation has answered a poll
     time_point polled_at_{};   ///< when its lists were last received
     bool poll_failed_ = false; ///< the newest poll; the next does not wait
--- a/packages/guard/src/run_reconciler.cpp
+++ b/packages/guard/src/run_reconciler.cpp
@@ -200,6 +200,7 @@
             tracked.confirmed = now;
         }
         tracked.order = order;
+        share_texts(runs_.find(order.task));
     }
     for (const stop_order& order : orders.stops)
     {
@@ -208,6 +209,24 @@
     return true;
 }
 
+// Runs of a job are neighbours, and have the same payload and image.
+void run_reconciler::share_texts(run_map::iterator run)
+{
+    const auto share = [&](const run_map::value_type& neighbour)
+    {
+        run->second.order.payload.share_with(neighbour.second.order.payload);
+        run->second.order.image.share_with(neighbour.second.order.image);
+    };
+    if (run != runs_.begin())
+    {
+        share(*std::prev(run));
+    }
+    if (const auto next = std::next(run); next != runs_.end())
+    {
+        share(*next);
+    }
+}
+
 // A stop for a newer run also stops the tracked one, which the leader no longer
 // expects. The tracked run keeps its number: with the number of the stop, the
 // answer to its start would be dropped, its call would count as in flight
--- a/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/worker_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <springstair/detail/jobs/executor_incarnation.hpp>
 #include <springstair/detail/jobs/job.hpp>
+#include <springstair/detail/jobs/shared_text.hpp>
 
 #include <map>
 #include <string>
@@ -205,12 +206,12 @@
 {
     std::string task;
     std::int64_t run = 0;
-    std::string payload;
+    shared_text payload;
     std::string checkpoint;
     std::string ticket;
     bool fills = false;
     std::int64_t latency_target_ms = 0; ///< 0: not latency-critical
-    std::string image;
+    shared_text image;
     /// The incarnation of the guard that the start was first sent to. It knows
     /// every duplicate of the start that it has sent; any other incarnation
     /// must expect an unknown one. Empty: sent by a previous leader to an
--- a/packages/jobs/include/springstair/jobs.hpp
+++ b/packages/jobs/include/springstair/jobs.hpp
@@ -10,6 +10,7 @@
 #include <springstair/detail/jobs/job.hpp>
 #include <springstair/detail/jobs/progress.hpp>
 #include <springstair/detail/jobs/queue_table.hpp>
+#include <springstair/detail/jobs/shared_text.hpp>
 #include <springstair/detail/jobs/stored_ends.hpp>
 #include <springstair/detail/jobs/waiting_counts.hpp>
 #include <springstair/detail/jobs/worker_messages.hpp>
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -23,8 +23,12 @@
     /// A start or stop was sent in this term, or a previous leader placed the
     /// run: no first start is sent any more.
     bool ordered = false;
+    bool queued = false; ///< its first start waits to be sent
     /// Guard process that the start was first sent to; see start_order.
     std::string told_incarnation;
+    /// Of its start order, while no report has shown the run; see
+    /// worker_record.
+    std::int64_t unconfirmed_bytes = 0;
     bool seen = false;      ///< a report showed it running
     time_point last_seen{}; ///< by the newest report that showed it
     /// When lists of its worker last did not show it: it had not begun then.
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -16,6 +16,7 @@
 #include <springstair/detail/scheduler/placement.hpp>
 #include <springstair/detail/scheduler/run_time_model.hpp>
 #include <springstair/detail/scheduler/scheduler_options.hpp>
+#include <springstair/detail/scheduler/start_queue.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
@@ -416,8 +417,18 @@
     [[nodiscard]] std::vector<pair_interference>
     interference_at(const worker_record& worker) const;
     std::int64_t acknowledge(worker_record& worker);
+
+    // Start orders (scheduler_orders.cpp).
     [[nodiscard]] start_order order_for(const job_record& record,
                                         const job_task& task) const;
+    void count_unconfirmed(time_point now);
+    bool count_start(worker_record& worker, task_run& run,
+                     const start_order& order);
+    void confirm_start(worker_record& worker, task_run& run);
+    job_task* unsent_task(const worker_record& worker, const task_name& name);
+    void send_starts(worker_record& worker, time_point now);
+    bool send_start(worker_record& worker, job_record& record, job_task& task,
+                    time_point now);
 
     // Leases (scheduler_leases.cpp).
     [[nodiscard]] duration longest_lease(duration grant) const;
@@ -614,6 +625,10 @@
     /// Runs placed by a previous leader, by guard, until that guard reports.
     std::map<std::string, std::set<task_name>> inherited_runs_;
     std::map<std::string, guard_orders> outbox_;
+    std::map<std::string, start_queue> unsent_starts_; ///< by guard
+    /// Of start orders whose run no report has shown, to workers that report;
+    /// see worker_record.
+    std::int64_t unconfirmed_bytes_ = 0;
     std::vector<decision> decisions_;
     std::vector<finished_job> finished_;
     wait_log wait_log_;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
@@ -53,6 +53,13 @@
     std::size_t jobs_per_commit = 15;
     /// Maximum size of a stored record: the store's limit of a value.
     std::size_t max_record_bytes = std::size_t{1} << 20U;
+    /// Maximum size of the start orders of a worker whose runs no report has
+    /// shown: some hundred ordinary starts, a small part of what a guard's VM
+    /// holds.
+    std::int64_t max_unconfirmed_bytes_per_worker = std::int64_t{1} << 20U;
+    /// The same for all workers that report. Each may have one such order
+    /// beyond it.
+    std::int64_t max_unconfirmed_bytes = std::int64_t{16} << 20U;
     /// Minimum time before the start or stop of a run that its worker does not
     /// list is repeated: two reports of a guard. Stops of listed runs are
     /// repeated in each answer to a report.
--- a/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/worker_ledger.hpp
@@ -113,6 +113,8 @@
     std::string failed_job;
     time_point ejected_until{};
     std::int64_t ejections = 0; ///< since its fault score was last zero
+    /// Of start orders that were sent and whose run no report has shown.
+    std::int64_t unconfirmed_bytes = 0;
     /// Runs by job, round and step.
     std::map<std::string, std::int64_t> runs_of_step;
     /// Number of runs of latency-critical tasks, by image.
--- a/packages/scheduler/include/springstair/scheduler.hpp
+++ b/packages/scheduler/include/springstair/scheduler.hpp
@@ -24,6 +24,7 @@
 #include <springstair/detail/scheduler/scheduler_core.hpp>
 #include <springstair/detail/scheduler/scheduler_options.hpp>
 #include <springstair/detail/scheduler/sibling_headroom.hpp>
+#include <springstair/detail/scheduler/start_queue.hpp>
 #include <springstair/detail/scheduler/ticket_cache.hpp>
 #include <springstair/detail/scheduler/urgent_room.hpp>
 #include <springstair/detail/scheduler/wait_report.hpp>
--- a/packages/scheduler/src/scheduler_core.cpp
+++ b/packages/scheduler/src/scheduler_core.cpp
@@ -364,6 +364,7 @@
             lose_runs(tasks, end_proof::guard_never_polled(), now);
         }
     }
+    count_unconfirmed(now);
     release_ended(now);
     forget_ended(now);
     place_if_due(now, unix_ms);
--- a/packages/scheduler/src/scheduler_ends.cpp
+++ b/packages/scheduler/src/scheduler_ends.cpp
@@ -45,6 +45,7 @@
     const auto found = workers_.find(task.run->guard);
     if (found != workers_.end())
     {
+        confirm_start(found->second, *task.run);
         release(found->second, step, {record.definition().id, position});
         update_fault_score(found->second, record, *task.run, outcome, now);
     }
--- a/packages/scheduler/src/scheduler_reports.cpp
+++ b/packages/scheduler/src/scheduler_reports.cpp
@@ -89,6 +89,7 @@
             learn_interference(worker, report, now);
             answer.harms = interference_at(worker);
             repeat_missing(worker, report, answer.orders, now);
+            send_starts(worker, now);
             relocate_slowed(worker, report, answer.orders, now);
         }
         drain_leaving_worker(worker, answer.orders, now);
@@ -272,6 +273,9 @@
                                      const worker_report& report,
                                      guard_orders& out, time_point now)
 {
+    const std::set<std::string> unknown(report.unknown.begin(),
+                                        report.unknown.end());
+    std::int64_t description_bytes = 0;
     for (const running_task& running : report.running)
     {
         const auto [record, task] = find_task(running.task);
@@ -298,12 +302,12 @@
                      now - std::chrono::milliseconds(report.lists_age_ms));
         clear_suspicion_if_proven(worker, *task,
                                   {record->definition().id, position});
-        const bool undescribed =
-            std::find(report.unknown.begin(), report.unknown.end(),
-                      running.task) != report.unknown.end();
-        if (undescribed)
+        // The guard reports what remains unknown to it again.
+        if (unknown.contains(running.task) &&
+            description_bytes < options_.max_unconfirmed_bytes_per_worker)
         {
             out.starts.push_back(order_for(*record, *task));
+            description_bytes += bytes_of(out.starts.back());
         }
         if (task->run->stopping)
         {
@@ -365,6 +369,7 @@
                                      time_point now)
 {
     run.seen = true;
+    confirm_start(worker, run);
     run.repeats = 0;
     run.over_target =
         step.latency_target_ms > 0 && running.load > step.latency_target_ms;
@@ -432,15 +437,21 @@
         {
             continue;
         }
+        const bool stops = run.stopping || worker.closed;
+        start_order order = order_for(record, task);
+        if (!stops && !count_start(worker, run, order))
+        {
+            continue;
+        }
         run.last_progress_at = now;
         log_missing_run(worker, report, run, text);
-        if (run.stopping || worker.closed)
+        if (stops)
         {
             order_stop(run, text, out);
         }
         else
         {
-            out.starts.push_back(order_for(record, task));
+            out.starts.push_back(std::move(order));
         }
     }
 }
@@ -485,20 +496,4 @@
     return worker.acknowledged;
 }
 
-start_order scheduler_core::order_for(const job_record& record,
-                                      const job_task& task) const
-{
-    const task_position position = record.position_of(task);
-    const job_step& step = record.step_at(position);
-    return {.task = task_name{record.definition().id, position}.text(),
-            .run = task.run->number,
-            .payload = record.definition().payload,
-            .checkpoint = task.checkpoint,
-            .ticket = task.run->ticket,
-            .fills = step.fills,
-            .latency_target_ms = step.latency_target_ms,
-            .image = step.image,
-            .told_incarnation = task.run->told_incarnation};
-}
-
 } // namespace springstair
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -232,6 +232,7 @@
                                time_point now)
 {
     committing_ = false;
+    std::set<std::string> guards; // with starts to send
     for (const progress_write& write : batch)
     {
         if (write.kind == record_kind::ends)
@@ -247,35 +248,29 @@
         for (job_task& task : record.tasks())
         {
             const bool due = task.run && !task.run->ordered &&
+                             !task.run->queued &&
                              task.run->placed_in <= record.committed_change;
-            const auto found =
-                due ? workers_.find(task.run->guard) : workers_.end();
-            if (found == workers_.end() || task.run->stopping ||
-                found->second.description.executor != task.run->executor)
+            if (due)
             {
-                continue;
+                task.run->queued = true;
+                unsent_starts_[task.run->guard].push(
+                    {record.definition().id, record.position_of(task)});
+                guards.insert(task.run->guard);
             }
-            task.run->ordered = true;
-            task.run->told_incarnation = found->second.incarnation;
-            task.run->ordered_at = now;
-            task.run->last_progress_at = now;
-            guard_orders& out = outbox_[task.run->guard];
-            if (found->second.closed)
-            {
-                // The data centre has closed since the placement: the run must
-                // not begin.
-                const task_name name{record.definition().id,
-                                     record.position_of(task)};
-                order_stop(*task.run, name.text(), out);
-                continue;
-            }
-            out.starts.push_back(order_for(record, task));
         }
         if (record.has_ended() && record.committed_change == record.change)
         {
             ended_.emplace_back(now, write.job);
         }
     }
+    for (const std::string& guard : guards)
+    {
+        const auto found = workers_.find(guard);
+        if (found != workers_.end())
+        {
+            send_starts(found->second, now);
+        }
+    }
 }
 
 } // namespace springstair
--- a/tests/soak/client_drills.py
+++ b/tests/soak/client_drills.py
@@ -22,6 +22,7 @@
 CROWD = 280  # below that quarter
 IDLE_CROWD = 600  # above it
 LEGAL_BODY_BYTES = 262_144  # the largest that the platform's pages allow
+LEGAL_SPEC_BYTES = 4000  # the same for the text of a job
 LARGE_BODY_BYTES = 16 << 20
 SENDING_S = 8.0  # the crowd may be refused or slowed down
 HELD_S = 2.0
@@ -340,6 +341,19 @@
         await self.check_processes()
         await self.check_next_leader()
 
+    # Guards against processes that end for their memory: one message of start
+    # orders held a copy of a job's text for each of its tasks.
+    async def test_start_orders_of_many_tasks(self):
+        for _ in range(2):
+            job = self.caller.make_job()
+            job.queue = "quick"
+            job.spec = "x" * LEGAL_SPEC_BYTES
+            job.steps = [{"count": 10_000, "cpu": 0, "mem_mb": 0,
+                          "est_duration_ms": 1000,
+                          "traits": {"fails": False, "seconds": SHORT_TASK_S}}]
+            self.assertTrue(await self.caller.submit(job))
+        await self.check_processes()
+
     # 503 promises that the job never runs.
     async def test_a_repeated_submission_is_not_refused(self):
         accepted = "00000000000000aa"
