Leader: a job's record stays within the store's limit of a value

Cause: progress is one value with the checkpoints of all tasks, whose size executors choose; the store takes value_bytes at most.

Change: a record is encoded within value_bytes, a setting that the platform's file passes on. If needed, names of guards and executors are stored once each, and checkpoints as far as there is space, those of waiting tasks first; checkpoints_left_out is logged. The soak's store rejects what exceeds the limits of PROTOCOL.

Why it works: no record is larger than what the store accepts, whatever executors send. Without a checkpoint a task starts again from its beginning, which holds up nobody else.

--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 72> catalogue{{
+constexpr std::array<event_description, 73> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -202,6 +202,9 @@
     {event_id::commit_uncertain, severity::warning, "commit_uncertain",
      "A write to the store was not answered, or the store was unavailable; it "
      "is sent again."},
+    {event_id::checkpoints_left_out, severity::warning, "checkpoints_left_out",
+     "A job's record has no space for all checkpoints; if the leader changes, "
+     "tasks that run nowhere then start again without theirs."},
     {event_id::run_yielded, severity::info, "run_yielded",
      "A long-running run is stopped so that waiting urgent tasks can use its "
      "capacity; fields give the job that waits longest and how many tasks the "
--- a/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
+++ b/packages/daemon/include/springstair/detail/daemon/job_settings.hpp
@@ -48,6 +48,8 @@
                                 ///< preferred as leader
     std::int64_t memory_mb = 0; ///< limit; 0: unknown
     std::int64_t descriptors = 0; ///< limit; 0: unknown
+    /// Maximum size of a value in the store.
+    std::int64_t value_bytes = std::int64_t{1} << 20U;
 
     // Optional features of entries; without a value they are off.
 
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -42,6 +42,8 @@
                              leader_election& election)
     : process_(process), store_(store), leader_election_(election),
       core_({.closing = {.close_within = process.settings.close_within},
+             .max_record_bytes =
+                 static_cast<std::size_t>(process.settings.value_bytes),
              .max_unconfirmed_bytes = start_order_bytes(process.settings),
              .urgent_room = process.settings.urgent_room,
              .overload_order = process.settings.overload_order,
--- a/packages/daemon/src/job_settings.cpp
+++ b/packages/daemon/src/job_settings.cpp
@@ -20,6 +20,9 @@
 constexpr double default_processors = 1;
 constexpr std::int64_t max_memory_mb = 1 << 20;
 constexpr std::int64_t max_descriptors = 1 << 20;
+// The definition of a job of 256 kB fits into the least.
+constexpr std::int64_t min_value_bytes = 512 << 10;
+constexpr std::int64_t max_value_bytes = 16 << 20;
 constexpr std::int64_t default_stop_ms = 400;   // larger of both sites' values
 constexpr std::int64_t default_close_ms = 5000; // only one site has it
 constexpr std::int64_t default_apply_ms = 2000; // smallest of all sites' values
@@ -210,6 +213,9 @@
         reader.integer("memory_mb", 0, {.min = 0, .max = max_memory_mb});
     settings.descriptors =
         reader.integer("descriptors", 0, {.min = 0, .max = max_descriptors});
+    settings.value_bytes =
+        reader.integer("value_bytes", settings.value_bytes,
+                       {.min = min_value_bytes, .max = max_value_bytes});
     if (entry)
     {
         read_features(reader, all, settings);
@@ -240,7 +246,8 @@
                   {"grace_s", to_seconds(settings.grace)},
                   {"processors", settings.processors},
                   {"memory_mb", settings.memory_mb},
-                  {"descriptors", settings.descriptors}};
+                  {"descriptors", settings.descriptors},
+                  {"value_bytes", settings.value_bytes}};
     const std::map<std::string, std::string> endpoints{
         {"callers", settings.callers},     {"readiness", settings.readiness},
         {"executors", settings.executors}, {"executor", settings.executor},
--- a/packages/jobs/include/springstair/detail/jobs/progress.hpp
+++ b/packages/jobs/include/springstair/detail/jobs/progress.hpp
@@ -40,6 +40,27 @@
 /// @brief The stored form of a record; short, as it is written frequently.
 std::string encode(const job_progress& progress);
 
+/// @brief A stored form of limited size.
+struct limited_record
+{
+    std::string text;
+    /// Tasks whose checkpoint was left out: they start again without it if the
+    /// leader changes before their worker reports it again.
+    std::size_t checkpoints_left_out = 0;
+
+    bool operator==(const limited_record&) const = default;
+};
+
+/// @brief The stored form of a record within the store's limit of a value.
+///
+/// Executors choose the size of checkpoints. If there is no space for all of
+/// them, those of waiting tasks are kept first: a running task's worker reports
+/// its checkpoint to the next leader. Without any, the record of the largest
+/// job has half a megabyte.
+/// @param max_bytes of the text
+limited_record encode_within(const job_progress& progress,
+                             std::size_t max_bytes);
+
 /// @brief Reads a stored record.
 /// @throw document_error 102 if the text is not a valid record
 job_progress decode_progress(const std::string& text);
--- a/packages/jobs/src/progress.cpp
+++ b/packages/jobs/src/progress.cpp
@@ -1,5 +1,9 @@
 #include <springstair/jobs.hpp>
 
+#include <map>
+#include <optional>
+#include <tuple>
+
 namespace springstair
 {
 
@@ -60,6 +64,105 @@
         .losses = has_losses ? row.at(13).get<std::int64_t>() : 0};
 }
 
+// Names of guards and executors, each stored once. Such a record is written
+// only if the plain form is too large, as earlier versions cannot read it.
+class name_table
+{
+public:
+    // Replaces the names in a row of encode_task() by their number.
+    void shorten(json& row)
+    {
+        const std::pair<std::string, std::string> names{row.at(guard_column),
+                                                        row.at(id_column)};
+        if (names.first.empty())
+        {
+            return;
+        }
+        const auto [found, is_new] = numbers_.try_emplace(names, rows_.size());
+        if (is_new)
+        {
+            rows_.push_back(json::array({names.first, names.second}));
+        }
+        row.at(guard_column) = found->second;
+        row.at(id_column) = "";
+    }
+
+    [[nodiscard]] const json& rows() const noexcept
+    {
+        return rows_;
+    }
+
+    // The row with its names, which `rows` lists.
+    static json expanded(json row, const json& rows)
+    {
+        if (row.at(guard_column).is_number())
+        {
+            const json& names =
+                rows.at(row.at(guard_column).get<std::size_t>());
+            row.at(guard_column) = names.at(0);
+            row.at(id_column) = names.at(1);
+        }
+        return row;
+    }
+
+private:
+    static constexpr std::size_t guard_column = 6;
+    static constexpr std::size_t id_column = 7;
+
+    json rows_ = json::array();
+    std::map<std::pair<std::string, std::string>, std::size_t> numbers_;
+};
+
+std::size_t checkpoint_bytes(const job_progress& progress)
+{
+    std::size_t bytes = 0;
+    for (const task_progress& task : progress.tasks)
+    {
+        bytes += task.checkpoint.size();
+    }
+    return bytes;
+}
+
+std::string encode_with_name_table(const job_progress& progress)
+{
+    name_table names;
+    json tasks = json::array();
+    for (const task_progress& task : progress.tasks)
+    {
+        tasks.push_back(encode_task(task));
+        names.shorten(tasks.back());
+    }
+    return json{{"state", static_cast<int>(progress.state)},
+                {"names", names.rows()},
+                {"tasks", tasks}}
+        .dump();
+}
+
+// Fills `to`, which has no checkpoints, with those of the tasks that wait or of
+// those that run. Returns the bytes that are left.
+std::size_t add_checkpoints(const job_progress& from, bool waiting,
+                            std::size_t bytes_left, limited_record& record,
+                            job_progress& to)
+{
+    for (std::size_t index = 0; index < from.tasks.size(); ++index)
+    {
+        const task_progress& task = from.tasks[index];
+        if (task.guard.empty() != waiting || task.checkpoint.empty())
+        {
+            continue;
+        }
+        const std::size_t bytes = json(task.checkpoint).dump().size();
+        if (bytes > bytes_left)
+        {
+            ++record.checkpoints_left_out;
+            continue;
+        }
+        bytes_left -= bytes;
+        to.tasks[index].checkpoint = task.checkpoint;
+    }
+    return bytes_left;
+}
+
 job_state decode_state(const json& number)
 {
     const auto state = static_cast<job_state>(number.get<std::uint8_t>());
@@ -84,6 +187,32 @@
         .dump();
 }
 
+limited_record encode_within(const job_progress& progress,
+                             std::size_t max_bytes)
+{
+    limited_record record;
+    if (checkpoint_bytes(progress) <= max_bytes)
+    {
+        record.text = encode(progress);
+        if (record.text.size() <= max_bytes)
+        {
+            return record;
+        }
+    }
+    job_progress limited{.state = progress.state};
+    for (task_progress task : progress.tasks)
+    {
+        task.checkpoint.clear();
+        limited.tasks.push_back(std::move(task));
+    }
+    const std::size_t bytes = encode_with_name_table(limited).size();
+    std::size_t left = bytes < max_bytes ? max_bytes - bytes : 0;
+    left = add_checkpoints(progress, true, left, record, limited);
+    add_checkpoints(progress, false, left, record, limited);
+    record.text = encode_with_name_table(limited);
+    return record;
+}
+
 job_progress decode_progress(const std::string& text)
 {
     try
@@ -91,9 +220,11 @@
         const json document = parse_json(text);
         job_progress progress;
         progress.state = decode_state(document.at("state"));
+        const json names = document.value("names", json::array());
         for (const json& row : document.at("tasks"))
         {
-            progress.tasks.push_back(decode_task(row));
+            progress.tasks.push_back(
+                decode_task(name_table::expanded(row, names)));
         }
         return progress;
     }
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -168,6 +168,7 @@
     std::int64_t revision = 0;         ///< of the stored progress; 0: none
     /// Whether a start or a caller waits for the newest change to be committed.
     bool urgent_commit = false;
+    time_point next_left_out_log{}; ///< of checkpoints that are not stored
     /// Changes of other jobs, by job id, that must be committed before or with
     /// this record: ends that freed the capacity its placements use.
     std::map<std::string, std::int64_t> required_changes;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -257,6 +257,7 @@
     void record_required_changes(job_record& record, const job_step& step,
                                  const worker_record& worker);
     std::set<std::string> required_records(const std::string& id);
+    progress_write write_of(job_record& record, time_point now);
     bool fits_one_commit(const std::string& id, const job_step& step,
                          const std::vector<worker_record*>& chosen);
 
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -212,22 +212,35 @@
     commit_batch batch;
     for (const std::string& id : jobs)
     {
-        job_record& record = *job_of(id);
         dirty_ids_.erase(id);
-        record.urgent_commit = false;
-        record.sent = record.state();
-        record.required_changes.clear();
-        batch.push_back({.job = id,
-                         .text = encode(record.progress()),
-                         .expected_revision = record.revision,
-                         .change = record.change,
-                         .state = record.state()});
+        batch.push_back(write_of(*job_of(id), now));
     }
     std::erase_if(dirty_,
                   [&](const std::string& id) { return jobs.contains(id); });
     return batch;
 }
 
+progress_write scheduler_core::write_of(job_record& record, time_point now)
+{
+    record.urgent_commit = false;
+    record.sent = record.state();
+    limited_record text =
+        encode_within(record.progress(), options_.max_record_bytes);
+    if (text.checkpoints_left_out > 0 && now >= record.next_left_out_log)
+    {
+        record.next_left_out_log = now + options_.min_log_interval;
+        log_decision(event_id::checkpoints_left_out,
+                     {{"job", record.definition().id},
+                      {"tasks", std::to_string(text.checkpoints_left_out)},
+                      {"record_bytes", std::to_string(text.text.size())}});
+    }
+    return {.job = record.definition().id,
+            .text = std::move(text.text),
+            .expected_revision = record.revision,
+            .change = record.change,
+            .state = record.state()};
+}
+
 void scheduler_core::committed(const commit_batch& batch, std::int64_t revision,
                                time_point now)
 {
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,6 +9,9 @@
 from wire import Reset, Silence, serve
 
 PAGE_ITEMS = 500
+VALUE_BYTES = 1_048_576  # of a value at most
+KEY_BYTES = 200
+MAX_ENTRIES = 32  # of a transaction: conditions, puts and removals
 TICK_S = 0.05
 
 
@@ -31,6 +34,7 @@
         self.lost_share = 0.0
         self.late_share = 0.0
         self.calls = 0
+        self.rejected = 0  # transactions beyond the limits
         self.takeovers = 0  # times that an entry became leader
 
     async def start(self, address, port):
@@ -147,7 +151,19 @@
             raise Reset
         return self.outage == "busy"
 
+    def exceeds_limits(self, document):
+        puts = document.get("put", [])
+        keys = [row["tls_key"] for row in puts + document.get(
+            "expected_rev", [])] + document.get("remove", [])
+        return (len(keys) > MAX_ENTRIES
+                or any(len(key.encode()) > KEY_BYTES for key in keys)
+                or any(len(base64.b64decode(put["value"])) > VALUE_BYTES
+                       for put in puts))
+
     async def transact(self, document):
+        if self.exceeds_limits(document):
+            self.rejected += 1
+            return 400, {}
         if self.draw.random() < self.late_share:
             asyncio.get_running_loop().call_later(
                 self.draw.uniform(1, 4), self.apply, document)
--- /dev/null
+++ b/tests/soak/store_limit_drills.py
@@ -0,0 +1,82 @@
+"""Drills of records that grow towards its limit of
+a value."""
+
+import asyncio
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from drill_case import JobDrillCase  # noqa: E402
+from store import VALUE_BYTES  # noqa: E402
+
+LARGE_CHECKPOINT = "c" * (VALUE_BYTES + 150_000)
+LASTING_TASKS = 30
+# Twice the limit for all tasks together, and no answer of an executor is too
+# long for its guard.
+CHECKPOINT = "c" * (2 * VALUE_BYTES // LASTING_TASKS)
+REPORTED_S = 3.0  # until the leader knows the checkpoints of all running tasks
+
+
+class StoreLimitDrill(JobDrillCase):
+    async def submit_lasting(self, count):
+        job = self.caller.make_job()
+        job.steps = [{"count": count, "cpu": 100, "mem_mb": 100,
+                      "long_running": True, "checkpointing": True,
+                      "traits": {"fails": False, "seconds": 3600}}]
+        job.queue = "lasting"
+        self.assertTrue(await self.caller.submit(job))
+
+        async def all_run():
+            return len(self.runs_of(job)) == count
+        await self.wait_until("the lasting tasks run", all_run)
+        return job
+
+    def runs_of(self, job):
+        return {task: (executor, run) for executor in self.fleet.executors
+                for task, run in executor.runs.items()
+                if task.startswith(job.ident)}
+
+    async def fail_one_task(self, job, at):
+        """One task fails at an executor; it has to run again, with its
+        checkpoint. The executor reports the checkpoints of all others."""
+        task, (executor, run) = min(
+            (task, where) for task, where in self.runs_of(job).items()
+            if where[0] is at)
+        executor.end(task, run, "failed")
+
+        async def runs_again():
+            _, again = self.runs_of(job).get(task, (None, None))
+            return again is not None and again.number > run.number
+        await self.wait_until("the failed task runs again", runs_again)
+        return self.runs_of(job)[task][1], run
+
+    async def check_other_jobs(self):
+        job = await self.submit_tasks(1, 0.2)
+        await self.wait_until_done(job)
+        self.assertEqual(self.fleet.store.rejected, 0)
+
+    # Guards against LOST: the store refused the record of a job with one large
+    # checkpoint, and the leader wrote nothing else.
+    async def test_a_checkpoint_larger_than_a_value(self):
+        job = await self.submit_lasting(1)
+        for executor, run in self.runs_of(job).values():
+            run.checkpoint = LARGE_CHECKPOINT
+        await self.fail_one_task(job, executor)
+        await self.check_other_jobs()
+
+    # Guards against LOST: the same with many checkpoints of ordinary size.
+    async def test_checkpoints_that_together_exceed_a_value(self):
+        job = await self.submit_lasting(LASTING_TASKS)
+        for _, run in self.runs_of(job).values():
+            run.checkpoint = CHECKPOINT
+        await asyncio.sleep(REPORTED_S)
+        for executor in self.fleet.executors:
+            again, failed = await self.fail_one_task(job, executor)
+            self.assertEqual(again.checkpoint, failed.checkpoint)
+        await self.check_other_jobs()
+
+
+if __name__ == "__main__":
+    unittest.main()
