Store: a rejected write is not taken for an unanswered one

Cause: 400 was read as store_status::unknown, and what is unknown is repeated.

Change: 400, 403 and 413 are store_status::rejected, which has no effect now or later. Submissions and cancellations are then refused at once, or answered 504 if an earlier write of theirs got no answer.

Why it works: repeating cannot change the answer, so nobody waits for it.

--- a/packages/daemon/src/job_request_cancellation.cpp
+++ b/packages/daemon/src/job_request_cancellation.cpp
@@ -73,6 +73,11 @@
             [this, asked, request](const store_result& result)
             {
                 record_store_result(result);
+                if (result.status == store_status::rejected)
+                {
+                    answer(request, not_served(*request, store_rejects));
+                    return;
+                }
                 if (result.status != store_status::done)
                 {
                     request->may_be_written = true;
@@ -160,6 +165,9 @@
     case store_status::unknown:
         request->may_be_written = true;
         break;
+    case store_status::rejected:
+        answer(request, not_served(*request, store_rejects));
+        return;
     case store_status::compacted:
     case store_status::refused:
         break;
--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -27,6 +27,9 @@
 /// Timeout of calls to the leader and of connections to other entries.
 inline constexpr duration leader_timeout = std::chrono::milliseconds(250);
 
+/// Reason of a refusal: repeating the write would not help.
+inline constexpr const char* store_rejects = "the store rejects the record";
+
 /// Handles callers' requests. Any entry accepts a job by writing it to the
 /// store. The state of a job is queried from the leader, or read from the
 /// store.
--- a/packages/daemon/src/job_request_submission.cpp
+++ b/packages/daemon/src/job_request_submission.cpp
@@ -182,6 +182,11 @@
         on_store_failed(definition, request);
         return;
     }
+    if (result.status == store_status::rejected)
+    {
+        fail_submission(definition, request, store_rejects);
+        return;
+    }
     retry_later(request,
                 [this, definition, request] { submit(definition, request); });
 }
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -131,6 +131,7 @@
         }
         leader_election_.step_down("a fenced write conflicted");
         return;
+    case store_status::rejected:
     case store_status::refused:
     case store_status::absent:
     case store_status::compacted:
--- a/packages/daemon/src/leader_election.cpp
+++ b/packages/daemon/src/leader_election.cpp
@@ -297,6 +297,7 @@
         return;
     case store_status::compacted:
     case store_status::refused:
+    case store_status::rejected:
     case store_status::unknown:
         on_claim_failed();
         return;
--- a/tests/soak/store_limit_drills.py
+++ b/tests/soak/store_limit_drills.py
@@ -1,9 +1,10 @@
-"""Drills of records that grow towards its limit of
+"""Drills of records that the store rejects, or that grow towards its limit of
 a value."""
 
 import asyncio
 import os
 import sys
+import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -16,6 +17,7 @@
 # Twice the limit for all tasks together, and no answer of an executor is too
 # long for its guard.
 CHECKPOINT = "c" * (2 * VALUE_BYTES // LASTING_TASKS)
+ANSWERED_S = 1.0  # below the deadline of a caller
 REPORTED_S = 3.0  # until the leader knows the checkpoints of all running tasks
 
 
@@ -77,6 +79,30 @@
             self.assertEqual(again.checkpoint, failed.checkpoint)
         await self.check_other_jobs()
 
+    def reject_writes(self, key):
+        """The store answers 400 to each write of a key."""
+        store = self.fleet.store
+        transact = store.transact
+
+        async def reject(document):
+            keys = [put["tls_key"] for put in document.get("put", [])]
+            if key not in keys:
+                return await transact(document)
+            store.rejected += 1
+            return 400, {}
+
+        store.transact = reject
+
+    # Guards against callers that wait until their deadline: the store's 400 was
+    # taken for a lost answer, and the write was repeated.
+    async def test_a_definition_that_the_store_rejects_is_refused_at_once(self):
+        job = self.caller.make_job()
+        self.reject_writes("springstair/jobs/" + job.ident)
+        asked_at = time.monotonic()
+        status, _ = await self.submit(job)
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - asked_at, ANSWERED_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -454,8 +454,11 @@
         int status;
         adapter::store_status means;
     };
-    for (const row& one : {row{404, adapter::store_status::absent},
+    for (const row& one : {row{400, adapter::store_status::rejected},
+                           row{403, adapter::store_status::rejected},
+                           row{404, adapter::store_status::absent},
                            row{410, adapter::store_status::compacted},
+                           row{413, adapter::store_status::rejected},
                            row{429, adapter::store_status::refused},
                            row{503, adapter::store_status::refused},
                            row{500, adapter::store_status::unknown}})
