Leader: a record that the store rejects holds up no others

Cause: up to 15 records are written in one transaction, which was repeated until it was answered.

Change: after a rejected write each of its records is written by itself; one that is rejected again is set aside for 5 s while others go on. Nothing in it is acknowledged or started. Records that need one of its ends do not wait for it: its worker lists that end to any next leader. Event write_rejected.

Why it works: a rejected write has no effect, so its parts may be tried alone; what cannot be written waits by itself.

--- a/packages/core/include/springstair/detail/core/events.hpp
+++ b/packages/core/include/springstair/detail/core/events.hpp
@@ -80,6 +80,7 @@
     holder_lost = 1651,
     holder_found = 1652,
     commit_uncertain = 1661,
+    write_rejected = 1662,
     checkpoints_left_out = 1663,
     run_yielded = 1671,
     job_deferred = 1677,
--- a/packages/core/src/events.cpp
+++ b/packages/core/src/events.cpp
@@ -22,7 +22,7 @@
 
 namespace trivial = boost::log::trivial;
 
-constexpr std::array<event_description, 73> catalogue{{
+constexpr std::array<event_description, 74> catalogue{{
     {event_id::process_started, severity::info, "process_started",
      "The process accepts requests; fields give its name, role and address."},
     {event_id::process_draining, severity::info, "process_draining",
@@ -202,6 +202,11 @@
     {event_id::commit_uncertain, severity::warning, "commit_uncertain",
      "A write to the store was not answered, or the store was unavailable; it "
      "is sent again."},
+    {event_id::write_rejected, severity::error, "write_rejected",
+     "The store rejects a write of the leader and would reject it again; its "
+     "records are written one by one, and those that are rejected again wait "
+     "for some seconds. Fields give the number of records and the first one's "
+     "job."},
     {event_id::checkpoints_left_out, severity::warning, "checkpoints_left_out",
      "A job's record has no space for all checkpoints; if the leader changes, "
      "tasks that run nowhere then start again without theirs."},
--- a/packages/daemon/src/job_scheduler.cpp
+++ b/packages/daemon/src/job_scheduler.cpp
@@ -132,6 +132,12 @@
         leader_election_.step_down("a fenced write conflicted");
         return;
     case store_status::rejected:
+        log_event(event_id::write_rejected,
+                  {{"jobs", std::to_string(batch_->size())},
+                   {"first", batch_->front().job}});
+        core_.rejected(*batch_, boot_clock::now());
+        batch_.reset();
+        return;
     case store_status::refused:
     case store_status::absent:
     case store_status::compacted:
--- a/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/job_record.hpp
@@ -168,6 +168,10 @@
     std::int64_t revision = 0;         ///< of the stored progress; 0: none
     /// Whether a start or a caller waits for the newest change to be committed.
     bool urgent_commit = false;
+    /// It was in a batch that the store rejected: it is written by itself.
+    bool write_alone = false;
+    /// Earliest next write, once the store has rejected it by itself.
+    std::optional<time_point> set_aside_until;
     time_point next_left_out_log{}; ///< of checkpoints that are not stored
     /// Changes of other jobs, by job id, that must be committed before or with
     /// this record: ends that freed the capacity its placements use.
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_core.hpp
@@ -174,6 +174,11 @@
     void committed(const commit_batch& batch, std::int64_t revision,
                    time_point now);
 
+    /// @brief The store rejects the batch, and would reject it again. Its
+    /// records are then written one by one, and those that are rejected again
+    /// wait for scheduler_options::rejected_backoff, without others.
+    void rejected(const commit_batch& batch, time_point now);
+
     /// @brief The next query to the advice service; nothing while one is in
     /// flight. The caller reports its result with advised().
     std::optional<advice_query> next_query(time_point now)
@@ -245,6 +250,7 @@
     [[nodiscard]] bool is_due(const job_record& record, time_point now) const;
     std::optional<commit_batch> next_held_ends(time_point now);
     std::optional<commit_batch> next_progress(time_point now);
+    static bool is_set_aside(job_record& record, time_point now);
     std::set<std::string> jobs_to_write(time_point now);
     [[nodiscard]] bool is_committed(const std::string& job,
                                     std::int64_t change) const;
--- a/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
+++ b/packages/scheduler/include/springstair/detail/scheduler/scheduler_options.hpp
@@ -51,6 +51,9 @@
     /// Maximum number of jobs per write: each needs a condition and a put of
     /// the store's 32 entries, and the leader's own condition takes one.
     std::size_t jobs_per_commit = 15;
+    /// Time before a record that the store rejects by itself is written again:
+    /// it may have become smaller.
+    duration rejected_backoff = std::chrono::seconds(5);
     /// Maximum size of a stored record: the store's limit of a value.
     std::size_t max_record_bytes = std::size_t{1} << 20U;
     /// Maximum size of the start orders of a worker whose runs no report has
--- a/packages/scheduler/src/scheduler_writing.cpp
+++ b/packages/scheduler/src/scheduler_writing.cpp
@@ -80,8 +80,13 @@
     {
         job_record& record = *job_of(pending.back());
         pending.pop_back();
-        std::erase_if(record.required_changes, [this](const auto& entry)
-                      { return is_committed(entry.first, entry.second); });
+        std::erase_if(record.required_changes,
+                      [this](const auto& entry)
+                      {
+                          const job_record* const other = find(entry.first);
+                          return (other != nullptr && other->write_alone) ||
+                                 is_committed(entry.first, entry.second);
+                      });
         for (const auto& [job, change] : record.required_changes)
         {
             if (found.insert(job).second)
@@ -140,6 +145,16 @@
            now - record.uncommitted_since >= options_.end_batch_delay;
 }
 
+// Whether a record waits because the store rejected it.
+bool scheduler_core::is_set_aside(job_record& record, time_point now)
+{
+    if (record.set_aside_until && now >= *record.set_aside_until)
+    {
+        record.set_aside_until.reset();
+    }
+    return record.set_aside_until.has_value();
+}
+
 // The jobs of the next write. Those that became dirty first are selected first.
 std::set<std::string> scheduler_core::jobs_to_write(time_point now)
 {
@@ -150,13 +165,21 @@
         {
             break;
         }
-        if (jobs.contains(id) || !is_due(*job_of(id), now))
+        job_record& record = *job_of(id);
+        if (jobs.contains(id) || !is_due(record, now) ||
+            is_set_aside(record, now) || (record.write_alone && !jobs.empty()))
         {
             continue;
         }
         std::set<std::string> group = required_records(id);
         std::erase_if(group, [&](const std::string& job)
                       { return jobs.contains(job); });
+        if (record.write_alone)
+        {
+            // What it requires comes first, or would be rejected with it.
+            group.erase(id);
+            return group.empty() ? std::set{id} : group;
+        }
         if (jobs.size() + group.size() <= options_.jobs_per_commit)
         {
             jobs.merge(group);
@@ -241,6 +264,27 @@
             .state = record.state()};
 }
 
+void scheduler_core::rejected(const commit_batch& batch, time_point now)
+{
+    committing_ = false;
+    if (batch.front().kind == record_kind::ends)
+    {
+        next_held_ends_at_ = now + options_.rejected_backoff;
+        return;
+    }
+    for (const progress_write& write : batch)
+    {
+        job_record& record = *job_of(write.job);
+        record.write_alone = true;
+        record.urgent_commit = true;
+        if (batch.size() == 1)
+        {
+            record.set_aside_until = now + options_.rejected_backoff;
+        }
+        mark_changed(record, now);
+    }
+}
+
 void scheduler_core::committed(const commit_batch& batch, std::int64_t revision,
                                time_point now)
 {
@@ -256,6 +300,7 @@
         job_record& record = *job_of(write.job);
         record.committed_change = write.change;
         record.revision = revision;
+        record.write_alone = false;
         record.shown =
             record.shown == job_state::cancelled ? record.shown : write.state;
         for (job_task& task : record.tasks())
--- a/tests/soak/store_limit_drills.py
+++ b/tests/soak/store_limit_drills.py
@@ -18,6 +18,7 @@
 # long for its guard.
 CHECKPOINT = "c" * (2 * VALUE_BYTES // LASTING_TASKS)
 ANSWERED_S = 1.0  # below the deadline of a caller
+DONE_S = 4.0  # a task of 0.2 s that may not wait for 3 s
 REPORTED_S = 3.0  # until the leader knows the checkpoints of all running tasks
 
 
@@ -103,6 +104,27 @@
         self.assertEqual(status, 503)
         self.assertLess(time.monotonic() - asked_at, ANSWERED_S)
 
+    # Guards against LOST: one record that the store rejected was repeated
+    # without end, and no other was written.
+    async def test_a_record_that_the_store_rejects(self):
+        await self.wait_until("the preferred entry leads", lambda:
+                              self.is_leader(self.fleet.ip(1, 0) + ":"))
+        job = self.caller.make_job()
+        job.steps = [{"count": 1, "cpu": 500, "mem_mb": 100,
+                      "traits": {"fails": False, "seconds": 0.2}}]
+        job.queue = "quick"
+        self.reject_writes("springstair/progress/" + job.ident)
+        self.assertTrue(await self.caller.submit(job))
+
+        async def is_rejected():
+            return self.fleet.store.rejected > 0
+        await self.wait_until("the record is rejected", is_rejected)
+        for _ in range(3):
+            other = await self.submit_tasks(1, 0.2)
+            accepted_at = time.monotonic()
+            await self.wait_until_done(other)
+            self.assertLess(time.monotonic() - accepted_at, DONE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
