Guard: long lists of an executor are read row by row

Cause: an answer to a poll lists all running tasks with their checkpoints. A guard takes one of over 2 MiB for none, as a decoded document may hold 24 times its size.

Change: rows are decoded and dropped while the answer is read, and members that are not known are not kept. The bound is 1/16 of the guard's memory_mb, at most 8 MiB. A report has at most 256 KiB of checkpoints of running tasks, which take turns.

Why it works: memory follows from the text that is read, and the bound of that from the memory of the process; a report stays below what a leader accepts.

--- a/packages/core/include/springstair/detail/core/json_text.hpp
+++ b/packages/core/include/springstair/detail/core/json_text.hpp
@@ -20,6 +20,11 @@
 /// document or nested more deeply than max_nesting
 json parse_json(std::string_view text);
 
+/// @brief The same, but keeps only the values that @p filter accepts, so that a
+/// long document needs little memory.
+/// @throw whatever @p filter throws, but document_error for a json::exception
+json parse_json(std::string_view text, const json::parser_callback_t& filter);
+
 /// @brief The same, but returns a discarded value instead of throwing.
 json try_parse_json(std::string_view text);
 
--- a/packages/core/src/json_text.cpp
+++ b/packages/core/src/json_text.cpp
@@ -43,6 +43,11 @@
 } // namespace
 
 json parse_json(std::string_view text)
+{
+    return parse_json(text, nullptr);
+}
+
+json parse_json(std::string_view text, const json::parser_callback_t& filter)
 {
     if (const auto at = find_deep_nesting(text))
     {
@@ -51,7 +56,7 @@
     }
     try
     {
-        return json::parse(text);
+        return json::parse(text, filter);
     }
     catch (const json::exception& error)
     {
--- a/packages/daemon/src/job_guard_role.cpp
+++ b/packages/daemon/src/job_guard_role.cpp
@@ -250,8 +250,12 @@
     void send(const poll_executor& poll)
     {
         const time_point sent = now();
-        call_executor(poll, [this, sent, poll](const http_result& result)
-                      { on_polled(poll, result, sent); });
+        http_call call = platform::encode(poll, address_of(poll.executor));
+        call.max_answer_bytes = poll_answer_bytes(process_.settings);
+        process_.client.send(call,
+                             process_.on_control<http_result>(
+                                 [this, sent, poll](const http_result& result)
+                                 { on_polled(poll, result, sent); }));
     }
 
     // The leader -------------------------------------------------------------
--- a/packages/daemon/src/server_limits.cpp
+++ b/packages/daemon/src/server_limits.cpp
@@ -24,6 +24,10 @@
 // Start orders under way take at most this part of it, several times over while
 // they are encoded.
 constexpr std::int64_t start_order_share_divisor = 32;
+// A guard holds the newest lists of its executor, and their report while it is
+// encoded.
+constexpr std::int64_t poll_answer_share_divisor = 16;
+constexpr std::size_t max_poll_answer_bytes = 8U << 20U;
 // A quarter of a server's memory for bodies is kept for small ones.
 constexpr std::size_t large_body_numerator = 3;
 constexpr std::size_t large_body_divisor = 4;
@@ -119,6 +123,13 @@
     return memory_bytes(settings) / start_order_share_divisor;
 }
 
+std::size_t poll_answer_bytes(const job_settings& settings)
+{
+    return std::min(max_poll_answer_bytes,
+                    static_cast<std::size_t>(memory_bytes(settings) /
+                                             poll_answer_share_divisor));
+}
+
 request_limits limits_of(const caller_bounds& bounds)
 {
     const request_limits usual;
--- a/packages/daemon/src/server_limits.hpp
+++ b/packages/daemon/src/server_limits.hpp
@@ -32,6 +32,9 @@
 /// Bytes of unconfirmed start orders that a leader may have sent.
 std::int64_t start_order_bytes(const job_settings& settings);
 
+/// Maximum size of an executor's answer to a poll at its guard.
+std::size_t poll_answer_bytes(const job_settings& settings);
+
 /// Limits on callers' requests by the operators' configuration.
 request_limits limits_of(const caller_bounds& bounds);
 
--- a/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
+++ b/packages/guard/include/springstair/detail/guard/run_reconciler.hpp
@@ -42,6 +42,9 @@
     /// Maximum number of ends that the worker lists in one answer, oldest first
     /// (platform). A list of this length may be incomplete.
     std::size_t max_ends_listed = 500;
+    /// Maximum size of the checkpoints of running tasks in one report. They
+    /// take turns: the executor also lists a run's checkpoint with its end.
+    std::size_t max_reported_checkpoint_bytes = std::size_t{256} << 10U;
     /// Maximum time that the worker waits for an end before it answers a poll.
     /// Determines the age of reported data and the interval between lease
     /// extensions.
@@ -337,6 +340,7 @@
     void forget_reported_incarnations(const worker_report& report,
                                       time_point now);
     void list_runs(worker_report& out) const;
+    [[nodiscard]] std::vector<running_task> reported_running() const;
     void act_on_run(const std::string& task, tracked_run& run, time_point now,
                     std::vector<executor_action>& out);
     [[nodiscard]] bool may_start(const tracked_run& run, time_point now) const;
@@ -399,6 +403,7 @@
     bool poll_in_flight_ = false;
     time_point next_poll_{};
     std::vector<running_task> running_;
+    std::size_t checkpoint_turn_ = 0; ///< rows whose checkpoint was reported
     std::vector<ended_task> ended_;
     /// Stops for older runs that the worker lists together with a newer tracked
     /// run.
--- a/packages/guard/src/run_reconciler.cpp
+++ b/packages/guard/src/run_reconciler.cpp
@@ -303,6 +303,9 @@
     if (report.whole && report.looked)
     {
         full_reported_at_ = std::max(full_reported_at_, sent);
+        checkpoint_turn_ += static_cast<std::size_t>(
+            std::ranges::count_if(report.running, [](const running_task& row)
+                                  { return !row.checkpoint.empty(); }));
     }
     on_orders(answer.orders, now);
 }
@@ -553,9 +556,31 @@
     return started_at_ ? to_milliseconds(now - *started_at_ - paused_) : 0;
 }
 
+// The running tasks, with as many checkpoints as a report may have: at least
+// one, in turn from one report to the next.
+std::vector<running_task> run_reconciler::reported_running() const
+{
+    std::vector<running_task> rows = running_;
+    std::size_t bytes = 0;
+    bool has_space = true;
+    for (std::size_t count = 0; count < rows.size(); ++count)
+    {
+        running_task& row = rows[(checkpoint_turn_ + count) % rows.size()];
+        const bool fits = bytes + row.checkpoint.size() <=
+                          options_.max_reported_checkpoint_bytes;
+        has_space = has_space && (bytes == 0 || fits);
+        if (!has_space)
+        {
+            row.checkpoint.clear();
+        }
+        bytes += row.checkpoint.size();
+    }
+    return rows;
+}
+
 void run_reconciler::list_runs(worker_report& out) const
 {
-    out.running = running_;
+    out.running = reported_running();
     for (const auto& [task, tracked] : runs_)
     {
         if (tracked.stage != run_stage::running)
--- a/tests/soak/large_job_drills.py
+++ b/tests/soak/large_job_drills.py
@@ -23,6 +23,9 @@
 DUE_S = 8.0  # time to submit all
 TASKS_OVER_ALLOTMENT = 800  # only the leader accepts such a job
 LATE_S = 2.0
+LASTING_TASKS = 60
+CHECKPOINT_BYTES = 80_000  # 2.4 MB at each of two executors
+LATER_JOBS = 5
 
 
 class LargeJobDrill(JobDrillCase):
@@ -110,6 +113,31 @@
             return len(self.begun(job)) > 0
         await self.wait_until("the stored job begins", has_begun)
 
+    # Guards against LOST: a guard could not read the lists of an executor whose
+    # tasks have many checkpoints, and nothing that ended there was noticed.
+    async def test_many_checkpoints_at_an_executor(self):
+        lasting = self.make_job(LASTING_TASKS)
+        lasting.queue = "lasting"
+        lasting.steps[0] |= {"long_running": True, "checkpointing": True}
+        self.assertTrue(await self.caller.submit(lasting))
+
+        async def all_run():
+            return len(self.begun(lasting)) == LASTING_TASKS
+        await self.wait_until("the lasting tasks run", all_run)
+        for executor in self.fleet.executors:
+            for run in executor.runs.values():
+                run.checkpoint = "c" * CHECKPOINT_BYTES
+        for _ in range(LATER_JOBS):
+            await self.wait_until_done(await self.submit_tasks(2, 0.2))
+        executor = self.fleet.executors[0]
+        task, run = next(iter(executor.runs.items()))
+        executor.end(task, run, "failed")
+
+        async def runs_again():
+            return any(one.runs[task].checkpoint for one in
+                       self.fleet.executors if task in one.runs)
+        await self.wait_until("the failed task resumes", runs_again)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/adapter_tests.cpp
+++ b/tests/unit/adapter_tests.cpp
@@ -362,6 +362,34 @@
           json{{"fencing_token", 7}, {"last_seen", 3}});
 }
 
+TEST_CASE("rows of an executor's lists must be lists")
+{
+    for (const char* const rows : {"[7]", "[{}]", R"([[]])", "[[7]]", "7"})
+    {
+        for (const char* const member : {"running", "ended"})
+        {
+            CAPTURE(rows);
+            const std::string body = R"({"clock_ms": 9, ")" +
+                                     std::string(member) + R"(": )" + rows +
+                                     "}";
+            CHECK_FALSE(adapter::decode_poll(answered(200, body)).has_value());
+        }
+    }
+}
+
+TEST_CASE("members of an executor's answer that are not known are ignored")
+{
+    const auto snapshot = adapter::decode_poll(
+        answered(200, R"({"other": [["running", 1], {"running": [[1]]}],
+            "running": [["j.0.0.0", 2, "c", 50]], "clock_ms": 9,
+            "more": {"ended": [[1, "j.0.0.0", 2, "done", ""]]}})"));
+    REQUIRE(snapshot);
+    CHECK(snapshot->running ==
+          std::vector<running_task>{
+              {.task = "j.0.0.0", .run = 2, .checkpoint = "c", .percent = 50}});
+    CHECK(snapshot->ended.empty());
+}
+
 TEST_CASE("results of orders by the executor's answer")
 {
     struct row
--- a/tests/unit/run_reconciler_tests.cpp
+++ b/tests/unit/run_reconciler_tests.cpp
@@ -558,3 +558,50 @@
     guard.answer({}, 6);
     CHECK(guard.reconciler.report(guard.now).former.empty());
 }
+
+// Guards against reports that a leader refuses: they held the checkpoints of
+// all running tasks, whose size executors choose.
+TEST_CASE("the checkpoints of running tasks take turns in reports")
+{
+    guard_fixture guard;
+    std::vector<running_task> running(
+        10, {.run = 1, .checkpoint = std::string(100'000, 'c'), .percent = 50});
+    for (std::size_t index = 0; index < running.size(); ++index)
+    {
+        running[index].task = "j.0.0." + std::to_string(index);
+    }
+    guard.due<poll_executor>();
+    guard.answer_poll(running);
+    std::set<std::string> reported;
+    for (int report = 0; report < 6; ++report)
+    {
+        guard.now += seconds(1);
+        const worker_report next = guard.reconciler.report(guard.now);
+        REQUIRE(next.running.size() == running.size());
+        std::size_t reported_bytes = 0;
+        for (const running_task& row : next.running)
+        {
+            reported_bytes += row.checkpoint.size();
+            if (!row.checkpoint.empty())
+            {
+                reported.insert(row.task);
+            }
+        }
+        CHECK(reported_bytes <=
+              run_reconciler_options{}.max_reported_checkpoint_bytes);
+        guard.answer({});
+    }
+    CHECK(reported.size() == running.size());
+}
+
+TEST_CASE("a checkpoint larger than all of a report is still reported")
+{
+    guard_fixture guard;
+    const std::string large(1'000'000, 'c');
+    guard.due<poll_executor>();
+    guard.answer_poll({{.task = "j.0.0.0", .run = 1, .checkpoint = large}});
+    guard.now += seconds(1);
+    const worker_report report = guard.reconciler.report(guard.now);
+    REQUIRE(report.running.size() == 1);
+    CHECK(report.running.front().checkpoint == large);
+}
