Soak: jobs that are large in one way

They are drawn from the job's id, so the other draws of a seed stay, and the option is off for all seeds that are known.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,16 +13,21 @@
 MAX_TRIES = 6
 WEIGHTS = (70, 25, 5)  # relative frequency of quick, heavy and lasting jobs
 CRASHING_SHARE = 0.03  # of jobs; 3 to 4 tasks in 20 s at 6 jobs per second
+LARGE_COUNT = 300  # tasks of a large job
+LARGE_SPEC_BYTES = 4000  # the platform's limit
+LARGE_IMAGE_BYTES = 20_000
+LARGE_CHECKPOINT_BYTES = 50_000
 
 
 class Caller:
     def __init__(self, fleet, record, draw, weights=WEIGHTS,
-                 crashing=CRASHING_SHARE):
+                 crashing=CRASHING_SHARE, large=0.0):
         self.fleet = fleet
         self.record = record
         self.draw = draw
         self.weights = weights
         self.crashing = crashing
+        self.large = large
         self.idle = [[] for _ in fleet.entries]
 
     async def call(self, method, job, document=None):
@@ -63,9 +68,26 @@
         job.spec = json.dumps({"of": job.ident})
         job.queue = kind
         self.add_crashing_task(job)
+        self.make_large(job)
         self.record.jobs[job.ident] = job
         return job
 
+    def make_large(self, job):
+        """Makes some jobs large in one way, within the platform's limits."""
+        draw = random.Random(job.ident + " large")
+        if draw.random() >= self.large:
+            return
+        way = draw.choice(("tasks", "text", "image", "checkpoint"))
+        step = job.steps[0]
+        if way == "tasks" and job.queue != "lasting":
+            step |= {"count": LARGE_COUNT, "cpu": 0, "mem_mb": 0}
+        elif way == "text":
+            job.spec = job.spec.ljust(LARGE_SPEC_BYTES)
+        elif way == "image":
+            step["image"] = step["image"].ljust(LARGE_IMAGE_BYTES, "i")
+        else:
+            step["traits"]["checkpoint_bytes"] = LARGE_CHECKPOINT_BYTES
+
     def add_crashing_task(self, job):
         """Gives some jobs a task that crashes each executor that starts it."""
         draw = random.Random(job.ident)
--- a/tests/soak/executor.py
+++ b/tests/soak/executor.py
@@ -20,7 +20,8 @@
     def __init__(self, number, call, checkpoint, traits, now):
         self.number = number
         self.call = call  # name in the event log of the call that started it
-        self.checkpoint = checkpoint
+        # Saved at once: runs of the soak are shorter than the usual interval.
+        self.checkpoint = "c" * traits.get("checkpoint_bytes", 0) or checkpoint
         self.traits = traits
         self.began = now
         self.stops_at = None  # time at which a requested stop takes effect
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -110,6 +110,7 @@
         return {"long_running": step.get("long_running", False),
                 "seconds": step["traits"]["seconds"],
                 "fails": step["traits"]["fails"],
+                "checkpoint_bytes": step["traits"].get("checkpoint_bytes", 0),
                 "crashes_after": step["traits"].get("crashes_after")
                 if task.endswith(".0") else None}
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,7 +33,8 @@
 
 
 async def wait_until_ready(fleet, record, draw, options):
-    caller = Caller(fleet, record, draw, options.weights, options.crashing)
+    caller = Caller(fleet, record, draw, options.weights, options.crashing,
+                    options.large)
     for _ in range(READY_S * 4):
         if await caller.submit(caller.make_job()):
             return caller
@@ -174,7 +175,7 @@
     line = [sys.executable, __file__, "--seed", str(seed),
             "--figures", os.path.join(figures, f"{seed}.json")]
     for name in ("seconds", "rate", "gap", "outage_gap", "restart_gap",
-                 "entries", "guards", "crashing"):
+                 "entries", "guards", "crashing", "large"):
         line += ["--" + name.replace("_", "-"), str(getattr(options, name))]
     line += ["--weights", *map(str, options.weights)]
     if options.keep:
@@ -225,6 +226,9 @@
                         "jobs")
     parser.add_argument("--crashing", type=float, default=CRASHING_SHARE,
                         help="share of jobs with a task that crashes executors")
+    parser.add_argument("--large", type=float, default=0.0,
+                        help="share of jobs that are large in one way: tasks, "
+                        "text, image or checkpoints")
     parser.add_argument("--keep", help="directory for process logs and the "
                         "event log (story.txt); with --seeds, one "
                         "subdirectory per seed")
