--- a/packages/core/include/springstair/detail/core/json_text.hpp
+++ b/packages/core/include/springstair/detail/core/json_text.hpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace springstair
@@ -20,10 +22,25 @@
 /// document or nested more deeply than max_nesting
 json parse_json(std::string_view text);
 
+/// @brief What a filter of a document is called for.
+enum class json_event : std::uint8_t
+{
+    key,       ///< the name of a member was read; the value is that name
+    array_end, ///< an array was read
+    other
+};
+
+/// @brief Whether to keep a value that was read.
+///
+/// The depth is 0 for the document, 1 for its members and so on. A name that is
+/// not kept drops its member.
+using json_filter =
+    std::function<bool(int depth, json_event event, const json& value)>;
+
 /// @brief The same, but keeps only the values that @p filter accepts, so that a
 /// long document needs little memory.
 /// @throw whatever @p filter throws, but document_error for a json::exception
-json parse_json(std::string_view text, const json::parser_callback_t& filter);
+json parse_json(std::string_view text, const json_filter& filter);
 
 /// @brief The same, but returns a discarded value instead of throwing.
 json try_parse_json(std::string_view text);
--- a/packages/core/src/json_text.cpp
+++ b/packages/core/src/json_text.cpp
@@ -40,14 +40,20 @@
     return std::nullopt;
 }
 
-} // namespace
-
-json parse_json(std::string_view text)
+json_event event_of(json::parse_event_t event) noexcept
 {
-    return parse_json(text, nullptr);
+    switch (event)
+    {
+    case json::parse_event_t::key:
+        return json_event::key;
+    case json::parse_event_t::array_end:
+        return json_event::array_end;
+    default:
+        return json_event::other;
+    }
 }
 
-json parse_json(std::string_view text, const json::parser_callback_t& filter)
+json parse(std::string_view text, const json::parser_callback_t& callback)
 {
     if (const auto at = find_deep_nesting(text))
     {
@@ -56,7 +62,7 @@
     }
     try
     {
-        return json::parse(text, filter);
+        return json::parse(text, callback);
     }
     catch (const json::exception& error)
     {
@@ -64,6 +70,20 @@
     }
 }
 
+} // namespace
+
+json parse_json(std::string_view text)
+{
+    return parse(text, nullptr);
+}
+
+json parse_json(std::string_view text, const json_filter& filter)
+{
+    return parse(text,
+                 [&](int depth, json::parse_event_t event, const json& value)
+                 { return filter(depth, event_of(event), value); });
+}
+
 json try_parse_json(std::string_view text)
 {
     return find_deep_nesting(text) ? json(json::value_t::discarded)
