--- a/packages/daemon/src/job_request_handler.hpp
+++ b/packages/daemon/src/job_request_handler.hpp
@@ -172,8 +172,8 @@
     /// that.
     void retry_later(const request_ptr& request, std::function<void()> action);
     void answer(const request_ptr& request, http_response response);
-    /// The only answers that refuse a request: one whose write may still take
-    /// effect is never told that it was not accepted.
+    /// The only answer that refuses a submission or a cancellation. One whose
+    /// write may still take effect is told that its outcome is unknown.
     [[nodiscard]] http_response not_served(const open_request& request,
                                            const char* why) const;
     void query_leader(const char* method, const json& message,
